--- /dev/null
+++ b/src/jasminewheel/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule agent programs: in order, at most once, within budget."""
--- /dev/null
+++ b/src/jasminewheel/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what no other project may import."""
--- /dev/null
+++ b/src/jasminewheel/_internal/events/__init__.py
@@ -0,0 +1,1 @@
+"""Declare the numbered log events, one module an area."""
--- /dev/null
+++ b/src/jasminewheel/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Log numbered events, trace hops, count metrics."""
--- /dev/null
+++ b/src/jasminewheel/_internal/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Carry thrift messages over authenticated trio streams."""
--- /dev/null
+++ b/src/jasminewheel/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read settings files and report what is wrong with them."""
--- /dev/null
+++ b/src/jasminewheel/_internal/settings/loader.py
@@ -0,0 +1,104 @@
+"""Load a settings file into an attrs class, with errors a user can act on."""
+
+import re
+from json import JSONDecodeError
+from pathlib import Path
+from typing import Any, TypeVar
+
+import jsonc
+from cattrs import Converter, transform_error
+from cattrs.errors import ForbiddenExtraKeysError
+
+from jasminewheel.errors import SettingsError
+
+SettingsT = TypeVar('SettingsT')
+_PATH = re.compile(r'^(?P<problem>.*) @ \$\.?(?P<path>.*)$')
+_INDEX = re.compile(r"\[\d+\]|\['[^']*'\]")
+
+
+def make_converter() -> Converter:
+    """Return a converter that refuses unknown fields and wrong types."""
+    converter = Converter(
+        forbid_extra_keys=True,
+        prefer_attrib_converters=True,
+    )
+    for scalar in (int, float, str, bool):
+        converter.register_structure_hook(scalar, _strict_scalar)
+    return converter
+
+
+def _strict_scalar(raw: Any, kind: type) -> Any:
+    if kind is float and isinstance(raw, int) and not isinstance(raw, bool):
+        return float(raw)
+    is_flag = isinstance(raw, bool)
+    if not isinstance(raw, kind) or is_flag != (kind is bool):
+        raise ValueError(f'expected {kind.__name__}, got {raw!r}')
+    return raw
+
+
+def load_settings(path: Path, kind: type[SettingsT]) -> SettingsT:
+    """Load the file at path; raise SettingsError with file, line and field."""
+    text = _read(path)
+    raw = _parse(path, text)
+    try:
+        return make_converter().structure(raw, kind)
+    except Exception as error:
+        raise SettingsError(
+            '\n'.join(describe_problems(error, text, str(path))),
+            remedy='correct the fields named and start again',
+        ) from error
+
+
+def describe_problems(error: Exception, text: str, source: str) -> list[str]:
+    """Return one line a wrong field: source, line, path and problem."""
+    found = []
+    for line in transform_error(error, format_exception=_format_problem):
+        match = _PATH.match(line)
+        problem, path = (
+            (match['problem'], match['path']) if match else (line, '')
+        )
+        number = _line_of(text, path)
+        place = path or 'top level'
+        found.append(f'{source}:{number}: {place}: {problem}')
+    return found
+
+
+def _format_problem(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, ForbiddenExtraKeysError):
+        names = ', '.join(sorted(error.extra_fields))
+        return f'unknown field {names}'
+    if isinstance(error, KeyError):
+        return 'a required field is missing'
+    return str(error) or type(error).__name__
+
+
+def _read(path: Path) -> str:
+    try:
+        return path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f'{path}: cannot read settings: {error}',
+            remedy='name a readable file in JSON with comments',
+        ) from error
+
+
+def _parse(path: Path, text: str) -> Any:
+    try:
+        return jsonc.loads(text)
+    except JSONDecodeError as error:
+        raise SettingsError(
+            f'{path}:{error.lineno}: not JSON with comments: {error.msg}',
+            remedy='correct the line named',
+        ) from error
+    except ValueError as error:
+        raise SettingsError(f'{path}: not JSON: {error}') from error
+
+
+def _line_of(text: str, path: str) -> int:
+    """Return the line of the path's last key, following its keys in order."""
+    position = 0
+    for key in _INDEX.sub('', path).split('.'):
+        found = text.find(f'"{key}"', position)
+        if key and found >= 0:
+            position = found
+    return text.count('\n', 0, position) + 1
--- /dev/null
+++ b/src/jasminewheel/_internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encode messages between the product's processes."""
--- /dev/null
+++ b/src/jasminewheel/_internal/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the types made by scripts/generate."""
--- /dev/null
+++ b/src/jasminewheel/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Parse arguments of the binaries and hand over to commands."""
--- /dev/null
+++ b/src/jasminewheel/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Run what the binaries offer."""
--- /dev/null
+++ b/src/jasminewheel/errors.py
@@ -0,0 +1,160 @@
+"""Define the errors a user may see, with how to mend each."""
+
+from jasminewheel.models.verdict import Verdict
+
+
+class JasminewheelError(Exception):
+    """Carry the message a user sees and how to mend the cause."""
+
+    code = 'internal'
+
+    def __init__(self, message: str, *, remedy: str = '') -> None:
+        """Keep the message and the remedy."""
+        super().__init__(message)
+        self.message = message
+        self.remedy = remedy
+
+    def __str__(self) -> str:
+        """Return the message followed by the remedy."""
+        if not self.remedy:
+            return self.message
+        return f'{self.message} ({self.remedy})'
+
+
+class SettingsError(JasminewheelError):
+    """Report a settings file that cannot be used."""
+
+    code = 'settings-invalid'
+
+
+class CallError(JasminewheelError):
+    """Refuse or fail a call, with whether it may have run."""
+
+    code = 'call-failed'
+    status = 500
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        verdict: Verdict = Verdict.not_run,
+        remedy: str = '',
+        retry_after_seconds: float = 0,
+    ) -> None:
+        """Keep the verdict and the earliest time of a useful retry."""
+        super().__init__(message, remedy=remedy)
+        self.verdict = verdict
+        self.retry_after_seconds = retry_after_seconds
+
+
+class BadRequestError(CallError):
+    """Refuse a call whose content is wrong."""
+
+    code = 'bad-request'
+    status = 400
+
+
+class UnauthorizedError(CallError):
+    """Refuse a call without a valid key."""
+
+    code = 'unauthorized'
+    status = 401
+
+
+class ForbiddenError(CallError):
+    """Refuse a call to a target the caller may not use."""
+
+    code = 'forbidden'
+    status = 403
+
+
+class NotFoundError(CallError):
+    """Refuse a call that names something unknown."""
+
+    code = 'not-found'
+    status = 404
+
+
+class ConflictError(CallError):
+    """Refuse a call that contradicts an earlier one."""
+
+    code = 'conflict'
+    status = 409
+
+
+class TooLargeError(CallError):
+    """Refuse a call whose body is over the limit."""
+
+    code = 'too-large'
+    status = 413
+
+
+class BudgetError(CallError):
+    """Refuse a call that the caller's budget cannot cover."""
+
+    code = 'budget-exhausted'
+    status = 402
+
+
+class OverloadedError(CallError):
+    """Refuse a call early because queues are full."""
+
+    code = 'overloaded'
+    status = 429
+
+
+class UnavailableError(CallError):
+    """Refuse or fail a call because a part of the fleet is missing."""
+
+    code = 'unavailable'
+    status = 503
+
+
+class TargetFailedError(CallError):
+    """Report that the target answered with an error or not at all."""
+
+    code = 'target-failed'
+    status = 502
+
+
+class DeadlineError(CallError):
+    """Report that the deadline passed."""
+
+    code = 'deadline-passed'
+    status = 504
+
+
+class StoreError(JasminewheelError):
+    """Report that the key-value service did not answer as needed."""
+
+    code = 'store-failed'
+
+
+class StoreConflictError(StoreError):
+    """Report that a compare-and-swap met another revision."""
+
+    code = 'store-conflict'
+
+
+class StoreUnavailableError(StoreError):
+    """Report that no answer came; the change may have taken effect."""
+
+    code = 'store-unavailable'
+
+
+class FencedError(JasminewheelError):
+    """Report that a newer fence has taken over the slot."""
+
+    code = 'fenced'
+
+
+class QuorumError(JasminewheelError):
+    """Report that too few replicas answered."""
+
+    code = 'no-quorum'
+
+
+class PeerError(JasminewheelError):
+    """Report that a peer could not be reached or broke the protocol."""
+
+    code = 'peer-failed'
--- /dev/null
+++ b/src/jasminewheel/models/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the product's data, free of I/O."""
