Serve an application on hypercorn with graceful shutdown

Cause: every binary needs readiness, a bound port and a stop that cuts off no request; the library's defaults end answers after 60 s and wait for ever on a reader that takes nothing (its send is shielded). Ruled out: passing the port through the library (it reports URLs only). Change: own listening socket handed over by descriptor, no response timeout, TCP_USER_TIMEOUT for stalled readers.

--- /dev/null
+++ b/src/jasminewheel/_internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators over HTTP."""
--- /dev/null
+++ b/src/jasminewheel/_internal/http/serving.py
@@ -0,0 +1,128 @@
+"""Serve an application over HTTP until a graceful shutdown."""
+
+import logging
+import signal
+import socket
+from functools import partial
+from pathlib import Path
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from jasminewheel._internal.events import frame
+
+_LOGGER = logging.getLogger(__name__)
+_BACKLOG = 1024
+# Longer than the clients' pools keep an idle connection, so that a client
+# rarely sends a request on a connection that is being closed.
+_KEEP_ALIVE_SECONDS = 75
+_REQUESTS_PER_CONNECTION = 1_000_000
+# A reader that takes nothing for this long is cut off by the kernel.
+_STALLED_READER_MILLISECONDS = 30_000
+GRACE_SECONDS = 30.0
+
+
+async def serve_app(
+    app: QuartTrio,
+    host: str,
+    port: int,
+    *,
+    shutdown: trio.Event,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    grace_seconds: float = GRACE_SECONDS,
+) -> None:
+    """Serve app until shutdown and its requests end; start with the port.
+
+    After `shutdown` no connection is accepted, requests in progress have
+    `grace_seconds` to end, and idle connections are closed.
+    """
+    # Streams of long answers would be cut off by the library's default.
+    app.config['RESPONSE_TIMEOUT'] = None
+    listener = _listen(host, port)
+    bound_port = listener.getsockname()[1]
+    config = _config(listener.detach(), grace_seconds)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            partial(serve, app, config, shutdown_trigger=shutdown.wait),
+        )
+        task_status.started(bound_port)
+
+
+async def set_on_signal(
+    shutdown: trio.Event,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Set shutdown at the first SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for number in signals:
+            frame.STOPPING.log(_LOGGER, signal=signal.Signals(number).name)
+            shutdown.set()
+            return
+
+
+async def serve_process(
+    app: QuartTrio,
+    host: str,
+    port: int,
+    port_file: Path | None = None,
+    *,
+    grace_seconds: float = GRACE_SECONDS,
+) -> None:
+    """Serve app as a whole process until SIGTERM or SIGINT."""
+    shutdown = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(set_on_signal, shutdown)
+        bound_port = await nursery.start(
+            partial(
+                serve_app,
+                app,
+                host,
+                port,
+                shutdown=shutdown,
+                grace_seconds=grace_seconds,
+            ),
+        )
+        if port_file:
+            write_port(port_file, bound_port)
+        frame.STARTED.log(_LOGGER, host=host, port=bound_port)
+    frame.STOPPED.log(_LOGGER, host=host, port=bound_port)
+
+
+def write_port(port_file: Path, port: int) -> None:
+    """Write the port in one step, so that a reader never sees half of it."""
+    partial_file = port_file.with_name(f'{port_file.name}.partial')
+    partial_file.write_text(f'{port}\n', encoding='ascii')
+    partial_file.replace(port_file)
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    # Accepted connections inherit these options.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _STALLED_READER_MILLISECONDS,
+    )
+    listener.bind((host, port))
+    return listener
+
+
+def _config(listener_number: int, grace_seconds: float) -> Config:
+    config = Config()
+    config.bind = [f'fd://{listener_number}']
+    config.backlog = _BACKLOG
+    config.graceful_timeout = grace_seconds
+    config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
+    config.keep_alive_max_requests = _REQUESTS_PER_CONNECTION
+    config.include_server_header = False
+    config.accesslog = None
+    config.errorlog = logging.getLogger('hypercorn.error')
+    config.loglevel = 'WARNING'
+    return config
