--- /dev/null
+++ b/src/jasminewheel/_internal/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and the targets in tests and demonstrations."""
--- /dev/null
+++ b/src/jasminewheel/_internal/fakes/engine_orders.py
@@ -0,0 +1,94 @@
+"""Take orders to load models and adapters or to change role."""
+
+from collections import Counter
+from typing import Any
+
+import httpx
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.fakes.engine_cache import StaleFence
+
+_TIMEOUT_SECONDS = 600
+
+
+@frozen
+class Order:
+    """Hold one order; fence counts within scope."""
+
+    kind: str
+    name: str
+    scope: str
+    fence: int
+
+
+@define
+class OrderBook:
+    """Hold what is loaded, and refuse old fences if told to."""
+
+    is_fenced: bool
+    models: set[str]
+    adapters: set[str]
+    weights_url: str
+    load_seconds: float
+    role: str = 'mixed'
+    loading: set[str] = field(factory=set)
+    fences: dict[str, int] = field(factory=dict)
+    taken: Counter[str] = field(factory=Counter)
+
+    def check_fence(self, scope: str, fence: int) -> None:
+        """Remember the highest fence; raise StaleFence below it."""
+        highest = self.fences.get(scope, 0)
+        if self.is_fenced and fence < highest:
+            raise StaleFence(f'{scope} has fence {highest}')
+        self.fences[scope] = max(fence, highest)
+
+    async def take(self, order: Order) -> None:
+        """Carry out an order; raise ValueError for an unknown kind."""
+        self.check_fence(order.scope, order.fence)
+        self.taken[f'{order.kind}:{order.name}'] += 1
+        if order.kind == 'role':
+            self.role = order.name
+        elif order.kind == 'load_model':
+            await self.load(order.name, self.models)
+        elif order.kind == 'load_adapter':
+            await self.load(order.name, self.adapters)
+        else:
+            raise ValueError(f'unknown kind {order.kind!r}')
+
+    async def load(self, name: str, into: set[str]) -> None:
+        """Fetch the weights and load them."""
+        if name in into:
+            return
+        self.loading.add(name)
+        try:
+            await self.fetch(name)
+        finally:
+            self.loading.discard(name)
+        into.add(name)
+
+    async def fetch(self, name: str) -> None:
+        """Read the weights to the end, then wait as loading takes."""
+        if self.weights_url:
+            async with (
+                httpx.AsyncClient(timeout=_TIMEOUT_SECONDS) as client,
+                client.stream(
+                    'POST',
+                    f'{self.weights_url}/v1/fetch',
+                    json={'name': name},
+                ) as answer,
+            ):
+                answer.raise_for_status()
+                async for _ in answer.aiter_raw():
+                    continue
+        await trio.sleep(self.load_seconds)
+
+    def describe(self) -> dict[str, Any]:
+        """Return what is loaded and which orders were taken."""
+        return {
+            'models': sorted(self.models),
+            'adapters': sorted(self.adapters),
+            'loading': sorted(self.loading),
+            'role': self.role,
+            'orders': dict(self.taken),
+        }
--- /dev/null
+++ b/src/jasminewheel/_internal/fakes/engine_streams.py
@@ -0,0 +1,79 @@
+"""Keep the streams of answers, so that a caller can resume one."""
+
+from collections.abc import AsyncIterator
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.fakes.answers import tokens_from
+from jasminewheel._internal.fakes.engine_batch import Sequence
+from jasminewheel._internal.targets.engine import EngineToken, EngineUsage
+
+_STREAMS_KEPT = 10_000
+
+
+@define(eq=False)
+class AnswerStream:
+    """Hold the tokens given so far."""
+
+    sequence: Sequence
+    tokens: list[EngineToken] = field(factory=list)
+    usage: EngineUsage | None = None
+    changed: trio.Event = field(factory=trio.Event)
+
+    def add(self, token: EngineToken) -> None:
+        """Append a token and wake up the readers."""
+        self.tokens.append(token)
+        self.announce()
+
+    def end(self, finish: str) -> None:
+        """End the stream with its usage."""
+        if self.usage:
+            return
+        self.usage = EngineUsage(
+            prompt_tokens=self.sequence.prompt_tokens,
+            cached_tokens=self.sequence.cached_tokens,
+            completion_tokens=self.sequence.position,
+            finish=finish,
+        )
+        self.announce()
+
+    def announce(self) -> None:
+        """Wake up the readers."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def read(self, offset: int) -> AsyncIterator[EngineToken]:
+        """Yield the tokens from a character offset on, until the end."""
+        index = 0
+        while True:
+            for token in tokens_from(self.tokens[index:], offset):
+                yield token
+            index = len(self.tokens)
+            if self.usage:
+                return
+            await self.wait_beyond(index)
+
+    async def wait_beyond(self, count: int) -> None:
+        """Wait until there are more tokens or the end."""
+        while len(self.tokens) == count and not self.usage:
+            await self.changed.wait()
+
+
+@define
+class StreamTable:
+    """Find streams by request identifier, forgetting the oldest."""
+
+    streams: dict[str, AnswerStream] = field(factory=dict)
+
+    def add(self, stream: AnswerStream) -> None:
+        """Keep a stream; the newest run of an identifier wins."""
+        request_id = stream.sequence.request_id
+        self.streams.pop(request_id, None)
+        self.streams[request_id] = stream
+        if len(self.streams) > _STREAMS_KEPT:
+            self.streams.pop(next(iter(self.streams)))
+
+    def find(self, request_id: str) -> AnswerStream | None:
+        """Return the stream of the identifier's newest run."""
+        return self.streams.get(request_id)
--- /dev/null
+++ b/src/jasminewheel/_internal/fakes/feed.py
@@ -0,0 +1,119 @@
+"""Publish cache events late and with gaps, and load with a lag."""
+
+from collections import deque
+from collections.abc import AsyncIterator, Callable, Iterable
+from random import Random
+from typing import Any
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.fakes.engine_cache import CacheChange
+from jasminewheel._internal.http.sse import format_event
+
+_EVENTS_KEPT = 20_000
+_POLL_SECONDS = 0.02
+
+
+@frozen
+class FeedSettings:
+    """Set how late, how gappy and how often the feed is."""
+
+    delay_seconds: float = 0.05
+    drop_probability: float = 0
+    load_period_seconds: float = 0.1
+    load_lag_seconds: float = 0.1
+
+
+@frozen
+class _Entry:
+    sequence: int
+    visible_at: float
+    change: CacheChange
+
+
+@frozen
+class _LoadSample:
+    taken_at: float
+    load: dict[str, Any]
+
+
+@define
+class Feed:
+    """Hold what was published and what is still to be seen."""
+
+    settings: FeedSettings
+    read_load: Callable[[], dict[str, Any]]
+    sequence: int = 0
+    entries: deque[_Entry] = field(
+        factory=lambda: deque(maxlen=_EVENTS_KEPT),
+    )
+    samples: deque[_LoadSample] = field(factory=deque)
+    random: Random = field(factory=lambda: Random(0))
+
+    def publish(self, changes: Iterable[CacheChange], now: float) -> None:
+        """Number the changes; lose some of them."""
+        visible_at = now + self.settings.delay_seconds
+        for change in changes:
+            self.sequence += 1
+            if self.random.random() >= self.settings.drop_probability:
+                entry = _Entry(self.sequence, visible_at, change)
+                self.entries.append(entry)
+
+    async def run(self) -> None:
+        """Sample the load."""
+        while True:
+            now = trio.current_time()
+            self.samples.append(_LoadSample(now, self.read_load()))
+            while self.samples[0].taken_at < now - 2 * self.horizon:
+                self.samples.popleft()
+            await trio.sleep(self.settings.load_period_seconds)
+
+    @property
+    def horizon(self) -> float:
+        """Return for how long samples are kept, in seconds."""
+        settings = self.settings
+        return settings.load_lag_seconds + settings.load_period_seconds
+
+    def load(self, now: float) -> dict[str, Any] | None:
+        """Return the newest load that is old enough to be seen."""
+        latest = now - self.settings.load_lag_seconds
+        seen = [one.load for one in self.samples if one.taken_at <= latest]
+        return seen[-1] if seen else None
+
+    def entries_from(self, start: int, now: float) -> list[_Entry]:
+        """Return the visible entries from a sequence number on."""
+        if not self.entries or self.entries[-1].sequence < start:
+            return []
+        return [
+            entry
+            for entry in self.entries
+            if entry.sequence >= start and entry.visible_at <= now
+        ]
+
+    async def events(self, start: int) -> AsyncIterator[bytes]:
+        """Yield cache and load events from a sequence number on."""
+        load_at = 0.0
+        while True:
+            now = trio.current_time()
+            for entry in self.entries_from(start, now):
+                start = entry.sequence + 1
+                yield _cache_event(entry)
+            if now >= load_at:
+                load_at = now + self.settings.load_period_seconds
+                load = self.load(now)
+                if load:
+                    yield format_event('load', load)
+            await trio.sleep(_POLL_SECONDS)
+
+
+def _cache_event(entry: _Entry) -> bytes:
+    return format_event(
+        'cache',
+        {
+            'seq': entry.sequence,
+            'kind': entry.change.kind,
+            'block': entry.change.block,
+            'tokens': entry.change.tokens,
+        },
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to model engines and plain services."""
