Fit slopes for the capacity page

Cause: the capacity page's figures must come from measured slopes with their residuals. Change: a least-squares fit over at least four points, result files that name their command.

--- /dev/null
+++ b/src/jasminewheel/_internal/capacity/slope.py
@@ -0,0 +1,83 @@
+"""Fit a straight line to measured points."""
+
+import json
+from pathlib import Path
+from statistics import linear_regression
+
+from attrs import asdict, frozen
+
+MINIMUM_POINTS = 4
+
+
+@frozen
+class Slope:
+    """Hold the points of one measurement and the line through them."""
+
+    name: str
+    unit: str
+    per: str
+    points: tuple[tuple[float, float], ...]
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size, in the slope's unit."""
+        return self.intercept + self.slope * size
+
+
+@frozen
+class Measurement:
+    """Hold the slopes of one run and the command that made them."""
+
+    command: str
+    slopes: tuple[Slope, ...]
+
+    def write(self, path: Path) -> None:
+        """Write the result file."""
+        path.parent.mkdir(parents=True, exist_ok=True)
+        text = json.dumps(asdict(self), indent=1)
+        path.write_text(f'{text}\n', encoding='utf-8')
+
+
+def fit(
+    name: str,
+    unit: str,
+    per: str,
+    points: list[tuple[float, float]],
+) -> Slope:
+    """Fit the points; raise ValueError for fewer than four.
+
+    The residual is the largest distance of a point from the line, as a share
+    of the largest value.
+    """
+    if len(points) < MINIMUM_POINTS:
+        raise ValueError(f'{name}: {len(points)} points, need {MINIMUM_POINTS}')
+    sizes = [size for size, _ in points]
+    values = [measured for _, measured in points]
+    line = linear_regression(sizes, values)
+    distances = [
+        abs(measured - line.intercept - line.slope * size)
+        for size, measured in points
+    ]
+    largest = max(map(abs, values)) or 1
+    return Slope(
+        name=name,
+        unit=unit,
+        per=per,
+        points=tuple(points),
+        slope=line.slope,
+        intercept=line.intercept,
+        residual=max(distances) / largest,
+    )
+
+
+def read_slopes(folder: Path) -> dict[str, Slope]:
+    """Return all slopes of the result files in a folder, by name."""
+    found = {}
+    for path in sorted(folder.glob('*.json')):
+        for raw in json.loads(path.read_text(encoding='utf-8'))['slopes']:
+            raw['points'] = tuple(tuple(point) for point in raw['points'])
+            slope = Slope(**raw)
+            found[slope.name] = slope
+    return found
