Stand in for the store, engine, tool, weights and VM list

Ruled out: breaking connections below the HTTP library (its internals are not reachable); an announced byte that never comes makes it close instead. Change: five binaries on one frame (routes, faults, drop); the engine batches continuously with a bounded prefix cache. run_process returned inside except*, which is a syntax error: set the exit code there instead. Known: the engine announces blocks at admission, before they are computed.

--- a/src/jasminewheel/_internal/fakes/engine_cache.py
+++ b/src/jasminewheel/_internal/fakes/engine_cache.py
@@ -178,7 +178,9 @@
 
     def expire(self, now: float) -> None:
         """End the pins whose time is over."""
-        over = [name for name, pin in self.pins.items() if pin.expires_at <= now]
+        over = [
+            name for name, pin in self.pins.items() if pin.expires_at <= now
+        ]
         for name in over:
             self.unpin(name)
 
--- a/src/jasminewheel/_internal/fakes/engine_memory.py
+++ b/src/jasminewheel/_internal/fakes/engine_memory.py
@@ -84,7 +84,9 @@
             pairs = json.loads(
                 urlsafe_b64decode((await request_json()).get('blob', '')),
             )
-            blocks = [PrefixBlock(str(name), int(count)) for name, count in pairs]
+            blocks = [
+                PrefixBlock(str(name), int(count)) for name, count in pairs
+            ]
         except (TypeError, ValueError):
             return refusal(_BAD_REQUEST, 'blob is not an export')
         tokens = sum(block.tokens for block in blocks)
--- a/src/jasminewheel/_internal/fakes/engine_orders.py
+++ b/src/jasminewheel/_internal/fakes/engine_orders.py
@@ -1,6 +1,8 @@
 """Take orders to load models and adapters or to change role."""
 
 from collections import Counter
+from collections.abc import Iterator, Mapping
+from contextlib import ExitStack, contextmanager
 from typing import Any
 
 import httpx
@@ -31,6 +33,8 @@
     adapters: set[str]
     weights_url: str
     load_seconds: float
+    serves_any_model: bool
+    serves_any_adapter: bool
     role: str = 'mixed'
     loading: set[str] = field(factory=set)
     fences: dict[str, int] = field(factory=dict)
@@ -60,13 +64,18 @@
         """Fetch the weights and load them."""
         if name in into:
             return
-        self.loading.add(name)
-        try:
+        with self.shown_as_loading(name):
             await self.fetch(name)
-        finally:
-            self.loading.discard(name)
         into.add(name)
 
+    @contextmanager
+    def shown_as_loading(self, name: str) -> Iterator[None]:
+        """Show name among what is being loaded."""
+        self.loading.add(name)
+        with ExitStack() as stack:
+            stack.callback(self.loading.discard, name)
+            yield
+
     async def fetch(self, name: str) -> None:
         """Read the weights to the end, then wait as loading takes."""
         if self.weights_url:
@@ -79,10 +88,20 @@
                 ) as answer,
             ):
                 answer.raise_for_status()
-                async for _ in answer.aiter_raw():
-                    continue
+                await answer.aread()
         await trio.sleep(self.load_seconds)
 
+    def loading_problem(self, fields: Mapping[str, Any]) -> str:
+        """Return why the model or adapter cannot be served, if so."""
+        model = fields.get('model', '')
+        adapter = fields.get('adapter') or ''
+        if not self.serves_any_model and model not in self.models:
+            return f'model {model} is not loaded'
+        is_missing = adapter and adapter not in self.adapters
+        if not self.serves_any_adapter and is_missing:
+            return f'adapter {adapter} is not loaded'
+        return ''
+
     def describe(self) -> dict[str, Any]:
         """Return what is loaded and which orders were taken."""
         return {
--- /dev/null
+++ b/src/jasminewheel/_internal/fakes/engine_sequence.py
@@ -0,0 +1,102 @@
+"""Give running sequences their place in the stand-in engine's memory."""
+
+from collections import Counter
+from collections.abc import Sequence as SequenceOf
+
+from attrs import define, field
+
+from jasminewheel._internal.fakes.engine_cache import PrefixCache
+from jasminewheel._internal.targets.engine import EngineToken
+from jasminewheel._internal.targets.prefix import PrefixBlock
+
+
+@define(eq=False)
+class Sequence:
+    """Hold one request's progress."""
+
+    request_id: str
+    priority: int
+    order: int
+    blocks: SequenceOf[PrefixBlock]
+    tokens: SequenceOf[EngineToken]
+    finish: str
+    resumed_tokens: int = 0
+    answer_block: PrefixBlock | None = None
+    cached_tokens: int = 0
+    prefill_left: int = 0
+    position: int = 0
+    held_blocks: int = 0
+    has_started: bool = False
+    is_cancelled: bool = False
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the tokens of the whole prompt."""
+        return sum(block.tokens for block in self.blocks)
+
+    @property
+    def private_tokens(self) -> int:
+        """Return the tokens of the answer that only this sequence holds."""
+        return self.position + self.resumed_tokens
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Order by priority, the highest first, then by arrival."""
+        return (-self.priority, self.order)
+
+
+@define
+class SequenceMemory:
+    """Hold and give back the blocks of sequences."""
+
+    cache: PrefixCache
+    counts: Counter[str] = field(factory=Counter)
+
+    def hold(self, sequence: Sequence, others_tokens: int) -> bool:
+        """Hold the sequence's blocks in the cache, if they fit."""
+        blocks = sequence.blocks
+        present = self.cache.cached_prefix(blocks)
+        self.cache.acquire(blocks[:present])
+        cached = sum(block.tokens for block in blocks[:present])
+        missing = sequence.prompt_tokens - cached
+        extra = others_tokens + sequence.private_tokens
+        if not self.cache.make_room(missing + extra):
+            self.cache.release(blocks[:present])
+            return False
+        self.store_missing(sequence, present)
+        sequence.prefill_left = missing + sequence.private_tokens
+        self.count_prompt(sequence, cached)
+        return True
+
+    def store_missing(self, sequence: Sequence, present: int) -> None:
+        """Add the blocks that the cache lacks and hold them too."""
+        blocks = sequence.blocks
+        parent = blocks[present - 1].block if present else ''
+        for block in blocks[present:]:
+            self.cache.store(block, parent)
+            self.cache.blocks[block.block].users += 1
+            parent = block.block
+        sequence.held_blocks = len(blocks)
+
+    def count_prompt(self, sequence: Sequence, cached: int) -> None:
+        """Count the prompt at the first start, the rest as recomputed."""
+        if sequence.has_started:
+            self.counts['recomputed_tokens'] += sequence.prefill_left
+            return
+        sequence.has_started = True
+        sequence.cached_tokens = cached
+        self.counts['prompt_tokens'] += sequence.prompt_tokens
+        self.counts['cached_tokens'] += cached
+        self.counts['recomputed_tokens'] += sequence.resumed_tokens
+
+    def keep_answer(self, sequence: Sequence, others_tokens: int) -> None:
+        """Turn the answer into a block, if it fits."""
+        block = sequence.answer_block
+        if block and self.cache.make_room(block.tokens + others_tokens):
+            parent = sequence.blocks[-1].block if sequence.blocks else ''
+            self.cache.store(block, parent)
+
+    def release(self, sequence: Sequence) -> None:
+        """Give back the sequence's blocks."""
+        self.cache.release(sequence.blocks[: sequence.held_blocks])
+        sequence.held_blocks = 0
--- a/src/jasminewheel/_internal/fakes/engine_streams.py
+++ b/src/jasminewheel/_internal/fakes/engine_streams.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from jasminewheel._internal.fakes.answers import tokens_from
-from jasminewheel._internal.fakes.engine_batch import Sequence
+from jasminewheel._internal.fakes.engine_sequence import Sequence
 from jasminewheel._internal.targets.engine import EngineToken, EngineUsage
 
 _STREAMS_KEPT = 10_000
--- a/src/jasminewheel/_internal/fakes/feed.py
+++ b/src/jasminewheel/_internal/fakes/feed.py
@@ -93,7 +93,7 @@
 
     async def events(self, start: int) -> AsyncIterator[bytes]:
         """Yield cache and load events from a sequence number on."""
-        load_at = 0.0
+        load_at = trio.current_time()
         while True:
             now = trio.current_time()
             for entry in self.entries_from(start, now):
--- a/src/jasminewheel/_internal/fakes/store.py
+++ b/src/jasminewheel/_internal/fakes/store.py
@@ -24,6 +24,7 @@
 
 _VALUE_LIMIT_BYTES = 1024 * 1024
 _EXPIRY_PERIOD_SECONDS = 0.05
+_WATCH_SECONDS = 30
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -150,7 +151,7 @@
         """Wait for a change below a prefix, then return all its values."""
         prefix = request.args.get('prefix', '')
         start = request.args.get('from_revision', 0, type=int)
-        seconds = request.args.get('wait_seconds', 30, type=float)
+        seconds = request.args.get('wait_seconds', _WATCH_SECONDS, type=float)
         with trio.move_on_after(seconds):
             while not self.state.changed_after(prefix, start):
                 await self.changed.wait()
--- a/src/jasminewheel/_internal/fakes/store_state.py
+++ b/src/jasminewheel/_internal/fakes/store_state.py
@@ -121,7 +121,8 @@
         """End the lease and delete the keys under it."""
         if self.leases.pop(name, None) is None:
             raise UnknownLease(name)
-        for key in [key for key in self.items if self.items[key].lease == name]:
+        held = [key for key in self.items if self.items[key].lease == name]
+        for key in held:
             self.delete(key, None)
 
     def expire(self, now: float) -> bool:
--- a/src/jasminewheel/_internal/fakes/tool.py
+++ b/src/jasminewheel/_internal/fakes/tool.py
@@ -41,7 +41,6 @@
     faults: Faults = field(factory=Faults)
     runs: Counter[str] = field(factory=Counter)
     operations: Counter[str] = field(factory=Counter)
-    running: int = 0
     places: trio.Semaphore = field(init=False)
     feed: Feed = field(init=False)
     app: QuartTrio = field(init=False)
@@ -63,8 +62,10 @@
 
     def load(self) -> dict[str, Any]:
         """Return the load as it is now."""
-        tasks_waiting = self.places.statistics().tasks_waiting
-        return {'running': self.running, 'waiting': tasks_waiting}
+        return {
+            'running': self.settings.max_running - self.places.value,
+            'waiting': self.places.statistics().tasks_waiting,
+        }
 
     async def call(self, operation: str) -> Response:
         """Run an operation once more under its request identifier."""
@@ -76,11 +77,7 @@
             self.runs[request_id] += 1
             self.operations[operation] += 1
             run = self.runs[request_id]
-            self.running += 1
-            try:
-                await trio.sleep(self.settings.service_seconds)
-            finally:
-                self.running -= 1
+            await trio.sleep(self.settings.service_seconds)
         return jsonify(
             {
                 'operation': operation,
--- a/src/jasminewheel/_internal/fakes/weights.py
+++ b/src/jasminewheel/_internal/fakes/weights.py
@@ -17,7 +17,7 @@
 from jasminewheel._internal.fakes.faults import Faults
 from jasminewheel._internal.fakes.rates import TokenBucket
 
-_CHUNK_BYTES = 64 * 1024
+_CHUNK_BYTES = 65_536
 _NOT_FOUND = 404
 
 
--- a/src/jasminewheel/_internal/http/serving.py
+++ b/src/jasminewheel/_internal/http/serving.py
@@ -1,7 +1,6 @@
 """Serve an application over HTTP until a graceful shutdown."""
 
 import logging
-import signal
 import socket
 from functools import partial
 from pathlib import Path
@@ -11,9 +10,6 @@
 from hypercorn.trio import serve
 from quart_trio import QuartTrio
 
-from jasminewheel._internal.events import frame
-
-_LOGGER = logging.getLogger(__name__)
 _BACKLOG = 1024
 # Longer than the clients' pools keep an idle connection, so that a client
 # rarely sends a request on a connection that is being closed.
@@ -50,48 +46,6 @@
         task_status.started(bound_port)
 
 
-async def set_on_signal(
-    shutdown: trio.Event,
-    *,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Set shutdown at the first SIGTERM or SIGINT."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        task_status.started()
-        async for number in signals:
-            frame.STOPPING.log(_LOGGER, signal=signal.Signals(number).name)
-            shutdown.set()
-            return
-
-
-async def serve_process(
-    app: QuartTrio,
-    host: str,
-    port: int,
-    port_file: Path | None = None,
-    *,
-    grace_seconds: float = GRACE_SECONDS,
-) -> None:
-    """Serve app as a whole process until SIGTERM or SIGINT."""
-    shutdown = trio.Event()
-    async with trio.open_nursery() as nursery:
-        await nursery.start(set_on_signal, shutdown)
-        bound_port = await nursery.start(
-            partial(
-                serve_app,
-                app,
-                host,
-                port,
-                shutdown=shutdown,
-                grace_seconds=grace_seconds,
-            ),
-        )
-        if port_file:
-            write_port(port_file, bound_port)
-        frame.STARTED.log(_LOGGER, host=host, port=bound_port)
-    frame.STOPPED.log(_LOGGER, host=host, port=bound_port)
-
-
 def write_port(port_file: Path, port: int) -> None:
     """Write the port in one step, so that a reader never sees half of it."""
     partial_file = port_file.with_name(f'{port_file.name}.partial')
--- a/src/jasminewheel/_internal/http/sse.py
+++ b/src/jasminewheel/_internal/http/sse.py
@@ -19,7 +19,9 @@
     fields: dict[str, Any]
 
 
-def format_event(name: str, fields: dict[str, Any], event_id: str = '') -> bytes:
+def format_event(
+    name: str, fields: dict[str, Any], event_id: str = ''
+) -> bytes:
     """Return the event as it goes over the wire."""
     prefix = f'id: {event_id}\n' if event_id else ''
     text = json.dumps(fields, separators=(',', ':'))
--- a/src/jasminewheel/_internal/process.py
+++ b/src/jasminewheel/_internal/process.py
@@ -20,15 +20,16 @@
 
 def run_process(serve: Callable[[trio.Event], Awaitable[None]]) -> int:
     """Run serve with an event set on SIGTERM; return the exit code."""
+    exit_code = EXIT_OK
     try:
         trio.run(_serve_until_stopped, serve)
     except* JasminewheelError as group:
+        exit_code = EXIT_FAILED
         for error in _leaves(group):
             sys.stderr.write(f'error: {error}\n')
-        return EXIT_FAILED
     finally:
         stop_tracing()
-    return EXIT_OK
+    return exit_code
 
 
 async def _serve_until_stopped(
--- a/src/jasminewheel/commands/stand_ins.py
+++ b/src/jasminewheel/commands/stand_ins.py
@@ -1,16 +1,21 @@
 """Run one of the stand-ins as a process."""
 
+import logging
+from functools import partial
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
 import trio
 from attrs import evolve
 
+from jasminewheel._internal.events import frame
 from jasminewheel._internal.fakes.app import StandIn
-from jasminewheel._internal.http.serving import serve_process
+from jasminewheel._internal.http.serving import serve_app, write_port
 from jasminewheel._internal.observability.logs import start_logging
+from jasminewheel._internal.process import run_process
 from jasminewheel._internal.settings.loader import load_settings
 
+_LOGGER = logging.getLogger(__name__)
 _GRACE_SECONDS = 5.0
 
 
@@ -38,21 +43,35 @@
 
 def run_stand_in(
     member: str, stand_in: StandIn, settings: ListenSettings
-) -> None:
-    """Serve the stand-in until SIGTERM or SIGINT."""
+) -> int:
+    """Serve the stand-in until SIGTERM or SIGINT; return the exit code."""
     start_logging(member)
-    trio.run(_serve, stand_in, settings)
+    return run_process(partial(serve_stand_in, stand_in, settings))
 
 
-async def _serve(stand_in: StandIn, settings: ListenSettings) -> None:
-    port_file = Path(settings.port_file) if settings.port_file else None
+async def serve_stand_in(
+    stand_in: StandIn,
+    settings: ListenSettings,
+    stop: trio.Event,
+    *,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the stand-in until stop; start with the bound port."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(stand_in.run)
-        await serve_process(
-            stand_in.app,
-            settings.host,
-            settings.port,
-            port_file,
-            grace_seconds=_GRACE_SECONDS,
-        )
+        async with trio.open_nursery() as serving:
+            port = await serving.start(
+                partial(
+                    serve_app,
+                    stand_in.app,
+                    settings.host,
+                    settings.port,
+                    shutdown=stop,
+                    grace_seconds=_GRACE_SECONDS,
+                ),
+            )
+            if settings.port_file:
+                write_port(Path(settings.port_file), port)
+            frame.STARTED.log(_LOGGER, host=settings.host, port=port)
+            task_status.started(port)
         nursery.cancel_scope.cancel()
