Add clients of the store, engines and services, with verdicts

Cause: callers of targets need to know whether a request may have run, and a store answer lost after its effect must not make a write happen twice. Ruled out: reading back before the second attempt in settled_put (the lost request may still be on its way; trying again under the same expected revision closes that window). Change: only a connection that was never made, and a 4xx, prove not run; a conflict after a lost answer is settled by the value's writer mark.

--- a/src/jasminewheel/_internal/fakes/engine_cache.py
+++ b/src/jasminewheel/_internal/fakes/engine_cache.py
@@ -99,7 +99,7 @@
             self.blocks[block.block].users -= 1
 
     def store(
-        self, block: PrefixBlock, parent: str, *, is_computed: bool = True
+        self, block: PrefixBlock, parent: str, *, is_prompt: bool = True
     ) -> None:
         """Add a block whose room was made; its parent is present."""
         if block.block in self.blocks:
@@ -113,7 +113,7 @@
         if parent:
             self.blocks[parent].children += 1
         self.used_tokens += block.tokens
-        if is_computed and block.block in self.evicted:
+        if is_prompt and block.block in self.evicted:
             self.counts.wasted_tokens += block.tokens
         self.evicted.discard(block.block)
         self.changes.append(CacheChange('stored', block.block, block.tokens))
--- a/src/jasminewheel/_internal/fakes/engine_memory.py
+++ b/src/jasminewheel/_internal/fakes/engine_memory.py
@@ -108,7 +108,7 @@
             return False
         parent = blocks[present - 1].block if present else ''
         for block in missing:
-            self.cache.store(block, parent, is_computed=False)
+            self.cache.store(block, parent, is_prompt=False)
             parent = block.block
         self.cache.counts.imported_tokens += tokens
         return True
--- a/src/jasminewheel/_internal/fakes/engine_sequence.py
+++ b/src/jasminewheel/_internal/fakes/engine_sequence.py
@@ -94,7 +94,7 @@
         block = sequence.answer_block
         if block and self.cache.make_room(block.tokens + others_tokens):
             parent = sequence.blocks[-1].block if sequence.blocks else ''
-            self.cache.store(block, parent)
+            self.cache.store(block, parent, is_prompt=False)
 
     def release(self, sequence: Sequence) -> None:
         """Give back the sequence's blocks."""
--- /dev/null
+++ b/src/jasminewheel/_internal/targets/connection.py
@@ -0,0 +1,77 @@
+"""Send requests to one target over its own connection pool."""
+
+from collections.abc import AsyncIterator
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
+from typing import Any
+
+import httpx
+from attrs import define, field
+
+from jasminewheel._internal.http.sse import ServerSentEvent, parse_events
+from jasminewheel._internal.targets.failures import (
+    status_error,
+    target_errors,
+)
+
+_CONNECT_SECONDS = 2
+STALL_SECONDS = 60
+
+
+@define
+class TargetConnection(AbstractAsyncContextManager['TargetConnection']):
+    """Ask one target; each failure raises an error with its verdict."""
+
+    url: str
+    stall_seconds: float = STALL_SECONDS
+    http: httpx.AsyncClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the connection pool."""
+        self.http = httpx.AsyncClient(
+            base_url=self.url,
+            timeout=httpx.Timeout(
+                self.stall_seconds,
+                connect=_CONNECT_SECONDS,
+            ),
+            # Requests are bounded by the scheduler, not by the pool.
+            limits=httpx.Limits(max_connections=None),
+        )
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """Close the connections."""
+        await self.http.aclose()
+
+    async def ask(self, method: str, path: str, **options: Any) -> Any:
+        """Return the JSON of a whole answer."""
+        with target_errors(self.url):
+            answer = await self.http.request(method, path, **options)
+            if answer.is_error:
+                raise status_error(self.url, answer.status_code, answer.text)
+            return answer.json()
+
+    @asynccontextmanager
+    async def stream(
+        self, method: str, path: str, **options: Any
+    ) -> AsyncIterator[AsyncIterator[ServerSentEvent]]:
+        """Open a stream of events."""
+        async with AsyncExitStack() as stack:
+            with target_errors(self.url):
+                answer = await stack.enter_async_context(
+                    self.http.stream(method, path, **options),
+                )
+                if answer.is_error:
+                    body = (await answer.aread()).decode(errors='replace')
+                    raise status_error(self.url, answer.status_code, body)
+            yield self.read_events(answer)
+
+    async def read_events(
+        self, answer: httpx.Response
+    ) -> AsyncIterator[ServerSentEvent]:
+        """Yield the events of an open answer."""
+        with target_errors(self.url):
+            async for event in parse_events(answer.aiter_lines()):
+                yield event
--- a/src/jasminewheel/_internal/targets/engine.py
+++ b/src/jasminewheel/_internal/targets/engine.py
@@ -1,6 +1,20 @@
 """Talk to one model engine."""
 
-from attrs import frozen
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any
+
+from attrs import asdict, define, field, frozen
+
+from jasminewheel._internal.http.sse import ServerSentEvent
+from jasminewheel._internal.targets.connection import (
+    STALL_SECONDS,
+    TargetConnection,
+)
+from jasminewheel._internal.targets.failures import broken, target_errors
+
+_ORDER_SECONDS = 600
+_PINS = '/v1/cache/pins'
 
 
 @frozen
@@ -19,3 +33,206 @@
     cached_tokens: int
     completion_tokens: int
     finish: str
+
+
+@frozen
+class EngineRequest:
+    """Ask for an answer; continue_text is what an earlier run gave of it."""
+
+    request_id: str
+    model: str
+    messages: Sequence[Mapping[str, str]]
+    max_tokens: int
+    priority: int = 0
+    adapter: str = ''
+    continue_text: str = ''
+
+
+@frozen
+class EnginePin:
+    """Describe a pin that the engine holds."""
+
+    block: str
+    expires_seconds: float
+    fence: int
+
+
+@frozen
+class CacheExport:
+    """Refer to an exported prefix."""
+
+    tokens: int
+    size_bytes: int
+    blob: str
+
+
+@frozen
+class EngineOrder:
+    """Order the engine; the fence counts within scope."""
+
+    kind: str
+    name: str
+    fence: int
+    scope: str = ''
+
+
+@frozen
+class CacheEvent:
+    """Report that a block was stored or evicted."""
+
+    sequence: int
+    kind: str
+    block: str
+    tokens: int
+
+
+@frozen
+class LoadReport:
+    """Report a runner's load, as it was a while ago."""
+
+    running: int
+    waiting: int
+    kv_used_tokens: int = 0
+    kv_capacity_tokens: int = 0
+
+
+Answer = AsyncIterator[EngineToken | EngineUsage]
+FeedEvent = CacheEvent | LoadReport
+
+
+@define
+class EngineClient(AbstractAsyncContextManager['EngineClient']):
+    """Send generations, orders and cache requests to one engine.
+
+    A failure raises TargetFailedError with its verdict; an old fence raises
+    FencedError; an unknown stream or block raises NotFoundError.
+    """
+
+    url: str
+    stall_seconds: float = STALL_SECONDS
+    connection: TargetConnection = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the connection pool."""
+        self.connection = TargetConnection(self.url, self.stall_seconds)
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """Close the connections."""
+        await self.connection.http.aclose()
+
+    @asynccontextmanager
+    async def generate(self, request: EngineRequest) -> AsyncIterator[Answer]:
+        """Start an answer; yield its tokens, then its usage."""
+        async with self.connection.stream(
+            'POST',
+            '/v1/generate',
+            json=asdict(request, recurse=False),
+        ) as events:
+            yield self.read_answer(events)
+
+    @asynccontextmanager
+    async def resume(
+        self, request_id: str, offset: int
+    ) -> AsyncIterator[Answer]:
+        """Read an answer again from a character offset on."""
+        async with self.connection.stream(
+            'GET',
+            f'/v1/streams/{request_id}',
+            params={'offset': offset},
+        ) as events:
+            yield self.read_answer(events)
+
+    async def cancel(self, request_id: str) -> EngineUsage:
+        """Stop an answer; return what it took."""
+        fields = await self.connection.ask(
+            'DELETE', f'/v1/streams/{request_id}'
+        )
+        with target_errors(self.url):
+            return EngineUsage(**fields)
+
+    async def pin(self, block: str, expires_seconds: float, fence: int) -> None:
+        """Keep the prefix that ends in block, or renew its pin."""
+        pin = EnginePin(block, expires_seconds, fence)
+        await self.connection.ask('POST', _PINS, json=asdict(pin))
+
+    async def unpin(self, block: str) -> None:
+        """End a pin."""
+        await self.connection.ask('DELETE', f'{_PINS}/{block}')
+
+    async def pins(self) -> list[EnginePin]:
+        """Return the pins that the engine holds."""
+        fields = await self.connection.ask('GET', _PINS)
+        with target_errors(self.url):
+            return [EnginePin(**pin) for pin in fields['pins']]
+
+    async def export_cache(self, block: str) -> CacheExport:
+        """Export the prefix that ends in block."""
+        fields = await self.connection.ask(
+            'POST',
+            '/v1/cache/export',
+            json={'block': block},
+        )
+        with target_errors(self.url):
+            return CacheExport(**fields)
+
+    async def import_cache(self, export: CacheExport) -> None:
+        """Store a prefix that another engine exported."""
+        await self.ask_patiently('/v1/cache/import', export)
+
+    async def order(self, order: EngineOrder) -> None:
+        """Order the engine and wait until it is done."""
+        await self.ask_patiently('/v1/orders', order)
+
+    async def ask_patiently(
+        self, path: str, message: CacheExport | EngineOrder
+    ) -> None:
+        """Post what takes the engine long."""
+        await self.connection.ask(
+            'POST',
+            path,
+            json=asdict(message),
+            timeout=_ORDER_SECONDS,
+        )
+
+    @asynccontextmanager
+    async def feed(self, start: int) -> AsyncIterator[AsyncIterator[FeedEvent]]:
+        """Follow cache events from a sequence number on, and load reports."""
+        async with self.connection.stream(
+            'GET',
+            '/v1/feed',
+            params={'from': start},
+        ) as events:
+            yield read_feed(events)
+
+    async def read_answer(
+        self, events: AsyncIterator[ServerSentEvent]
+    ) -> Answer:
+        """Yield tokens, then the usage; raise if the stream ends early."""
+        with target_errors(self.url):
+            async for event in events:
+                if event.name == 'token':
+                    yield EngineToken(**event.fields)
+                if event.name == 'done':
+                    yield _usage(event.fields)
+                    return
+        raise broken(self.url, 'the stream ended before the answer')
+
+
+async def read_feed(
+    events: AsyncIterator[ServerSentEvent],
+) -> AsyncIterator[FeedEvent]:
+    """Yield the known kinds of events of a feed."""
+    async for event in events:
+        if event.name == 'cache':
+            yield CacheEvent(
+                event.fields['seq'],
+                event.fields['kind'],
+                event.fields['block'],
+                event.fields['tokens'],
+            )
+        if event.name == 'load':
+            yield LoadReport(**event.fields)
+
+
+def _usage(fields: Mapping[str, Any]) -> EngineUsage:
+    return EngineUsage(finish=fields['finish'], **fields['usage'])
--- /dev/null
+++ b/src/jasminewheel/_internal/targets/failures.py
@@ -0,0 +1,56 @@
+"""Tell from a target's failure whether the request may have run."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import httpx
+import trio
+
+from jasminewheel.errors import (
+    FencedError,
+    JasminewheelError,
+    NotFoundError,
+    TargetFailedError,
+)
+from jasminewheel.models.verdict import Verdict
+
+_NOT_FOUND = 404
+_CONFLICT = 409
+_FIRST_SERVER_ERROR = 500
+_PROBLEM_CHARACTERS = 300
+# Raised before the first byte of a request goes out.
+_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+@contextmanager
+def target_errors(url: str) -> Iterator[None]:
+    """Raise TargetFailedError with its verdict for failures of the target."""
+    try:
+        yield
+    except _UNSENT as unsent:
+        raise TargetFailedError(f'{url}: cannot connect') from unsent
+    except (httpx.HTTPError, httpx.StreamError, trio.TooSlowError) as error:
+        raise broken(url, repr(error)) from error
+    except (KeyError, TypeError, ValueError) as error:
+        raise broken(url, f'unreadable answer: {error!r}') from error
+
+
+def broken(url: str, problem: str) -> TargetFailedError:
+    """Return the error for a request that was sent and got no whole answer."""
+    return TargetFailedError(
+        f'{url}: {problem}',
+        verdict=Verdict.may_have_run,
+    )
+
+
+def status_error(url: str, status: int, body: str) -> JasminewheelError:
+    """Return the error that an error status means, with its verdict."""
+    shown = body.strip()[:_PROBLEM_CHARACTERS]
+    problem = f'{url}: {status}: {shown}'
+    if status >= _FIRST_SERVER_ERROR:
+        return TargetFailedError(problem, verdict=Verdict.may_have_run)
+    if status == _NOT_FOUND:
+        return NotFoundError(problem)
+    if status == _CONFLICT:
+        return FencedError(problem)
+    return TargetFailedError(problem)
--- /dev/null
+++ b/src/jasminewheel/_internal/targets/service.py
@@ -0,0 +1,97 @@
+"""Talk to one runner of a plain service."""
+
+from collections.abc import AsyncIterator
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
+from typing import Any
+
+import httpx
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.targets.connection import TargetConnection
+from jasminewheel._internal.targets.engine import LoadReport, read_feed
+from jasminewheel._internal.targets.failures import (
+    broken,
+    status_error,
+    target_errors,
+)
+
+_CONNECT_SECONDS = 2
+_TOO_MANY = 429
+_FIRST_SERVER_ERROR = 500
+_ANSWER_LIMIT_BYTES = 16_777_216
+
+
+@frozen
+class ServiceAnswer:
+    """Hold what the service answered; a 4xx is its own refusal."""
+
+    status: int
+    body: Any
+
+
+@define
+class ServiceClient(AbstractAsyncContextManager['ServiceClient']):
+    """Call operations of one runner, each call under its request id."""
+
+    url: str
+    connection: TargetConnection = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the connection pool."""
+        self.connection = TargetConnection(self.url)
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """Close the connections."""
+        await self.connection.http.aclose()
+
+    async def call(
+        self,
+        operation: str,
+        body: Any,
+        request_id: str,
+        timeout_seconds: float,
+    ) -> ServiceAnswer:
+        """Call once; raise TargetFailedError with its verdict."""
+        async with AsyncExitStack() as stack:
+            stack.enter_context(target_errors(self.url))
+            stack.enter_context(trio.fail_after(timeout_seconds))
+            answer = await stack.enter_async_context(
+                self.connection.http.stream(
+                    'POST',
+                    f'/v1/call/{operation}',
+                    json=body,
+                    headers={'Idempotency-Key': request_id},
+                    timeout=httpx.Timeout(None, connect=_CONNECT_SECONDS),
+                ),
+            )
+            return await self.read(answer)
+
+    async def read(self, answer: httpx.Response) -> ServiceAnswer:
+        """Return the whole answer, up to a limit of its size."""
+        content = bytearray()
+        async for chunk in answer.aiter_bytes():
+            content.extend(chunk)
+            if len(content) > _ANSWER_LIMIT_BYTES:
+                raise broken(self.url, 'the answer is too large')
+        status = answer.status_code
+        if status == _TOO_MANY or status >= _FIRST_SERVER_ERROR:
+            body = content.decode(errors='replace')
+            raise status_error(self.url, status, body)
+        return ServiceAnswer(status, _parse(answer, bytes(content)))
+
+    @asynccontextmanager
+    async def feed(self) -> AsyncIterator[AsyncIterator[LoadReport]]:
+        """Follow the runner's load reports."""
+        async with self.connection.stream('GET', '/v1/feed') as events:
+            yield read_feed(events)
+
+
+def _parse(answer: httpx.Response, content: bytes) -> Any:
+    if answer.headers.get('content-type', '').startswith('application/json'):
+        return httpx.Response(answer.status_code, content=content).json()
+    return content.decode(errors='replace')
--- /dev/null
+++ b/tests/unit/test_settled_put.py
@@ -0,0 +1,46 @@
+"""Check that writes with lost answers are settled."""
+
+import pytest
+import trio
+from memory_store import MemoryStore
+
+from jasminewheel._internal.store.settled import settled_put
+from jasminewheel.errors import StoreConflictError, StoreUnavailableError
+
+
+async def put_under(faults, between=None):
+    """Write under the faults; return the store and the revision."""
+    store = MemoryStore(faults=faults)
+    if between:
+        store.state.put('key', between, None, None)
+    return store, await settled_put(store, 'key', 'mark-1', 0)
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [[], ['lost'], ['down'], ['down', 'lost'], ['lost', 'down']],
+)
+def test_takes_effect_once(faults):
+    """The value is there once, whatever got lost."""
+    store, revision = trio.run(put_under, faults)
+    assert store.state.items['key'].value == 'mark-1'
+    assert revision == store.state.revision == 1
+
+
+def test_conflict_is_certain():
+    """A conflict at the first attempt had no effect."""
+    with pytest.raises(StoreConflictError):
+        trio.run(put_under, [], 'other')
+
+
+@pytest.mark.parametrize('faults', [['down'], ['lost']])
+def test_overwritten_meanwhile(faults):
+    """After a lost answer, a key that moved on leaves the outcome unknown."""
+    with pytest.raises(StoreUnavailableError):
+        trio.run(put_under, faults, 'other')
+
+
+def test_outage():
+    """An outage is reported after a bounded number of attempts."""
+    with pytest.raises(StoreUnavailableError):
+        trio.run(put_under, ['down', 'down', 'down'])
