--- /dev/null
+++ b/src/jasminewheel/_internal/program/__init__.py
@@ -0,0 +1,1 @@
+"""Keep programs: their records, rules, calls and streams."""
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -158,3 +158,16 @@
     """Report that a peer could not be reached or broke the protocol."""
 
     code = 'peer-failed'
+
+
+class HistoryError(JasminewheelError):
+    """Report a program log that cannot be replayed."""
+
+    code = 'history-invalid'
+
+
+class MovedError(CallError):
+    """Send an operation to the entry that now owns the program."""
+
+    code = 'moved'
+    status = 503
