--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -169,3 +169,15 @@
         """Keep whether the request may have reached the peer."""
         super().__init__(message, remedy=remedy)
         self.sent = sent
+
+class HistoryError(JasminewheelError):
+    """Report a program log that cannot be replayed."""
+
+    code = 'history-invalid'
+
+
+class MovedError(CallError):
+    """Send an operation to the entry that now owns the program."""
+
+    code = 'moved'
+    status = 503
