--- /dev/null
+++ b/src/jasminewheel/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Validate, commit and spread the operators' configuration."""
--- /dev/null
+++ b/src/jasminewheel/_internal/configuration/documents.py
@@ -0,0 +1,135 @@
+"""Turn resource documents into resources and back."""
+
+from collections.abc import Callable, Mapping
+from functools import cache
+from typing import Annotated, Any, get_args, get_origin
+
+from attrs import frozen
+from cattrs import Converter
+
+from jasminewheel._internal.settings.loader import make_converter
+from jasminewheel._internal.settings.problems import (
+    FieldProblem,
+    list_problems,
+)
+from jasminewheel.errors import InvalidResourceError
+from jasminewheel.models.fields import Name
+from jasminewheel.models.resource import SPECS, Resource, ResourceKind, Spec
+from jasminewheel.models.rules import Rule
+
+
+@frozen
+class ResourceDocument:
+    """Hold a resource as an operator writes it."""
+
+    kind: ResourceKind
+    name: Name
+    spec: dict[str, Any]
+    version: int | None = None
+
+
+@cache
+def strict_converter() -> Converter:
+    """Return the converter for what operators send."""
+    converter = make_converter()
+    converter.register_structure_hook_factory(
+        _has_rules,
+        lambda kind: _rule_hook(converter, kind),
+    )
+    converter.register_structure_hook(ResourceKind, _structure_kind)
+    return converter
+
+
+@cache
+def stored_converter() -> Converter:
+    """Return the converter for what was accepted earlier.
+
+    Fields unknown to this release are passed over, since a newer one may
+    have written them during an upgrade.
+    """
+    return Converter(detailed_validation=False, omit_if_default=True)
+
+
+def parse_document(raw: Any, place: str) -> ResourceDocument:
+    """Return the document; raise InvalidResourceError with wrong fields."""
+    try:
+        return strict_converter().structure(raw, ResourceDocument)
+    except Exception as error:
+        raise InvalidResourceError(_below(place, error)) from error
+
+
+def parse_spec(document: ResourceDocument, place: str) -> Spec:
+    """Return the specification; raise InvalidResourceError if wrong."""
+    named = {**document.spec, 'name': document.name}
+    try:
+        return strict_converter().structure(named, SPECS[document.kind])
+    except Exception as error:
+        raise InvalidResourceError(
+            _below(_join(place, 'spec'), error),
+        ) from error
+
+
+def spec_document(spec: Spec) -> dict[str, Any]:
+    """Return the specification as an operator would write it."""
+    body = stored_converter().unstructure(spec)
+    body.pop('name', None)
+    return body
+
+
+def resource_document(resource: Resource) -> dict[str, Any]:
+    """Return the resource as an operator would write it."""
+    return {
+        'kind': resource.kind.value,
+        'name': resource.spec.name,
+        'version': resource.version,
+        'spec': spec_document(resource.spec),
+    }
+
+
+def stored_resource(
+    kind: ResourceKind,
+    name: str,
+    entry: Mapping[str, Any],
+) -> Resource:
+    """Return a resource from its entry in a stored part."""
+    spec = stored_converter().structure(
+        {**entry['spec'], 'name': name},
+        SPECS[kind],
+    )
+    return Resource(kind, spec, entry['version'])
+
+
+def _below(place: str, error: Exception) -> tuple[FieldProblem, ...]:
+    return tuple(
+        FieldProblem(_join(place, found.path), found.problem)
+        for found in list_problems(error)
+    )
+
+
+def _join(place: str, path: str) -> str:
+    return '.'.join(part for part in (place, path) if part)
+
+
+def _has_rules(kind: Any) -> bool:
+    return get_origin(kind) is Annotated
+
+
+def _rule_hook(converter: Converter, kind: Any) -> Callable[[Any, Any], Any]:
+    plain, *metadata = get_args(kind)
+    rules: list[Rule] = list(metadata)
+
+    def structure(raw: Any, _: Any) -> Any:  # noqa: WPS430
+        field_value = converter.structure(raw, plain)
+        for rule in rules:
+            rule.check(field_value)
+        return field_value
+
+    return structure
+
+
+def _structure_kind(raw: Any, _: Any) -> ResourceKind:
+    try:
+        return ResourceKind(raw)
+    except ValueError:
+        words = ', '.join(kind.value for kind in ResourceKind)
+        raise ValueError(f'must be one of {words}, got {raw!r}') from None
--- a/src/jasminewheel/_internal/settings/loader.py
+++ b/src/jasminewheel/_internal/settings/loader.py
@@ -6,13 +6,12 @@
 from typing import Any, TypeVar
 
 import jsonc
-from cattrs import Converter, transform_error
-from cattrs.errors import ForbiddenExtraKeysError
+from cattrs import Converter
 
+from jasminewheel._internal.settings.problems import list_problems
 from jasminewheel.errors import SettingsError
 
 SettingsT = TypeVar('SettingsT')
-_PATH = re.compile(r'^(?P<problem>.*) @ \$\.?(?P<path>.*)$')
 _INDEX = re.compile(r"\[\d+\]|\['[^']*'\]")
 
 
@@ -51,25 +50,10 @@
 
 def describe_problems(error: Exception, text: str, source: str) -> list[str]:
     """Return one line a wrong field: source, line, path and problem."""
-    found = []
-    for line in transform_error(error, format_exception=_format_problem):
-        match = _PATH.match(line)
-        problem, path = (
-            (match['problem'], match['path']) if match else (line, '')
-        )
-        number = _line_of(text, path)
-        place = path or 'top level'
-        found.append(f'{source}:{number}: {place}: {problem}')
-    return found
-
-
-def _format_problem(error: BaseException, kind: type | None) -> str:
-    if isinstance(error, ForbiddenExtraKeysError):
-        names = ', '.join(sorted(error.extra_fields))
-        return f'unknown field {names}'
-    if isinstance(error, KeyError):
-        return 'a required field is missing'
-    return str(error) or type(error).__name__
+    return [
+        f'{source}:{_line_of(text, found.path)}: {found}'
+        for found in list_problems(error)
+    ]
 
 
 def _read(path: Path) -> str:
--- /dev/null
+++ b/src/jasminewheel/_internal/settings/problems.py
@@ -0,0 +1,43 @@
+"""Name the wrong fields of a document that could not be structured."""
+
+import re
+
+from attrs import frozen
+from cattrs import transform_error
+from cattrs.errors import ForbiddenExtraKeysError
+
+_PATH = re.compile(r'^(?P<problem>.*) @ \$\.?(?P<path>.*)$', re.DOTALL)
+
+
+@frozen(order=True)
+class FieldProblem:
+    """Hold the path of a wrong field and what is wrong with it."""
+
+    path: str
+    problem: str
+
+    def __str__(self) -> str:
+        """Return `path: problem`."""
+        place = self.path or 'top level'
+        return f'{place}: {self.problem}'
+
+
+def list_problems(error: Exception) -> list[FieldProblem]:
+    """Return the wrong fields behind an error of the converter."""
+    found = []
+    for line in transform_error(error, format_exception=_format_problem):
+        match = _PATH.match(line)
+        if match:
+            found.append(FieldProblem(match['path'], match['problem']))
+        else:
+            found.append(FieldProblem('', line))
+    return found
+
+
+def _format_problem(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, ForbiddenExtraKeysError):
+        names = ', '.join(sorted(error.extra_fields))
+        return f'unknown field {names}'
+    if isinstance(error, KeyError):
+        return 'a required field is missing'
+    return str(error) or type(error).__name__
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -1,5 +1,7 @@
 """Define the errors a user may see, with how to mend each."""
 
+from collections.abc import Iterable
+
 from jasminewheel.models.verdict import Verdict
 
 
@@ -158,3 +160,17 @@
     """Report that a peer could not be reached or broke the protocol."""
 
     code = 'peer-failed'
+
+
+class InvalidResourceError(JasminewheelError):
+    """Report the wrong fields of resources; nothing was changed."""
+
+    code = 'resource-invalid'
+
+    def __init__(self, problems: Iterable[object]) -> None:
+        """Keep the wrong fields, each of which reads `path: problem`."""
+        self.problems = tuple(problems)
+        super().__init__(
+            '; '.join(str(problem) for problem in self.problems),
+            remedy='correct the fields named and apply again',
+        )
--- /dev/null
+++ b/src/jasminewheel/models/policy.py
@@ -0,0 +1,30 @@
+"""Declare the tunables of scheduling."""
+
+from typing import Annotated
+
+from attrs import frozen
+
+from jasminewheel.models.fields import Count, Ratio, Seconds, Weight
+from jasminewheel.models.rules import Between, OneOf
+
+POLICY_NAME = 'default'
+
+
+@frozen
+class Policy:
+    """Tune admission, queueing, placement and the use of the regions' link."""
+
+    name: Annotated[str, OneOf((POLICY_NAME,))] = POLICY_NAME
+    max_queue_per_target: Count = 1000
+    max_queue_seconds: Seconds = 30.0
+    attained_weight: Weight = 1.0
+    prefix_weight: Weight = 1.0
+    load_weight: Weight = 1.0
+    link_weight: Weight = 1.0
+    link_bytes_per_second: Annotated[float, Between(1, 10**12)] = 1_875_000.0
+    link_share: Ratio = 0.5
+    prefix_hold_seconds: Seconds = 60.0
+    prefix_belief_seconds: Seconds = 300.0
+    breaker_failures: Count = 5
+    breaker_seconds: Seconds = 5.0
+    reserved_share: Ratio = 0.1
--- /dev/null
+++ b/src/jasminewheel/models/rules.py
@@ -0,0 +1,68 @@
+"""State what a field accepts beside its type."""
+
+import re
+from typing import Any, Protocol
+
+from attrs import frozen
+
+
+class Rule(Protocol):
+    """Check one field, given beside its type in `Annotated`."""
+
+    def check(self, field_value: Any) -> None:
+        """Raise ValueError that says what is accepted."""
+
+
+@frozen
+class Between:
+    """Accept numbers within both bounds."""
+
+    least: float
+    most: float
+
+    def check(self, field_value: Any) -> None:
+        """Raise ValueError for a number out of bounds."""
+        if not self.least <= field_value <= self.most:
+            raise ValueError(
+                f'must be from {self.least} to {self.most}, got {field_value}',
+            )
+
+
+@frozen
+class Matches:
+    """Accept text that matches a pattern as a whole."""
+
+    pattern: str
+    description: str
+
+    def check(self, field_value: Any) -> None:
+        """Raise ValueError for other text."""
+        if not re.fullmatch(self.pattern, field_value):
+            raise ValueError(f'must be {self.description}, got {field_value!r}')
+
+
+@frozen
+class OneOf:
+    """Accept one of the words given."""
+
+    words: tuple[str, ...]
+
+    def check(self, field_value: Any) -> None:
+        """Raise ValueError for another word."""
+        if field_value not in self.words:
+            expected = ', '.join(self.words)
+            raise ValueError(f'must be one of {expected}, got {field_value!r}')
+
+
+@frozen
+class AtMost:
+    """Accept collections up to a size."""
+
+    count: int
+
+    def check(self, field_value: Any) -> None:
+        """Raise ValueError for a larger collection."""
+        if len(field_value) > self.count:
+            raise ValueError(
+                f'must have at most {self.count} items, has {len(field_value)}',
+            )
