Queue calls by program and place them by cost

Cause: the call flow needs a place to ask when and where a call runs.

Ruled out: one queue a runner (a call is then bound to a runner before it is known which frees first); a lexicographic order of priority and age (a low priority could starve; the rank in seconds bounds it by 63 s).

--- /dev/null
+++ b/src/jasminewheel/_internal/events/scheduling.py
@@ -0,0 +1,20 @@
+"""Events 1600 to 1699: queueing, placement and circuit breakers."""
+
+import logging
+
+from jasminewheel._internal.events.event import Event
+
+REFUSED_EARLY = Event(
+    1600,
+    logging.INFO,
+    'call refused early; it has not run',
+    'add runners or lower the load if this goes on',
+)
+BREAKER_OPENED = Event(
+    1601,
+    logging.WARNING,
+    'runner failed calls in a row and is sent none for a while',
+    'look at the runner; it is probed and taken back by itself',
+)
+BREAKER_CLOSED = Event(1602, logging.INFO, 'runner answers again')
+RUNNER_FORGOTTEN = Event(1603, logging.INFO, 'runner left the target')
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decide when and where each call runs."""
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/admission.py
@@ -0,0 +1,61 @@
+"""Refuse early what would wait too long, before queues grow without bound."""
+
+from attrs import define, frozen
+
+RATE_STEP = 0.1
+# Below this many measured completions the expected wait is not judged.
+MEASURED_COMPLETIONS = 20
+SHORTEST_RETRY_SECONDS = 0.5
+QUIET_SECONDS = 5
+
+
+@frozen
+class AdmissionLimits:
+    """Bound a target's queue in calls and in time."""
+
+    max_queue: int = 1000
+    max_wait_seconds: float = 30
+
+
+@define(eq=False)
+class Throughput:
+    """Measure how many calls of a target end each second."""
+
+    completions: int = 0
+    ended_at: float = 0
+    gap_seconds: float = 0
+
+    def ended(self, now: float) -> None:
+        """Take in the end of a call."""
+        if self.completions:
+            gap = min(now - self.ended_at, QUIET_SECONDS)
+            self.gap_seconds += RATE_STEP * (gap - self.gap_seconds)
+        self.completions += 1
+        self.ended_at = now
+
+    def expected_wait(self, calls_ahead: int) -> float:
+        """Return the seconds until so many calls ended."""
+        if self.completions < MEASURED_COMPLETIONS:
+            return 0
+        return calls_ahead * self.gap_seconds
+
+
+@frozen
+class Refusal:
+    """Say why a call is refused and when a retry makes sense."""
+
+    reason: str
+    retry_after_seconds: float
+
+
+def judge(
+    calls_ahead: int,
+    patience_seconds: float,
+    throughput: Throughput,
+) -> Refusal | None:
+    """Return a refusal if the call would wait longer than it may."""
+    expected = throughput.expected_wait(calls_ahead)
+    if expected <= patience_seconds:
+        return None
+    retry = max(SHORTEST_RETRY_SECONDS, expected - patience_seconds)
+    return Refusal(f'expected to wait {expected:.1f} s', retry)
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/decision.py
@@ -0,0 +1,90 @@
+"""Hold a placed call and take in how it went."""
+
+from typing import Protocol
+
+from attrs import define, field
+
+from jasminewheel._internal.scheduling.placement import Choice, Option
+from jasminewheel._internal.scheduling.request import PlacementRequest, Usage
+
+
+class Ledger(Protocol):
+    """Take in the progress of placed calls."""
+
+    def first_token(self, decision: 'PlacementDecision', now: float) -> None:
+        """Take in the first token's arrival."""
+
+    def finished(
+        self, decision: 'PlacementDecision', usage: Usage | None, now: float
+    ) -> None:
+        """Take in a whole answer."""
+
+    def failed(self, decision: 'PlacementDecision', now: float) -> None:
+        """Take in a failure of the runner."""
+
+    def abandoned(self, decision: 'PlacementDecision', now: float) -> None:
+        """Take in an end that says nothing about the runner."""
+
+
+@define(eq=False)
+class PlacementDecision:
+    """Name the runner that a call was given, and why."""
+
+    request: PlacementRequest
+    option: Option
+    choice: Choice
+    placed_at: float
+    ledger: Ledger = field(repr=False)
+    first_token_at: float | None = None
+    ended: bool = False
+
+    @property
+    def runner(self) -> str:
+        """Return the runner's name."""
+        return self.option.runner.name
+
+    @property
+    def region(self) -> str:
+        """Return the runner's region."""
+        return self.option.runner.region
+
+    @property
+    def url(self) -> str:
+        """Return the runner's address."""
+        return self.option.runner.url
+
+    @property
+    def expected_cached_tokens(self) -> int:
+        """Return the prompt tokens likely found in the runner's cache."""
+        return int(self.option.situation.held.expected_tokens)
+
+    @property
+    def reason(self) -> str:
+        """Return why this runner was chosen."""
+        return self.choice.reason
+
+    def first_token(self, now: float) -> None:
+        """Report the first token."""
+        if self.first_token_at is None and not self.ended:
+            self.first_token_at = now
+            self.ledger.first_token(self, now)
+
+    def finished(self, usage: Usage | None, now: float) -> None:
+        """Report the whole answer; services have no usage."""
+        if self._end():
+            self.ledger.finished(self, usage, now)
+
+    def failed(self, now: float) -> None:
+        """Report that the runner failed the call."""
+        if self._end():
+            self.ledger.failed(self, now)
+
+    def abandoned(self, now: float) -> None:
+        """Report an end for which the runner is not to blame."""
+        if self._end():
+            self.ledger.abandoned(self, now)
+
+    def _end(self) -> bool:
+        first = not self.ended
+        self.ended = True
+        return first
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/queue.py
@@ -0,0 +1,133 @@
+"""Order the waiting calls of a target by their programs' claims."""
+
+from math import log2
+from typing import Protocol
+
+from attrs import define, field, frozen
+from sortedcontainers import SortedKeyList
+
+from jasminewheel._internal.scheduling.request import PlacementRequest
+
+TOP_PRIORITY = 9
+PRIORITY_STEP_SECONDS = 6
+ATTAINED_STEP_SECONDS = 1
+ATTAINED_LEVELS = 5
+ATTAINED_UNIT_TOKENS = 2000
+WAITED_CREDIT_LIMIT_SECONDS = 4
+# A call that has waited this much longer than another goes before it, whatever
+# the two priorities and attained services are.
+STARVATION_BOUND_SECONDS = (
+    TOP_PRIORITY * PRIORITY_STEP_SECONDS
+    + ATTAINED_LEVELS * ATTAINED_STEP_SECONDS
+    + WAITED_CREDIT_LIMIT_SECONDS
+)
+
+
+@frozen
+class Claim:
+    """Weigh one call's place in the queue, in seconds of handicap."""
+
+    priority_seconds: float
+    attained_seconds: float
+    waited_seconds: float
+
+    @property
+    def handicap_seconds(self) -> float:
+        """Return how much later than it came the call is ranked."""
+        return (
+            self.priority_seconds
+            + self.attained_seconds
+            - (self.waited_seconds)
+        )
+
+
+class Ordering(Protocol):
+    """Weigh a call's claim when it is queued."""
+
+    def claim(self, request: PlacementRequest, waited_seconds: float) -> Claim:
+        """Return the claim of a call whose program waited so long before."""
+
+
+def attained_level(tokens: int) -> int:
+    """Return the level of attained service, 0 for a new program."""
+    level = int(log2(1 + tokens / ATTAINED_UNIT_TOKENS))
+    return min(level, ATTAINED_LEVELS)
+
+
+@frozen
+class ProgramOrdering:
+    """Rank by priority, then attained service, then time waited."""
+
+    by_priority: bool = True
+    by_attained: bool = True
+    by_waited: bool = True
+
+    def claim(self, request: PlacementRequest, waited_seconds: float) -> Claim:
+        """Return the claim of a call whose program waited so long before."""
+        steps = TOP_PRIORITY - request.priority
+        level = attained_level(request.attained_tokens)
+        credit = min(waited_seconds, WAITED_CREDIT_LIMIT_SECONDS)
+        return Claim(
+            priority_seconds=self.by_priority * steps * PRIORITY_STEP_SECONDS,
+            attained_seconds=self.by_attained * level * ATTAINED_STEP_SECONDS,
+            waited_seconds=self.by_waited * credit,
+        )
+
+
+@define(eq=False)
+class QueuedCall:
+    """Hold a waiting call and its rank; a lower rank goes first."""
+
+    request: PlacementRequest
+    queued_at: float
+    claim: Claim
+    rank: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Rank the call by when it came and its claim."""
+        self.rank = self.queued_at + self.claim.handicap_seconds
+
+
+def _sort_key(call: QueuedCall) -> tuple[float, str]:
+    return (call.rank, call.request.program_id)
+
+
+class ProgramQueue:
+    """Keep the waiting calls of one target in order of rank."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.calls: SortedKeyList = SortedKeyList(key=_sort_key)
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+        return len(self.calls)
+
+    def push(self, call: QueuedCall) -> None:
+        """Add a call."""
+        self.calls.add(call)
+
+    def remove(self, call: QueuedCall) -> bool:
+        """Take a call out; return whether it was there."""
+        position = self.calls.bisect_key_left(_sort_key(call))
+        while position < len(self.calls):
+            found = self.calls[position]
+            if found is call:
+                self.calls.pop(position)
+                return True
+            if found.rank > call.rank:
+                break
+            position += 1
+        return False
+
+    def at(self, position: int) -> QueuedCall:
+        """Return the call at a position, 0 for the one served next."""
+        return self.calls[position]
+
+    def last(self) -> QueuedCall | None:
+        """Return the call to be served last."""
+        return self.calls[-1] if self.calls else None
+
+    def ahead_of(self, call: QueuedCall) -> int:
+        """Return how many calls are served before this one."""
+        return self.calls.bisect_key_left(_sort_key(call))
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/waiting.py
@@ -0,0 +1,75 @@
+"""Keep one target's waiting calls and wake each when it is placed."""
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.scheduling.admission import Throughput
+from jasminewheel._internal.scheduling.cost import TargetRates
+from jasminewheel._internal.scheduling.decision import PlacementDecision
+from jasminewheel._internal.scheduling.queue import ProgramQueue, QueuedCall
+
+
+@define(eq=False)
+class Waiter:
+    """Hold a queued call until it is placed or displaced."""
+
+    call: QueuedCall
+    turn: trio.Event = field(factory=trio.Event)
+    decision: PlacementDecision | None = None
+    displaced: bool = False
+
+    def place(self, decision: PlacementDecision) -> None:
+        """Wake the waiting task with its runner."""
+        self.decision = decision
+        self.turn.set()
+
+    def displace(self) -> None:
+        """Wake the waiting task with a refusal."""
+        self.displaced = True
+        self.turn.set()
+
+
+@define(eq=False)
+class TargetState:
+    """Hold the queue, rates and throughput of one target."""
+
+    queue: ProgramQueue = field(factory=ProgramQueue)
+    waiters: dict[QueuedCall, Waiter] = field(factory=dict)
+    rates: TargetRates = field(factory=TargetRates)
+    throughput: Throughput = field(factory=Throughput)
+
+    def push(self, waiter: Waiter) -> None:
+        """Queue a waiter."""
+        self.queue.push(waiter.call)
+        self.waiters[waiter.call] = waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a waiter out of the queue if it is there."""
+        if self.queue.remove(waiter.call):
+            self.waiters.pop(waiter.call, None)
+
+    def displace_last(self, before: QueuedCall) -> bool:
+        """Refuse the last call if it ranks behind the given one."""
+        last = self.queue.last()
+        if last is None or last.rank <= before.rank:
+            return False
+        waiter = self.waiters[last]
+        self.remove(waiter)
+        waiter.displace()
+        return True
+
+
+class TargetBook:
+    """Keep the state of all targets by name."""
+
+    def __init__(self) -> None:
+        """Start with no target known."""
+        self.states: dict[str, TargetState] = {}
+
+    def state(self, target: str) -> TargetState:
+        """Return a target's state, new if unknown."""
+        found = self.states.get(target)
+        if found is None:
+            found = TargetState()
+            self.states[target] = found
+        return found
--- /dev/null
+++ b/tests/functional/test_scheduler.py
@@ -0,0 +1,199 @@
+"""Check that calls get runners in turn, or are refused as not run."""
+
+from contextlib import AsyncExitStack
+
+import pytest
+import trio
+from attrs import frozen
+from trio.testing import MockClock, wait_all_tasks_blocked
+
+from jasminewheel._internal.configuration.snapshot import Snapshot
+from jasminewheel._internal.configuration.view import ConfigurationView
+from jasminewheel._internal.scheduling.belief import CacheEvent
+from jasminewheel._internal.scheduling.load import LoadReport
+from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.scheduler import Scheduler
+from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
+from jasminewheel.models.policy import Policy
+from jasminewheel.models.target import MODEL, Runner, Target
+from jasminewheel.models.verdict import Verdict
+
+
+@frozen
+class SimpleBlock:
+    """Stand for a prefix block."""
+
+    block: str
+    tokens: int
+
+
+def make_scheduler(limit: int = 1, **policy) -> Scheduler:
+    """Return a scheduler over two runners of one model."""
+    runners = tuple(
+        Runner(name, f'http://{name}', 'east-mids', 'nottingham-a')
+        for name in ('r1', 'r2')
+    )
+    runners = tuple(
+        Runner(one.name, one.url, one.region, one.zone, max_running=limit)
+        for one in runners
+    )
+    target = Target('guide', MODEL, runners)
+    snapshot = Snapshot(1, {}, {'guide': target}, {}, Policy(**policy))
+    view = ConfigurationView(snapshot)
+    return Scheduler(view, 'east-mids', trio.current_time)
+
+
+def request(program: str, priority: int = 0, blocks=(), **parts):
+    """Return a request for the guide model."""
+    fields = {
+        'caller': 'cafe',
+        'target': 'guide',
+        'max_tokens': 8,
+        'deadline': 10**12,
+        'attained_tokens': 0,
+        'repeatable': True,
+        'request_id': f'{program}-1',
+    }
+    fields.update(parts)
+    return PlacementRequest(
+        program_id=program, priority=priority, blocks=blocks, **fields
+    )
+
+
+def run(test):
+    """Run an async test on a clock that jumps over idle time."""
+    clock = MockClock(autojump_threshold=0.005)
+    trio.run(test, clock=clock)
+
+
+async def hold(scheduler, asked, order, seconds=1.0):
+    """Hold a runner for some seconds and note the order of turns."""
+    async with scheduler.place(asked, trio.current_time()) as decision:
+        order.append(asked.program_id)
+        await trio.sleep(seconds)
+        decision.finished(None, trio.current_time())
+
+
+async def fill(scheduler, stack):
+    """Take both runners until the stack closes."""
+    await stack.enter_async_context(scheduler.place(request('a'), 0))
+    await stack.enter_async_context(scheduler.place(request('b'), 0))
+
+
+def test_favoured_calls_go_first():
+    async def scenario():
+        scheduler, order = make_scheduler(), []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hold, scheduler, request('a'), order)
+            await wait_all_tasks_blocked()
+            nursery.start_soon(hold, scheduler, request('b'), order, 9)
+            await wait_all_tasks_blocked()
+            nursery.start_soon(hold, scheduler, request('low'), order)
+            favoured = request('favoured', priority=9)
+            nursery.start_soon(hold, scheduler, favoured, order)
+        assert order == ['a', 'b', 'favoured', 'low']
+        assert scheduler.runners.state('r1').load.own_running == 0
+
+    run(scenario)
+
+
+def test_prefix_draws_a_program_back_to_its_runner():
+    async def scenario():
+        scheduler = make_scheduler(limit=4)
+        chain = [SimpleBlock('a', 4000)]
+        scheduler.observe_cache('r2', CacheEvent(1, 'stored', 'a', 4000), 0)
+        asked = request('p', blocks=chain)
+        async with scheduler.place(asked, 0) as decision:
+            assert decision.runner == 'r2'
+            assert decision.expected_cached_tokens > 3000
+
+    run(scenario)
+
+
+def test_reported_load_of_others_is_avoided():
+    async def scenario():
+        scheduler = make_scheduler(limit=4)
+        scheduler.observe_load('r1', LoadReport(4, 0, 0, 10**6), 0)
+        async with scheduler.place(request('p'), 0) as decision:
+            assert decision.runner == 'r2'
+
+    run(scenario)
+
+
+def test_a_failing_runner_is_left_alone_then_probed():
+    async def scenario():
+        scheduler = make_scheduler(limit=4)
+        chain = [SimpleBlock('a', 4000)]
+        scheduler.observe_cache('r2', CacheEvent(1, 'stored', 'a', 4000), 0)
+        asked = request('p', blocks=chain)
+        for _ in range(3):
+            async with scheduler.place(asked, 0) as decision:
+                decision.failed(0)
+        async with scheduler.place(asked, 0) as decision:
+            assert decision.runner == 'r1'
+        await trio.sleep(1)
+        async with scheduler.place(asked, 1) as decision:
+            assert decision.runner == 'r2'
+
+    run(scenario)
+
+
+def test_refusals_are_not_run_and_tell_when_to_retry():
+    async def scenario():
+        scheduler = make_scheduler(max_queue_seconds=2)
+        async with AsyncExitStack() as stack:
+            await fill(scheduler, stack)
+            with pytest.raises(OverloadedError) as caught:
+                async with scheduler.place(request('c'), 0):
+                    pytest.fail('no runner was free')
+            assert trio.current_time() >= 2
+        assert caught.value.verdict is Verdict.not_run
+        assert caught.value.retry_after_seconds > 0
+        assert not len(scheduler.targets.state('guide').queue)
+
+    run(scenario)
+
+
+def test_a_full_queue_gives_way_to_favoured_calls():
+    async def scenario():
+        scheduler = make_scheduler(max_queue_per_target=1)
+        order = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hold, scheduler, request('a'), order)
+            nursery.start_soon(hold, scheduler, request('b'), order)
+            await wait_all_tasks_blocked()
+            nursery.start_soon(hold, scheduler, request('favoured', 9), order)
+            await wait_all_tasks_blocked()
+            with pytest.raises(OverloadedError):
+                await hold(scheduler, request('low'), order)
+        assert sorted(order) == ['a', 'b', 'favoured']
+
+    run(scenario)
+
+
+def test_cancelled_waiters_leave_nothing_behind():
+    async def scenario():
+        scheduler = make_scheduler()
+        async with AsyncExitStack() as stack:
+            await fill(scheduler, stack)
+            with trio.move_on_after(0.1):
+                await hold(scheduler, request('c'), [])
+        state = scheduler.targets.state('guide')
+        assert not len(state.queue)
+        assert not state.waiters
+        assert scheduler.runners.state('r1').load.own_running == 0
+
+    run(scenario)
+
+
+def test_unknown_target_and_passed_deadline_are_refused():
+    async def scenario():
+        scheduler = make_scheduler()
+        with pytest.raises(NotFoundError):
+            async with scheduler.place(request('p', target='none'), 0):
+                pytest.fail('the target is not declared')
+        with pytest.raises(DeadlineError):
+            async with scheduler.place(request('p', deadline=1), 2):
+                pytest.fail('the deadline passed')
+
+    run(scenario)
--- /dev/null
+++ b/tests/unit/test_scheduling_rules.py
@@ -0,0 +1,159 @@
+"""Check the pure rules of scheduling: queue, load, belief, breaker, pauses."""
+
+from attrs import frozen
+
+from jasminewheel._internal.scheduling.admission import Throughput, judge
+from jasminewheel._internal.scheduling.belief import CacheEvent, RunnerBelief
+from jasminewheel._internal.scheduling.breaker import CircuitBreaker
+from jasminewheel._internal.scheduling.load import LoadReport, RunnerLoad
+from jasminewheel._internal.scheduling.pause import (
+    PAUSE_BOUNDS_SECONDS,
+    PauseLearner,
+    PauseSituation,
+    Retention,
+    decide_retention,
+)
+from jasminewheel._internal.scheduling.queue import (
+    STARVATION_BOUND_SECONDS,
+    ProgramOrdering,
+    ProgramQueue,
+    QueuedCall,
+)
+from jasminewheel._internal.scheduling.request import PlacementRequest
+
+
+@frozen
+class SimpleBlock:
+    """Stand for a prefix block."""
+
+    block: str
+    tokens: int
+
+
+def make_request(program: str = 'p', priority: int = 0, attained: int = 0):
+    """Return a request with the parts that matter for the order."""
+    return PlacementRequest(
+        program, 'caller', priority, 'guide', (), 8, 100, attained, True, 'r'
+    )
+
+
+def queued(at: float, **parts) -> QueuedCall:
+    """Return a queued call."""
+    request = make_request(**parts)
+    return QueuedCall(request, at, ProgramOrdering().claim(request, 0))
+
+
+def test_order_is_priority_then_attained_then_arrival():
+    queue = ProgramQueue()
+    late = queued(2, program='late', priority=9)
+    served = queued(0, program='served', priority=9, attained=90_000)
+    low = queued(0, program='low')
+    early = queued(1, program='early', priority=9)
+    for call in (low, served, late, early):
+        queue.push(call)
+    order = [queue.at(place).request.program_id for place in range(4)]
+    assert order == ['early', 'late', 'served', 'low']
+    assert queue.ahead_of(served) == 2
+
+
+def test_starvation_bound_beats_every_priority():
+    queue = ProgramQueue()
+    old = queued(0, program='old', attained=10**9)
+    queue.push(queued(STARVATION_BOUND_SECONDS + 0.1, priority=9))
+    queue.push(old)
+    assert queue.at(0) is old
+
+
+def test_removal_takes_the_call_itself_among_equal_ranks():
+    queue = ProgramQueue()
+    first, second = queued(1), queued(1)
+    queue.push(first)
+    queue.push(second)
+    assert queue.remove(second)
+    assert not queue.remove(second)
+    assert queue.at(0) is first
+
+
+def test_load_counts_own_calls_once_and_others_from_reports():
+    load = RunnerLoad(lag_seconds=1)
+    load.started(0)
+    load.started(10)
+    load.started(10.5)
+    # Measured at 9.6, when one of this entry's calls was running.
+    load.reported(LoadReport(3, 1, 0, 100), 10.6)
+    assert load.others_running == 3
+    assert load.estimate(10.6) == 6
+    load.ended(11)
+    assert load.estimate(10.6) == 5
+    assert load.estimate(60) == 2
+
+
+def test_belief_ends_by_eviction_and_by_replaced_capacity():
+    belief = RunnerBelief(capacity_tokens=100)
+    chain = [SimpleBlock('a', 40), SimpleBlock('b', 40)]
+    belief.observe(CacheEvent(1, 'stored', 'a', 40), 0)
+    belief.observe(CacheEvent(2, 'stored', 'b', 40), 0)
+    assert belief.held(chain, 0).tokens == 80
+    belief.observe(CacheEvent(3, 'evicted', 'b', 40), 1)
+    assert belief.held(chain, 1).tokens == 40
+    # The eviction of `a` is lost, but 110 newer tokens fill the cache.
+    belief.observe(CacheEvent(4, 'stored', 'c', 60), 2)
+    belief.observe(CacheEvent(6, 'stored', 'd', 50), 2)
+    assert belief.held(chain, 2).tokens == 0
+
+
+def test_belief_trusts_less_after_gaps_age_and_misses():
+    belief = RunnerBelief()
+    chain = [SimpleBlock('a', 40)]
+    belief.observe(CacheEvent(1, 'stored', 'a', 40), 0)
+    fresh = belief.trust('a', 0)
+    belief.observe(CacheEvent(9, 'stored', 'z', 1), 0)
+    gapped = belief.trust('a', 0)
+    assert gapped < fresh
+    assert belief.trust('a', 600) < gapped
+    belief.learn(40, 0)
+    assert belief.held(chain, 0).trust < gapped
+
+
+def test_breaker_opens_probes_once_and_backs_off():
+    breaker = CircuitBreaker()
+    for _ in range(3):
+        breaker.failed(0)
+    assert not breaker.allows(0.4)
+    assert breaker.allows(0.6)
+    breaker.sent(0.6)
+    assert not breaker.allows(0.6)
+    breaker.failed(1)
+    assert not breaker.allows(1.9)
+    assert breaker.allows(2.1)
+    breaker.sent(2.1)
+    breaker.succeeded()
+    assert breaker.allows(2.1)
+
+
+def test_admission_refuses_what_would_wait_too_long():
+    throughput = Throughput()
+    for second in range(100):
+        throughput.ended(second)
+    assert judge(5, 30, throughput) is None
+    refusal = judge(50, 30, throughput)
+    assert 19 < refusal.retry_after_seconds < 21
+
+
+def pause_situation(tool: str, occupied: float) -> PauseSituation:
+    """Return a paused program whose prefix is a tenth of the cache."""
+    return PauseSituation(tool, 1000, 2, 1, occupied, 10_000)
+
+
+def test_pauses_are_learned_by_tool():
+    learner = PauseLearner()
+    for _ in range(200):
+        learner.learn('lookup', 0.4)
+        learner.learn('donor-reply', 900)
+    short = decide_retention(learner, pause_situation('lookup', 1))
+    assert short.retention is Retention.keep
+    assert short.hold_seconds is PAUSE_BOUNDS_SECONDS[1]
+    endless = decide_retention(learner, pause_situation('donor-reply', 1))
+    assert endless.retention is Retention.drop
+    idle = decide_retention(learner, pause_situation('lookup', 0.3))
+    assert idle.retention is Retention.demote
