--- /dev/null
+++ b/src/jasminewheel/_internal/store/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the platform's key-value service."""
