Commit configurations to the store as parts below one root

Cause: 28,000 callers outgrow one value of the store, and all of a change has to come in force at once, also when answers are lost or operators race. Ruled out: one key a resource, which needs transactions over keys; one value, which is too large and rewrites all for one caller; settling a lost answer by the writer of the root alone, which misses a change that another has built upon.

--- /dev/null
+++ b/src/jasminewheel/_internal/configuration/configuration.py
@@ -0,0 +1,167 @@
+"""Hold one version of all resources and derive the next one."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+from attrs import Factory, evolve, frozen
+
+from jasminewheel._internal.configuration.balance import balance
+from jasminewheel._internal.configuration.change import ResourceChange
+from jasminewheel._internal.configuration.documents import spec_document
+from jasminewheel._internal.configuration.part import (
+    Part,
+    make_part,
+    part_name,
+)
+from jasminewheel._internal.configuration.references import check_references
+from jasminewheel._internal.configuration.root import WRITERS_KEPT, Root
+from jasminewheel._internal.configuration.sharded import (
+    ShardedKeys,
+    ShardedSpecs,
+)
+from jasminewheel._internal.configuration.snapshot import Snapshot
+from jasminewheel.errors import (
+    InvalidResourceError,
+    MissingResourceError,
+    StaleVersionError,
+)
+from jasminewheel.models.policy import POLICY_NAME, Policy
+from jasminewheel.models.resource import Resource, ResourceKey, ResourceKind
+
+
+@frozen(eq=False)
+class Configuration:
+    """Hold a root with all of its parts."""
+
+    root: Root = Root()
+    parts: Mapping[str, Part] = Factory(dict)
+
+    @property
+    def version(self) -> int:
+        """Return the version of the root."""
+        return self.root.version
+
+    def get(self, key: ResourceKey) -> Resource | None:
+        """Return a resource."""
+        part = self.parts.get(part_name(key, self.root.caller_shards))
+        return part.resources.get(key.name) if part else None
+
+    def list(self, kind: ResourceKind) -> list[Resource]:
+        """Return the resources of a kind in the order of their names."""
+        found = [
+            resource
+            for part in self.parts.values()
+            if part.kind is kind
+            for resource in part.resources.values()
+        ]
+        return sorted(found, key=_by_name)
+
+    def snapshot(self) -> Snapshot:
+        """Return the resources for reading."""
+        callers = self.specs(ResourceKind.caller)
+        policies = self.specs(ResourceKind.policy)
+        return Snapshot(
+            version=self.version,
+            callers=callers,
+            targets=self.specs(ResourceKind.target),
+            models=self.specs(ResourceKind.model),
+            policy=policies.get(POLICY_NAME) or Policy(),
+            names_by_key=ShardedKeys(tuple(callers.own_parts())),
+        )
+
+    def specs(self, kind: ResourceKind) -> ShardedSpecs:
+        """Return the specifications of one kind by name."""
+        return ShardedSpecs(kind, self.parts, self.root.caller_shards)
+
+    def apply(
+        self,
+        changes: Iterable[ResourceChange],
+        writer: str,
+    ) -> 'Configuration':
+        """Return the next version, or this one if nothing differs.
+
+        Raise StaleVersionError, MissingResourceError or InvalidResourceError
+        if any of the changes cannot be made; then none is.
+        """
+        wanted = [one for one in changes if self.differs(one)]
+        if not wanted:
+            return self
+        following = self.next_version(wanted, writer)
+        problems = check_references(
+            self.snapshot(),
+            following.snapshot(),
+            [one.key for one in wanted],
+        )
+        if problems:
+            raise InvalidResourceError(problems)
+        return following
+
+    def differs(self, change: ResourceChange) -> bool:
+        """Return whether the change has an effect; raise if not allowed."""
+        present = self.get(change.key)
+        version = present.version if present else 0
+        if change.expected_version not in {None, version}:
+            raise StaleVersionError(
+                f'{change.key} is at version {version}, '
+                f'not {change.expected_version}',
+                remedy='read the resource again and apply to its version',
+            )
+        if present is None and change.spec is None:
+            raise MissingResourceError(f'there is no {change.key}')
+        return present is None or change.spec != present.spec
+
+    def next_version(
+        self,
+        changes: Iterable[ResourceChange],
+        writer: str,
+    ) -> 'Configuration':
+        """Return the next version without checks."""
+        version = self.version + 1
+        shards = self.root.caller_shards
+        updates: dict[str, dict[str, Any]] = defaultdict(dict)
+        for change in changes:
+            name = part_name(change.key, shards)
+            updates[name][change.key.name] = _entry(change, version)
+        parts = dict(self.parts)
+        for name, entries in updates.items():
+            _update_part(parts, name, entries)
+        parts, shards = balance(parts, shards)
+        root = Root(
+            version=version,
+            writer=writer,
+            parts={one: parts[one].digest for one in sorted(parts)},
+            caller_shards=shards,
+            writers=(*self.root.writers, writer)[-WRITERS_KEPT:],
+        )
+        return evolve(self, root=root, parts=parts)
+
+    def changed_parts(self, earlier: 'Configuration') -> Iterator[Part]:
+        """Iterate over the parts that an earlier version lacks."""
+        known = set(earlier.root.parts.values())
+        for part in self.parts.values():
+            if part.digest not in known:
+                yield part
+
+
+def _by_name(resource: Resource) -> str:
+    return resource.spec.name
+
+
+def _entry(change: ResourceChange, version: int) -> dict[str, Any] | None:
+    if change.spec is None:
+        return None
+    return {'version': version, 'spec': spec_document(change.spec)}
+
+
+def _update_part(
+    parts: dict[str, Part],
+    name: str,
+    updates: Mapping[str, Any],
+) -> None:
+    present = parts.pop(name, None)
+    entries = present.entries() if present else {}
+    entries.update(updates)
+    kept = {one: entries[one] for one in entries if entries[one] is not None}
+    if kept:
+        parts[name] = make_part(name, kept)
--- a/src/jasminewheel/_internal/configuration/references.py
+++ b/src/jasminewheel/_internal/configuration/references.py
@@ -11,6 +11,7 @@
 
 
 def check_references(
+    earlier: Snapshot,
     snapshot: Snapshot,
     changed: Iterable[ResourceKey],
 ) -> tuple[FieldProblem, ...]:
@@ -22,46 +23,61 @@
     if not kinds[ResourceKind.target.value] <= snapshot.targets.keys():
         # A target was deleted, so any caller may have lost its reference.
         callers = set(snapshot.callers)
+    specs = [snapshot.callers.get(name) for name in sorted(callers)]
+    present = [spec for spec in specs if spec]
     problems = [
-        *_all_caller_problems(snapshot, callers),
-        *_all_target_problems(snapshot),
+        *_unknown_targets(snapshot, present),
+        *_shared_keys(earlier, snapshot, present),
     ]
+    for target in snapshot.targets.values():
+        problems.extend(_target_problems(snapshot, target))
     return tuple(sorted(problems))
 
 
-def _all_caller_problems(
+def _unknown_targets(
     snapshot: Snapshot,
-    names: Iterable[str],
+    callers: Iterable[Caller],
 ) -> Iterator[FieldProblem]:
-    for name in names:
-        caller = snapshot.callers.get(name)
-        if caller is not None:
-            yield from _caller_problems(snapshot, caller)
-
-
-def _all_target_problems(snapshot: Snapshot) -> Iterator[FieldProblem]:
-    for target in snapshot.targets.values():
-        yield from _target_problems(snapshot, target)
+    for caller in callers:
+        for position, target in enumerate(caller.targets):
+            if target not in snapshot.targets:
+                yield FieldProblem(
+                    f'caller/{caller.name}.spec.targets[{position}]',
+                    f'no target is named {target}',
+                )
 
 
-def _caller_problems(
+def _shared_keys(
+    earlier: Snapshot,
     snapshot: Snapshot,
-    caller: Caller,
+    callers: Iterable[Caller],
 ) -> Iterator[FieldProblem]:
-    place = f'caller/{caller.name}.spec'
-    for position, target in enumerate(caller.targets):
-        if target not in snapshot.targets:
-            yield FieldProblem(
-                f'{place}.targets[{position}]',
-                f'no target is named {target}',
-            )
-    for number, one in enumerate(caller.key_hashes):
-        holder = snapshot.names_by_key.get(one.sha256)
-        if holder != caller.name:
-            yield FieldProblem(
-                f'{place}.key_hashes[{number}]',
-                f'caller {holder} has the same key',
-            )
+    """Iterate over keys that two callers would have.
+
+    Earlier versions hold no such pair, so that a changed caller can share a
+    key only with a caller that had it before or with a changed one.
+    """
+    holders: dict[str, str] = {}
+    for caller in callers:
+        for position, one in enumerate(caller.key_hashes):
+            holder = holders.setdefault(one.sha256, caller.name)
+            if holder == caller.name:
+                holder = _earlier_holder(earlier, snapshot, one.sha256)
+            if holder not in {'', caller.name}:
+                yield FieldProblem(
+                    f'caller/{caller.name}.spec.key_hashes[{position}]',
+                    f'caller {holder} has the same key',
+                )
+
+
+def _earlier_holder(earlier: Snapshot, snapshot: Snapshot, digest: str) -> str:
+    """Return the caller that had the key and still has it."""
+    name = earlier.names_by_key.get(digest, '')
+    caller = snapshot.callers.get(name)
+    if caller is None:
+        return ''
+    kept = any(one.sha256 == digest for one in caller.key_hashes)
+    return name if kept else ''
 
 
 def _target_problems(
--- /dev/null
+++ b/src/jasminewheel/_internal/configuration/spread.py
@@ -0,0 +1,173 @@
+"""Take newer configurations from peers and give ours to them."""
+
+import logging
+from collections.abc import Callable
+from random import Random
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.configuration.configuration import Configuration
+from jasminewheel._internal.configuration.part import Part, unpack_part
+from jasminewheel._internal.configuration.root import Root, read_root
+from jasminewheel._internal.configuration.view import ConfigurationView
+from jasminewheel._internal.events import configuration as events
+from jasminewheel._internal.membership.asker import PeerAsker
+from jasminewheel._internal.parallel import map_parallel
+from jasminewheel._internal.peer.server import Exchange
+from jasminewheel._internal.wire.gen.membership.ttypes import (
+    PartDocument,
+    PartRequest,
+    RootDocument,
+    RootRequest,
+)
+from jasminewheel.errors import ConfigurationError, JasminewheelError
+
+ANSWER_SECONDS = 5.0
+SETTLE_PAUSE_SECONDS = 0.02
+PARALLEL = 4
+_LOGGER = logging.getLogger(__name__)
+
+
+@define
+class ConfigurationSpread:
+    """Hold the configuration in force and exchange it with peers.
+
+    Versions travel by heartbeats; whoever hears of a newer one asks that
+    peer for the root and for the parts that it lacks.
+    """
+
+    view: ConfigurationView
+    asker: PeerAsker
+    current: Configuration = field(factory=Configuration)
+    on_install: Callable[[], None] | None = None
+    newer: dict[str, int] = field(factory=dict)
+    wake: trio.Event = field(factory=trio.Event)
+    random: Random = field(factory=Random)
+    fetching: bool = False
+
+    def heard(self, address: str, version: int) -> None:
+        """Take note of the version that a peer has."""
+        if version > self.current.version:
+            self.newer[address] = version
+            self.wake.set()
+
+    async def run(self) -> None:
+        """Fetch newer versions until cancelled."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            self.fetching = True
+            while self.newer:
+                await self.fetch_newest()
+            self.fetching = False
+
+    async def settle(self) -> None:
+        """Wait a while until no newer version is known but not in force."""
+        with trio.move_on_after(ANSWER_SECONDS):
+            while self.behind():
+                await trio.sleep(SETTLE_PAUSE_SECONDS)
+
+    def behind(self) -> bool:
+        """Return whether a peer has a newer version."""
+        newest = max(self.newer.values(), default=0)
+        return self.fetching or newest > self.current.version
+
+    async def fetch_newest(self) -> None:
+        """Fetch the newest version heard of."""
+        newest = max(self.newer.values())
+        holders = [one for one in self.newer if self.newer[one] == newest]
+        address = self.random.choice(holders)
+        self.newer.pop(address)
+        if newest <= self.current.version:
+            self.newer.clear()
+            return
+        try:
+            await self.fetch(address)
+        except JasminewheelError as error:
+            events.FETCH_FAILED.log(_LOGGER, peer=address, problem=error)
+
+    async def fetch(self, address: str) -> bool:
+        """Put a peer's version in force if it is newer."""
+        answer = await self.asker.ask(
+            address,
+            RootRequest(),
+            RootDocument,
+            timeout_seconds=ANSWER_SECONDS,
+        )
+        root = read_root(answer.text) if answer.text else Root()
+        if root.version <= self.current.version:
+            return False
+        return self.install(await self.complete(root, address))
+
+    async def complete(self, root: Root, address: str) -> Configuration:
+        """Return the configuration of a root with parts from a peer."""
+        known = {part.digest: part for part in self.current.parts.values()}
+        lacking = [
+            PartSource(name, digest, address, self.asker)
+            for name, digest in root.parts.items()
+            if digest not in known
+        ]
+        for part in await map_parallel(PartSource.fetch, lacking, PARALLEL):
+            known[part.digest] = part
+        return Configuration(
+            root,
+            {one: known[root.parts[one]] for one in root.parts},
+        )
+
+    def install(self, configuration: Configuration) -> bool:
+        """Put a newer configuration in force; refuse any other."""
+        version = configuration.version
+        if version < self.current.version:
+            events.OLDER_REFUSED.log(
+                _LOGGER,
+                version=version,
+                in_force=self.current.version,
+            )
+        if not self.view.install(configuration.snapshot()):
+            return False
+        self.current = configuration
+        events.INSTALLED.log(_LOGGER, version=version)
+        if self.on_install:
+            self.on_install()
+        return True
+
+    async def on_root(
+        self,
+        exchange: Exchange,
+        request: RootRequest,
+    ) -> RootDocument:
+        """Give a peer the root in force."""
+        root = self.current.root
+        return RootDocument(text=root.text() if root.version else '')
+
+    async def on_part(
+        self,
+        exchange: Exchange,
+        request: PartRequest,
+    ) -> PartDocument:
+        """Give a peer one part in force."""
+        for part in self.current.parts.values():
+            if part.digest == request.digest:
+                return PartDocument(name=part.name, packed=part.packed)
+        raise ConfigurationError(f'part {request.digest} is not in force here')
+
+
+@define
+class PartSource:
+    """Name a part and the peer that has it."""
+
+    name: str
+    digest: str
+    address: str
+    asker: PeerAsker
+
+    async def fetch(self) -> Part:
+        """Return the part from the peer."""
+        answer = await self.asker.ask(
+            self.address,
+            PartRequest(digest=self.digest),
+            PartDocument,
+            timeout_seconds=ANSWER_SECONDS,
+        )
+        return unpack_part(self.name, answer.packed, self.digest)
--- /dev/null
+++ b/src/jasminewheel/_internal/events/configuration.py
@@ -0,0 +1,38 @@
+"""Events 1400 to 1499: the operators' configuration."""
+
+import logging
+
+from jasminewheel._internal.events.event import Event
+
+COMMITTED = Event(1400, logging.INFO, 'configuration committed to the store')
+UNSETTLED = Event(
+    1401,
+    logging.WARNING,
+    'the answer to a commit was lost and could not be settled',
+    'apply the change again when the store answers',
+)
+PART_LEFT = Event(
+    1402,
+    logging.INFO,
+    'an unused part of the configuration stays in the store',
+)
+INSTALLED = Event(1403, logging.INFO, 'configuration in force')
+OLDER_REFUSED = Event(
+    1404,
+    logging.WARNING,
+    'older configuration refused',
+    'look for a store that was restored from an old copy',
+)
+FETCH_FAILED = Event(
+    1405,
+    logging.WARNING,
+    'configuration could not be fetched from a peer',
+)
+PLACEMENT_CREATED = Event(1406, logging.INFO, 'replica sets written')
+PLACEMENT_INSTALLED = Event(1407, logging.INFO, 'replica sets in force')
+PLACEMENT_WAITS = Event(
+    1408,
+    logging.WARNING,
+    'too few histories are live for the first replica sets',
+    'start jasminewheel-history on VMs with a disk',
+)
--- /dev/null
+++ b/src/jasminewheel/_internal/parallel.py
@@ -0,0 +1,57 @@
+"""Run the same call for several items, a bounded number at a time."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Generic, TypeVar
+
+import trio
+from attrs import define, field
+
+ItemT = TypeVar('ItemT')
+AnswerT = TypeVar('AnswerT')
+
+
+@define
+class ParallelCalls(Generic[ItemT, AnswerT]):
+    """Collect the answers of calls that run side by side."""
+
+    call: Callable[[ItemT], Awaitable[AnswerT]]
+    limiter: trio.CapacityLimiter
+    answers: dict[int, AnswerT] = field(factory=dict)
+    faults: list[Exception] = field(factory=list)
+
+    async def run(
+        self,
+        scope: trio.CancelScope,
+        position: int,
+        argument: ItemT,
+    ) -> None:
+        """Make one call; the first fault cancels the scope."""
+        async with self.limiter:
+            try:
+                self.answers[position] = await self.call(argument)
+            except Exception as fault:
+                self.faults.append(fault)
+                scope.cancel()
+
+
+async def map_parallel(
+    call: Callable[[ItemT], Awaitable[AnswerT]],
+    arguments: Iterable[ItemT],
+    limit: int,
+) -> list[AnswerT]:
+    """Return the answers in the order of the arguments.
+
+    The first error cancels the other calls and is raised by itself.
+    """
+    calls = ParallelCalls(call, trio.CapacityLimiter(limit))
+    async with trio.open_nursery() as nursery:
+        for position, argument in enumerate(arguments):
+            nursery.start_soon(
+                calls.run,
+                nursery.cancel_scope,
+                position,
+                argument,
+            )
+    if calls.faults:
+        raise calls.faults[0]
+    return [calls.answers[number] for number in sorted(calls.answers)]
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -172,6 +172,7 @@
         super().__init__(message, remedy=remedy)
         self.sent = sent
 
+
 class HistoryError(JasminewheelError):
     """Report a program log that cannot be replayed."""
 
@@ -184,6 +185,7 @@
     code = 'moved'
     status = 503
 
+
 class InvalidResourceError(JasminewheelError):
     """Report the wrong fields of resources; nothing was changed."""
 
@@ -196,3 +198,27 @@
             '; '.join(str(problem) for problem in self.problems),
             remedy='correct the fields named and apply again',
         )
+
+
+class ConfigurationError(JasminewheelError):
+    """Report a configuration that cannot be read whole."""
+
+    code = 'configuration-broken'
+
+
+class StaleVersionError(JasminewheelError):
+    """Refuse a change to a resource that is at another version."""
+
+    code = 'stale-version'
+
+
+class MissingResourceError(JasminewheelError):
+    """Refuse a change to a resource that is not there."""
+
+    code = 'resource-missing'
+
+
+class UnsettledCommitError(JasminewheelError):
+    """Report a change whose answer was lost and could not be settled."""
+
+    code = 'commit-unsettled'
