Exchange heartbeats over rings and spread versions by them

Cause: members, configuration versions and replica sets have to be known everywhere at a constant cost a member, with the store down as well. Ruled out: heartbeats to random peers, which open connections to all; pushing recent changes for a number of rounds, which repeats them and may miss some. Change: each member sends heartbeats to its successor on three hashed rings; peers acknowledge the sequence they merged, so that each change crosses a link once; suspicion with accusers before death, incarnations to refute; VM leases, search for peers in settings, list of VMs and leases; a few members follow the store, others fetch roots and parts from peers; first replica sets. Conclusion: tests of kill, cut link, healed halves and leaving members pass.

--- /dev/null
+++ b/src/jasminewheel/_internal/fleet/placement.py
@@ -0,0 +1,125 @@
+"""Keep the newest replica sets: from the store or from peers."""
+
+import logging
+from collections.abc import Callable
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.events import configuration as events
+from jasminewheel._internal.fleet.replica_sets import (
+    PlacementShape,
+    first_placement,
+)
+from jasminewheel._internal.membership.asker import PeerAsker
+from jasminewheel._internal.membership.member import HISTORY
+from jasminewheel._internal.membership.membership import Membership
+from jasminewheel._internal.peer.server import Exchange
+from jasminewheel._internal.replication.placement import (
+    PLACEMENT_KEY,
+    Placement,
+    PlacementView,
+)
+from jasminewheel._internal.store.client import Store
+from jasminewheel._internal.wire.gen.membership.ttypes import (
+    PlacementDocument,
+    PlacementRequest,
+)
+from jasminewheel.errors import JasminewheelError, StoreConflictError
+
+ANSWER_SECONDS = 5.0
+SETTLE_SECONDS = 3.0
+_LOGGER = logging.getLogger(__name__)
+
+
+@define
+class PlacementSpread:
+    """Exchange the replica sets in force with peers."""
+
+    view: PlacementView
+    asker: PeerAsker
+    on_install: Callable[[], None] | None = None
+    newer: dict[str, int] = field(factory=dict)
+    wake: trio.Event = field(factory=trio.Event)
+
+    def heard(self, address: str, epoch: int) -> None:
+        """Take note of the epoch that a peer has."""
+        if epoch > self.view.epoch:
+            self.newer[address] = epoch
+            self.wake.set()
+
+    async def run(self) -> None:
+        """Fetch newer epochs until cancelled."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            while self.newer:
+                address, epoch = self.newer.popitem()
+                if epoch > self.view.epoch:
+                    await self.fetch(address)
+
+    async def fetch(self, address: str) -> None:
+        """Put a peer's replica sets in force if they are newer."""
+        try:
+            answer = await self.asker.ask(
+                address,
+                PlacementRequest(),
+                PlacementDocument,
+                timeout_seconds=ANSWER_SECONDS,
+            )
+            self.install(answer.text)
+        except JasminewheelError as error:
+            events.FETCH_FAILED.log(_LOGGER, peer=address, problem=error)
+
+    def install(self, text: str) -> None:
+        """Put replica sets in force if they are newer."""
+        if text and self.view.install(Placement.from_json(text)):
+            events.PLACEMENT_INSTALLED.log(_LOGGER, epoch=self.view.epoch)
+            if self.on_install:
+                self.on_install()
+
+    async def on_placement(
+        self,
+        exchange: Exchange,
+        request: PlacementRequest,
+    ) -> PlacementDocument:
+        """Give a peer the replica sets in force."""
+        placement = self.view.placement
+        return PlacementDocument(text=placement.to_json() if placement else '')
+
+
+@define
+class PlacementKeeper:
+    """Read the replica sets from the store, and write the first ones."""
+
+    store: Store
+    membership: Membership
+    spread: PlacementSpread
+    shape: PlacementShape
+
+    async def read(self) -> None:
+        """Put the stored replica sets in force, creating them if need be."""
+        stored = await self.store.get(PLACEMENT_KEY)
+        while stored is None:
+            await self.create()
+            stored = await self.store.get(PLACEMENT_KEY)
+        self.spread.install(stored.value)
+
+    async def create(self) -> None:
+        """Write the first replica sets once enough histories are live."""
+        # Histories that start together should all have a share.
+        await trio.sleep(SETTLE_SECONDS)
+        histories = self.membership.live(HISTORY)
+        placement = first_placement(histories, self.shape)
+        if placement is None:
+            events.PLACEMENT_WAITS.log(
+                _LOGGER,
+                live=len(histories),
+                wanted=self.shape.replicas,
+            )
+            return
+        try:
+            await self.store.put(PLACEMENT_KEY, placement.to_json(), 0)
+        except StoreConflictError:
+            return
+        events.PLACEMENT_CREATED.log(_LOGGER, sets=len(placement.current))
--- /dev/null
+++ b/src/jasminewheel/_internal/fleet/spread.py
@@ -0,0 +1,66 @@
+"""Spread the configuration and the replica sets between members."""
+
+from collections.abc import Callable, Mapping
+
+import trio
+from attrs import define
+
+from jasminewheel._internal.configuration.spread import ConfigurationSpread
+from jasminewheel._internal.configuration.view import ConfigurationView
+from jasminewheel._internal.fleet.placement import PlacementSpread
+from jasminewheel._internal.membership.asker import PeerAsker
+from jasminewheel._internal.membership.gossip import Versions
+from jasminewheel._internal.peer.server import Handler
+from jasminewheel._internal.replication.placement import PlacementView
+from jasminewheel._internal.wire.gen.membership.ttypes import (
+    PartRequest,
+    PlacementRequest,
+    RootRequest,
+)
+
+
+@define
+class FleetSpread:
+    """Tell peers the versions in force here and fetch newer ones."""
+
+    configuration: ConfigurationSpread
+    placement: PlacementSpread
+
+    def versions(self) -> Versions:
+        """Return the versions in force here."""
+        return Versions(
+            self.configuration.current.version,
+            self.placement.view.epoch,
+        )
+
+    def heard(self, address: str, versions: Versions) -> None:
+        """Take note of the versions that a peer has."""
+        self.configuration.heard(address, versions.configuration)
+        self.placement.heard(address, versions.placement)
+
+    def on_install(self, tell: Callable[[], None]) -> None:
+        """Call tell whenever a newer version comes in force."""
+        self.configuration.on_install = tell
+        self.placement.on_install = tell
+
+    async def run(self) -> None:
+        """Fetch newer versions until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.configuration.run)
+            nursery.start_soon(self.placement.run)
+
+    def handlers(self) -> Mapping[type, Handler]:
+        """Return what peers may ask."""
+        return {
+            RootRequest: self.configuration.on_root,
+            PartRequest: self.configuration.on_part,
+            PlacementRequest: self.placement.on_placement,
+        }
+
+
+def open_spread(asker: PeerAsker) -> FleetSpread:
+    """Return a spread without a configuration and replica sets."""
+    return FleetSpread(
+        ConfigurationSpread(ConfigurationView(), asker),
+        PlacementSpread(PlacementView(), asker),
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which members live, by leases and heartbeats."""
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/bootstrap.py
@@ -0,0 +1,119 @@
+"""Find the first peers: from settings, the store and the list of VMs."""
+
+import logging
+from collections.abc import Iterable
+from typing import Protocol
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.events import membership as events
+from jasminewheel._internal.membership.heartbeats import Heartbeats
+from jasminewheel._internal.membership.chosen import is_chosen
+from jasminewheel._internal.membership.lease import (
+    MEMBER_PREFIX,
+    parse_member,
+)
+from jasminewheel._internal.parallel import map_parallel
+from jasminewheel._internal.store.client import Store
+from jasminewheel.errors import JasminewheelError
+
+PARALLEL = 8
+ENOUGH_PEERS = 5
+FIRST_RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 15.0
+_LOGGER = logging.getLogger(__name__)
+
+
+class VmList(Protocol):
+    """Read the platform's list of VMs, which lags."""
+
+    async def addresses(self) -> list[str]:
+        """Return peer addresses of VMs that are listed."""
+
+
+@define
+class Bootstrap:
+    """Greet peers until the table of members has come from some of them."""
+
+    heartbeats: Heartbeats
+    addresses: tuple[str, ...]
+    store: Store | None = None
+    vms: VmList | None = None
+    greeted: set[str] = field(factory=set)
+
+    async def keep_looking(self) -> None:
+        """Look for more peers while there are none, and at times.
+
+        A few members read the leases at times, so that parts of the fleet
+        that know nothing of each other meet.
+        """
+        pause = FIRST_RETRY_SECONDS
+        while True:
+            await trio.sleep(pause * self.heartbeats.random.uniform(1, 2))
+            if self.alone():
+                await self.look()
+                pause = min(2 * pause, LONGEST_RETRY_SECONDS)
+                continue
+            pause = LONGEST_RETRY_SECONDS
+            if is_chosen(self.heartbeats.membership, MEMBER_PREFIX):
+                await self.greet_strangers()
+
+    def alone(self) -> bool:
+        """Return whether no other member is known to live."""
+        return len(self.heartbeats.membership.live()) == 1
+
+    async def greet_strangers(self) -> None:
+        """Greet the members that hold leases but are not known to live."""
+        live = self.heartbeats.membership.live()
+        known = {member.peer_address for member in live}
+        strangers = set(await self.leased()) - known
+        await map_parallel(self.greet, strangers, PARALLEL)
+
+    async def look(self) -> bool:
+        """Greet a few of the known addresses; return whether one answered."""
+        self.greeted.clear()
+        await self.greet_some(self.addresses)
+        if len(self.greeted) < ENOUGH_PEERS:
+            await self.greet_some(await self.listed())
+        if len(self.greeted) < ENOUGH_PEERS:
+            await self.greet_some(await self.leased())
+        return bool(self.greeted)
+
+    async def greet_some(self, addresses: Iterable[str]) -> None:
+        """Greet addresses that were not greeted yet, up to enough of them."""
+        own = self.heartbeats.membership.own.peer_address
+        left = [one for one in addresses if one not in {own, *self.greeted}]
+        wanted = max(0, ENOUGH_PEERS - len(self.greeted))
+        self.heartbeats.random.shuffle(left)
+        await map_parallel(self.greet, left[: 2 * wanted], PARALLEL)
+
+    async def greet(self, address: str) -> None:
+        """Exchange heartbeats with one address."""
+        try:
+            await self.heartbeats.greet(f'at {address}', address)
+        except JasminewheelError as error:
+            _LOGGER.debug('no answer from %s: %s', address, error)
+            return
+        self.greeted.add(address)
+
+    async def listed(self) -> list[str]:
+        """Return addresses from the platform's list of VMs."""
+        if self.vms is None:
+            return []
+        try:
+            return await self.vms.addresses()
+        except JasminewheelError as error:
+            events.HINT_FAILED.log(_LOGGER, problem=error)
+            return []
+
+    async def leased(self) -> list[str]:
+        """Return addresses of the members that hold leases."""
+        if self.store is None:
+            return []
+        try:
+            listing = await self.store.list(MEMBER_PREFIX)
+        except JasminewheelError as error:
+            events.HINT_FAILED.log(_LOGGER, problem=error)
+            return []
+        return [parse_member(item.value).peer_address for item in listing.items]
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/chosen.py
@@ -0,0 +1,12 @@
+"""Choose the few members that do a task for all of them."""
+
+from jasminewheel._internal.membership.membership import Membership
+
+CHOSEN_MEMBERS = 3
+
+
+def is_chosen(membership: Membership, task: str) -> bool:
+    """Return whether this member is one of those chosen for the task."""
+    chosen = membership.preferred(f'task {task}')[:CHOSEN_MEMBERS]
+    own = membership.own.member
+    return any(member.member == own for member in chosen)
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/gossip.py
@@ -0,0 +1,90 @@
+"""Decide what heartbeats carry, so that each change crosses a link once."""
+
+from attrs import define, field, frozen
+
+from jasminewheel._internal.membership.member import (
+    Member,
+    read_member,
+    write_member,
+)
+from jasminewheel._internal.membership.table import MemberTable, Merge
+from jasminewheel._internal.wire.gen.membership.ttypes import Heartbeat
+
+MAX_CHANGES = 400
+
+
+@define
+class PeerProgress:
+    """Hold how far a peer and this member know each other's tables."""
+
+    acknowledged: int = 0
+    merged: int = 0
+
+
+@frozen
+class Versions:
+    """Hold the versions that heartbeats carry."""
+
+    configuration: int
+    placement: int
+
+
+@define
+class Gossip:
+    """Make heartbeats and take them in."""
+
+    table: MemberTable
+    progress: dict[str, PeerProgress] = field(factory=dict)
+
+    def make(self, peer: str, versions: Versions) -> Heartbeat:
+        """Return the heartbeat for a peer; an unknown one gets all."""
+        progress = self.progress.setdefault(peer, PeerProgress())
+        base = progress.acknowledged
+        if base > self.table.sequence:
+            base = 0
+        entries = [
+            entry
+            for entry in self.table.changes_after(base)
+            if entry.source != peer or not base
+        ]
+        sequence = self.table.sequence
+        if len(entries) > MAX_CHANGES:
+            entries = entries[:MAX_CHANGES]
+            sequence = entries[-1].sequence
+        return Heartbeat(
+            sender=write_member(self.table.own),
+            base=base,
+            sequence=sequence,
+            merged=progress.merged,
+            changes=[write_member(entry.member) for entry in entries],
+            configuration_version=versions.configuration,
+            placement_epoch=versions.placement,
+        )
+
+    def take(self, heartbeat: Heartbeat, now: float) -> list[Member]:
+        """Merge a peer's heartbeat; return the members that changed."""
+        sender = read_member(heartbeat.sender)
+        progress = self.progress.setdefault(sender.member, PeerProgress())
+        progress.acknowledged = heartbeat.merged
+        if heartbeat.base <= progress.merged:
+            progress.merged = heartbeat.sequence
+        else:
+            progress.merged = 0
+        news = [sender, *map(read_member, heartbeat.changes or ())]
+        return [
+            member
+            for member in news
+            if self.merge(sender.member, member, now) is not Merge.stale
+        ]
+
+    def merge(self, source: str, member: Member, now: float) -> Merge:
+        """Merge news of a member, remembering who needs not hear of them."""
+        outcome = self.table.merge(member, now)
+        if outcome is Merge.changed:
+            self.table.entries[member.member].source = source
+        return outcome
+
+    def forget(self) -> None:
+        """Drop the progress of peers that are no longer members."""
+        for name in self.progress.keys() - self.table.entries.keys():
+            self.progress.pop(name)
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/heartbeats.py
@@ -0,0 +1,179 @@
+"""Exchange heartbeats with a constant number of peers."""
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.events import membership as events
+from jasminewheel._internal.events.event import Event
+from jasminewheel._internal.membership.asker import PeerAsker
+from jasminewheel._internal.membership.gossip import Gossip, Versions
+from jasminewheel._internal.membership.member import (
+    Member,
+    MemberState,
+    read_member,
+)
+from jasminewheel._internal.membership.membership import Membership
+from jasminewheel._internal.peer.server import Exchange
+from jasminewheel._internal.wire.gen.membership.ttypes import Heartbeat
+from jasminewheel.errors import JasminewheelError
+
+PERIOD_SECONDS = 1.0
+SHORTEST_PERIOD_SECONDS = 0.2
+JITTER = 0.1
+ANSWER_SECONDS = 1.0
+MISSES_BEFORE_SUSPICION = 2
+PAUSE_SECONDS = 3.0
+HEAL_SECONDS = 10.0
+_LOGGER = logging.getLogger(__name__)
+
+
+class VersionSource(Protocol):
+    """Know the versions that this member has, and hear of others."""
+
+    def versions(self) -> Versions:
+        """Return the versions in force here."""
+
+    def heard(self, address: str, versions: Versions) -> None:
+        """Take note of the versions that a peer has."""
+
+
+@define
+class Heartbeats:
+    """Send heartbeats to the successors and answer those of others."""
+
+    membership: Membership
+    gossip: Gossip
+    asker: PeerAsker
+    source: VersionSource
+    clock: Callable[[], float] = trio.current_time
+    random: Random = field(factory=Random)
+    misses: dict[str, int] = field(factory=dict)
+    wake: trio.Event = field(factory=trio.Event)
+    last_beat: float = 0
+    last_heal: float = 0
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        self.last_beat = self.clock()
+        while True:
+            await self.beat()
+            with trio.move_on_after(self.period()):
+                await self.wake.wait()
+            self.wake = trio.Event()
+            await trio.sleep(SHORTEST_PERIOD_SECONDS)
+
+    def period(self) -> float:
+        """Return the pause, varied so that members do not beat in step."""
+        pause = PERIOD_SECONDS - SHORTEST_PERIOD_SECONDS
+        return pause * self.random.uniform(1 - JITTER, 1 + JITTER)
+
+    def beat_now(self) -> None:
+        """Send the next heartbeats without waiting for the period."""
+        self.wake.set()
+
+    async def beat(self) -> None:
+        """Exchange heartbeats once with each successor."""
+        now = self.clock()
+        if now - self.last_beat > PAUSE_SECONDS:
+            events.PAUSED.log(_LOGGER, seconds=round(now - self.last_beat, 1))
+            self.gossip.table.excuse(now)
+        self.last_beat = now
+        async with trio.open_nursery() as nursery:
+            for peer in self.peers(now):
+                nursery.start_soon(self.exchange, peer)
+        for member in self.gossip.table.expire(self.clock()):
+            events.DIED.log(_LOGGER, member=member.member)
+        self.gossip.forget()
+
+    def peers(self, now: float) -> list[Member]:
+        """Return the successors and, at times, a dead one that may be back."""
+        chosen = self.membership.successors()
+        dead = [one for one in self.gossip.table.dead() if not one.left]
+        if dead and now - self.last_heal >= HEAL_SECONDS:
+            self.last_heal = now
+            chosen.append(self.random.choice(dead))
+        return chosen
+
+    async def exchange(self, peer: Member) -> None:
+        """Exchange heartbeats with one peer; suspect it if it is silent."""
+        try:
+            await self.greet(peer.member, peer.peer_address)
+        except JasminewheelError:
+            self.miss(peer)
+        else:
+            self.misses.pop(peer.member, None)
+
+    async def greet(self, member: str, address: str) -> Member:
+        """Exchange heartbeats with an address; return who answered."""
+        heartbeat = self.gossip.make(member, self.source.versions())
+        answer = await self.asker.ask(
+            address,
+            heartbeat,
+            Heartbeat,
+            timeout_seconds=ANSWER_SECONDS,
+        )
+        return self.take(answer)
+
+    async def on_heartbeat(
+        self,
+        exchange: Exchange,
+        heartbeat: Heartbeat,
+    ) -> Heartbeat:
+        """Answer the heartbeat of a peer."""
+        sender = self.take(heartbeat)
+        return self.gossip.make(sender.member, self.source.versions())
+
+    def take(self, heartbeat: Heartbeat) -> Member:
+        """Merge a heartbeat and spread what was new in it."""
+        changed = self.gossip.take(heartbeat, self.clock())
+        if self.gossip.table.superseded:
+            events.SUPERSEDED.log(_LOGGER, member=heartbeat.sender.member)
+        for member in changed:
+            self.log(member)
+        if changed:
+            self.beat_now()
+        self.source.heard(
+            heartbeat.sender.peer_address,
+            Versions(
+                heartbeat.configuration_version,
+                heartbeat.placement_epoch,
+            ),
+        )
+        return read_member(heartbeat.sender)
+
+    def miss(self, peer: Member) -> None:
+        """Count a heartbeat without an answer."""
+        count = self.misses.get(peer.member, 0) + 1
+        self.misses[peer.member] = count
+        if count < MISSES_BEFORE_SUSPICION:
+            return
+        if self.gossip.table.suspect(peer.member, self.clock()):
+            events.SUSPECTED.log(_LOGGER, member=peer.member)
+            self.beat_now()
+
+    def log(self, member: Member) -> None:
+        """Log a change that a peer told of."""
+        event = events.REFUTED
+        if member.member != self.membership.own.member:
+            event = _event_of(member)
+        event.log(
+            _LOGGER,
+            member=member.member,
+            incarnation=member.incarnation,
+            leaving=member.leaving,
+            accuser=member.accuser,
+        )
+
+
+def _event_of(member: Member) -> Event:
+    match member.state:
+        case MemberState.suspect:
+            return events.SUSPECTED
+        case MemberState.dead:
+            return events.LEFT if member.left else events.DIED
+    return events.LEAVING if member.leaving else events.JOINED
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/lease.py
@@ -0,0 +1,93 @@
+"""Hold the lease of this VM in the key-value service."""
+
+import json
+import logging
+from random import Random
+
+import trio
+from attrs import asdict, define, field
+
+from jasminewheel._internal.events import membership as events
+from jasminewheel._internal.membership.member import Member, MemberState
+from jasminewheel._internal.membership.membership import Membership
+from jasminewheel._internal.store.client import Store
+from jasminewheel.errors import ConfigurationError, StoreError
+
+MEMBER_PREFIX = 'members/'
+TTL_SECONDS = 30.0
+RENEW_SECONDS = 10.0
+START_SPREAD_SECONDS = 2.0
+JITTER = 0.2
+_LOGGER = logging.getLogger(__name__)
+
+
+def member_text(member: Member) -> str:
+    """Return the member as it stands in the store."""
+    body = asdict(member)
+    body['state'] = member.state.name
+    return json.dumps(body, sort_keys=True)
+
+
+def parse_member(text: str) -> Member:
+    """Return a member; raise ConfigurationError for any other text."""
+    try:
+        body = json.loads(text)
+        body['state'] = MemberState[body['state']]
+        body['roles'] = tuple(body['roles'])
+        return Member(**body)
+    except Exception as error:
+        raise ConfigurationError(f'not a member: {error!r}') from error
+
+
+@define
+class VmLease:
+    """Keep `members/<member>` in the store while this process lives.
+
+    The lease lets starting members find others and operators see who should
+    be there; it authorises nothing.
+    """
+
+    store: Store
+    membership: Membership
+    random: Random = field(factory=Random)
+    lease: str = ''
+
+    async def run(self) -> None:
+        """Grant and renew the lease until cancelled, out of step."""
+        await trio.sleep(self.random.uniform(0, START_SPREAD_SECONDS))
+        while True:
+            try:
+                await self.renew()
+            except StoreError as error:
+                events.LEASE_FAILED.log(_LOGGER, problem=error)
+            await trio.sleep(
+                RENEW_SECONDS * self.random.uniform(1 - JITTER, 1 + JITTER),
+            )
+
+    async def renew(self) -> None:
+        """Renew the lease, or grant another if it lapsed."""
+        if self.lease:
+            await self.extend()
+            return
+        own = self.membership.own
+        lease = await self.store.grant_lease(TTL_SECONDS)
+        key = f'{MEMBER_PREFIX}{own.member}'
+        await self.store.put(key, member_text(own), None, lease)
+        self.lease = lease
+        events.LEASED.log(_LOGGER, member=own.member)
+
+    async def extend(self) -> None:
+        """Renew the lease; forget it if that fails, so as to grant another."""
+        lease = self.lease
+        self.lease = ''
+        await self.store.renew_lease(lease)
+        self.lease = lease
+
+    async def revoke(self) -> None:
+        """Give the lease back, so that the entry goes at once."""
+        if not self.lease:
+            return
+        try:
+            await self.store.revoke_lease(self.lease)
+        except StoreError as error:
+            events.LEASE_FAILED.log(_LOGGER, problem=error)
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/membership.py
@@ -0,0 +1,76 @@
+"""Answer who lives, where, and who should own a slot."""
+
+from attrs import define, field
+
+from jasminewheel._internal.membership.member import ENTRY, Member
+from jasminewheel._internal.membership.rendezvous import rank_members
+from jasminewheel._internal.membership.rings import successors
+from jasminewheel._internal.membership.table import MemberTable
+from jasminewheel.errors import UnavailableError
+
+
+@define
+class Membership:
+    """Read the table of members; caches last until it changes.
+
+    Members that the platform's list shows as leaving come last among the
+    preferred owners, as those that say so themselves.
+    """
+
+    table: MemberTable
+    hinted_leaving: frozenset[str] = frozenset()
+    cached_at: int = -1
+    rankings: dict[str, list[Member]] = field(factory=dict)
+
+    @property
+    def own(self) -> Member:
+        """Return this member."""
+        return self.table.own
+
+    def live(self, role: str = '') -> list[Member]:
+        """Return the members of a role that are not dead, or of any role."""
+        return [
+            member
+            for member in self.table.live()
+            if not role or role in member.roles
+        ]
+
+    def address_of(self, member: str) -> str:
+        """Return `ip:port` of a member; raise UnavailableError if unknown."""
+        found = self.table.get(member)
+        if found is None:
+            raise UnavailableError(f'member {member} is unknown')
+        return found.peer_address
+
+    def preferred_owner(self, slot: int) -> Member:
+        """Return the live entry that should own the slot."""
+        ranked = self.preferred(f'slot-{slot}')
+        if not ranked:
+            raise UnavailableError('no entry is live')
+        return ranked[0]
+
+    def preferred(self, subject: str) -> list[Member]:
+        """Return the live entries by preference for a subject."""
+        if self.cached_at != self.table.sequence:
+            self.rankings.clear()
+            self.cached_at = self.table.sequence
+        if subject not in self.rankings:
+            ranked = rank_members(subject, self.live(ENTRY))
+            ranked.sort(key=self.hinted)
+            self.rankings[subject] = ranked
+        return self.rankings[subject]
+
+    def hinted(self, member: Member) -> bool:
+        """Return whether a member leaves or is listed as leaving."""
+        return member.leaving or member.member in self.hinted_leaving
+
+    def hint_leaving(self, members: frozenset[str]) -> None:
+        """Take in the platform's list of leaving VMs."""
+        if members != self.hinted_leaving:
+            self.hinted_leaving = members
+            self.rankings.clear()
+
+    def successors(self) -> list[Member]:
+        """Return the peers that this member sends heartbeats to."""
+        live = {member.member: member for member in self.table.live()}
+        return [live[name] for name in successors(self.own.member, live)]
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/service.py
@@ -0,0 +1,87 @@
+"""Run heartbeats, the VM's lease and the search for peers."""
+
+from typing import Self
+
+import trio
+from attrs import define, frozen
+
+from jasminewheel._internal.membership.asker import PeerAsker
+from jasminewheel._internal.membership.bootstrap import Bootstrap, VmList
+from jasminewheel._internal.membership.gossip import Gossip
+from jasminewheel._internal.membership.heartbeats import (
+    Heartbeats,
+    VersionSource,
+)
+from jasminewheel._internal.membership.lease import VmLease
+from jasminewheel._internal.membership.member import Member
+from jasminewheel._internal.membership.membership import Membership
+from jasminewheel._internal.membership.table import MemberTable
+from jasminewheel._internal.store.client import Store
+
+
+@frozen
+class PeerSources:
+    """Say where a starting member finds the others."""
+
+    store: Store
+    peers: tuple[str, ...] = ()
+    vms: VmList | None = None
+
+
+@define
+class MembershipService:
+    """Hold what keeps this member known and the others known to it."""
+
+    membership: Membership
+    heartbeats: Heartbeats
+    bootstrap: Bootstrap
+    lease: VmLease
+
+    @classmethod
+    def open(
+        cls,
+        own: Member,
+        asker: PeerAsker,
+        versions: VersionSource,
+        sources: PeerSources,
+    ) -> Self:
+        """Return the service of a member that knows no others yet.
+
+        The member's incarnation is the time of its start in milliseconds.
+        """
+        membership = Membership(MemberTable(own, own.incarnation))
+        heartbeats = Heartbeats(
+            membership,
+            Gossip(membership.table),
+            asker,
+            versions,
+        )
+        return cls(
+            membership,
+            heartbeats,
+            Bootstrap(
+                heartbeats,
+                sources.peers,
+                sources.store,
+                sources.vms,
+            ),
+            VmLease(sources.store, membership),
+        )
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.heartbeats.run)
+            nursery.start_soon(self.bootstrap.keep_looking)
+            nursery.start_soon(self.lease.run)
+
+    async def leave(self, now: float) -> None:
+        """Tell peers that this member takes no new work and will go."""
+        self.membership.table.leave(now)
+        await self.heartbeats.beat()
+
+    async def depart(self, now: float) -> None:
+        """Tell peers and the store that this member is gone."""
+        self.membership.table.leave(now, gone=True)
+        await self.heartbeats.beat()
+        await self.lease.revoke()
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/table.py
@@ -0,0 +1,195 @@
+"""Keep what is known of all members and decide what overrides what."""
+
+from enum import Enum
+
+from attrs import define, evolve, field
+
+from jasminewheel._internal.membership.member import Member, MemberState
+
+SUSPICION_SECONDS = 6.0
+CONFIRMED_SUSPICION_SECONDS = 2.0
+CONFIRMING_ACCUSERS = 2
+DEAD_KEPT_SECONDS = 3600.0
+
+
+class Merge(Enum):
+    """Say what news of a member did to the table."""
+
+    stale = 'stale'
+    changed = 'changed'
+    refuted = 'refuted'
+
+
+@define
+class TableEntry:
+    """Hold a member with when and in which order it changed.
+
+    The source is the peer that told of it, empty for this member itself.
+    """
+
+    member: Member
+    sequence: int
+    since: float
+    accusers: set[str] = field(factory=set)
+    source: str = ''
+
+
+@define
+class MemberTable:
+    """Hold all members as this one knows them; it always knows itself.
+
+    Sequence numbers order the changes of this table. They start at a time,
+    so that those of a restarted process are above its earlier ones.
+    """
+
+    own: Member
+    sequence: int
+    entries: dict[str, TableEntry] = field(factory=dict)
+    superseded: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Enter the own member."""
+        self.put(self.own, 0)
+
+    def get(self, name: str) -> Member | None:
+        """Return a member that is known."""
+        entry = self.entries.get(name)
+        return entry.member if entry else None
+
+    def live(self) -> list[Member]:
+        """Return the members that are not dead."""
+        members = [entry.member for entry in self.entries.values()]
+        return [member for member in members if member.live]
+
+    def dead(self) -> list[Member]:
+        """Return the members that are dead and not yet forgotten."""
+        members = [entry.member for entry in self.entries.values()]
+        return [member for member in members if not member.live]
+
+    def merge(self, news: Member, now: float) -> Merge:
+        """Take in news of a member unless known news override them."""
+        if news.member == self.own.member:
+            return self.merge_own(news, now)
+        entry = self.entries.get(news.member)
+        if entry is None:
+            self.put(news, now)
+            return Merge.changed
+        if news.rank == entry.member.rank:
+            return self.confirm(entry, news)
+        if news.rank < entry.member.rank:
+            return Merge.stale
+        self.put(_cautious(entry.member, news), now)
+        return Merge.changed
+
+    def merge_own(self, news: Member, now: float) -> Merge:
+        """Refute news that contradict this member."""
+        if news.rank <= self.own.rank:
+            return Merge.stale
+        moved = news.peer_address != self.own.peer_address
+        if moved and news.state is MemberState.alive:
+            # A process that replaced this one has its name.
+            self.superseded = True
+            return Merge.stale
+        self.own = evolve(self.own, incarnation=news.incarnation + 1)
+        self.put(self.own, now)
+        return Merge.refuted
+
+    def confirm(self, entry: TableEntry, news: Member) -> Merge:
+        """Count one more accuser of a suspect."""
+        if entry.member.state is not MemberState.suspect:
+            return Merge.stale
+        if news.accuser in entry.accusers:
+            return Merge.stale
+        entry.accusers.add(news.accuser)
+        entry.member = news
+        self.sequence += 1
+        entry.sequence = self.sequence
+        return Merge.changed
+
+    def move(self, peer_address: str) -> None:
+        """Take the address that this member came to listen on."""
+        self.own = evolve(self.own, peer_address=peer_address)
+        self.put(self.own, 0)
+
+    def leave(self, now: float, *, gone: bool = False) -> None:
+        """Say that this member takes no new work, or that it is gone."""
+        self.own = evolve(
+            self.own,
+            incarnation=self.own.incarnation + 1,
+            leaving=True,
+            state=MemberState.dead if gone else self.own.state,
+        )
+        self.put(self.own, now)
+
+    def suspect(self, name: str, now: float) -> bool:
+        """Accuse a member that does not answer; tell whether this is new."""
+        entry = self.entries.get(name)
+        if entry is None or not entry.member.live:
+            return False
+        accused = entry.member.accused(MemberState.suspect, self.own.member)
+        return self.merge(accused, now) is Merge.changed
+
+    def expire(self, now: float) -> list[Member]:
+        """Declare dead the suspects whose time is over; return them."""
+        overdue = [
+            entry.member.accused(MemberState.dead, self.own.member)
+            for entry in self.entries.values()
+            if _overdue(entry, now)
+        ]
+        for member in overdue:
+            self.put(member, now)
+        for entry in tuple(self.entries.values()):
+            if _forgotten(entry, now):
+                self.entries.pop(entry.member.member)
+        return overdue
+
+    def excuse(self, now: float) -> None:
+        """Give suspects their time again after this process was paused."""
+        for entry in self.entries.values():
+            entry.since = now
+
+    def changes_after(self, sequence: int) -> list[TableEntry]:
+        """Return the entries that changed after a sequence number."""
+        changed = [
+            entry
+            for entry in self.entries.values()
+            if entry.sequence > sequence
+        ]
+        changed.sort(key=lambda entry: entry.sequence)
+        return changed
+
+    def put(self, member: Member, now: float) -> None:
+        """Enter a member as changed now."""
+        self.sequence += 1
+        accusers = {member.accuser} if member.accuser else set()
+        self.entries[member.member] = TableEntry(
+            member,
+            self.sequence,
+            now,
+            accusers,
+        )
+
+
+def _cautious(known: Member, news: Member) -> Member:
+    """Take a death that was not suspected here as a suspicion.
+
+    Parts of the fleet that were cut off from each other have declared each
+    other dead; so the members get the time to refute it.
+    """
+    same = news.incarnation == known.incarnation
+    unsuspected = known.state is MemberState.alive
+    if same and unsuspected and news.accuser and not news.live:
+        return news.accused(MemberState.suspect, news.accuser)
+    return news
+
+
+def _overdue(entry: TableEntry, now: float) -> bool:
+    if entry.member.state is not MemberState.suspect:
+        return False
+    enough = len(entry.accusers) >= CONFIRMING_ACCUSERS
+    seconds = CONFIRMED_SUSPICION_SECONDS if enough else SUSPICION_SECONDS
+    return now - entry.since >= seconds
+
+
+def _forgotten(entry: TableEntry, now: float) -> bool:
+    return not entry.member.live and now - entry.since >= DEAD_KEPT_SECONDS
--- /dev/null
+++ b/tests/functional/test_heartbeats.py
@@ -0,0 +1,91 @@
+"""Check heartbeats between members over real connections."""
+
+import trio
+
+from tests.fleet import running_fleet, until, until_joined
+
+
+def test_all_members_learn_of_all():
+    """Members that know one peer come to know all."""
+
+    async def main():
+        async with running_fleet(12) as members:
+            assert len(await until_joined(members)) == 12
+
+    trio.run(main)
+
+
+def test_a_killed_member_is_found_dead():
+    """All others take a silent member for dead."""
+
+    async def main():
+        async with running_fleet(8) as members:
+            names = await until_joined(members)
+            killed, *others = members
+            killed.kill()
+            left = names - {killed.name}
+            await until(lambda: all(one.live() == left for one in others))
+
+    trio.run(main)
+
+
+def test_a_cut_link_kills_no_one():
+    """A member that one observer cannot reach refutes the suspicion."""
+
+    async def main():
+        async with running_fleet(6) as members:
+            names = await until_joined(members)
+            observer = members[0]
+            peer = observer.heartbeats.membership.successors()[0]
+            observer.asker.cut.add(peer.peer_address)
+            observed = members[int(peer.member.removeprefix('vm-'))]
+            own = observed.heartbeats.membership
+            await until(lambda: own.own.incarnation > 3)
+            assert all(one.live() == names for one in members)
+
+    trio.run(main)
+
+
+def test_halves_meet_again():
+    """Halves that declared each other dead are one fleet again."""
+
+    async def main():
+        async with running_fleet(6) as members:
+            names = await until_joined(members)
+            left, right = members[:3], members[3:]
+            cut(left, right)
+            cut(right, left)
+            await until(lambda: all(len(one.live()) == 3 for one in members))
+            for member in members:
+                member.asker.cut.clear()
+            await until(
+                lambda: all(one.live() == names for one in members),
+                60,
+            )
+
+    def cut(from_members, to_members):
+        for one in from_members:
+            one.asker.cut.update(other.address for other in to_members)
+
+    trio.run(main)
+
+
+def test_a_leaving_member_comes_last():
+    """A leaving member owns nothing any more and is gone at its end."""
+
+    async def main():
+        async with running_fleet(4) as members:
+            names = await until_joined(members)
+            leaving, *others = members
+            leaving.heartbeats.gossip.table.leave(trio.current_time())
+            leaving.heartbeats.beat_now()
+            await until(lambda: owners(others) == names - {leaving.name})
+
+    def owners(members):
+        return {
+            one.heartbeats.membership.preferred_owner(slot).member
+            for one in members
+            for slot in range(100)
+        }
+
+    trio.run(main)
