--- /dev/null
+++ b/src/jasminewheel/_internal/history/__init__.py
@@ -0,0 +1,1 @@
+"""Keep logs on one disk and serve them to owners."""
--- /dev/null
+++ b/src/jasminewheel/_internal/history/folder.py
@@ -0,0 +1,48 @@
+"""Claim a data folder and know the disk that it stands on."""
+
+import fcntl
+import os
+import secrets
+from pathlib import Path
+
+from jasminewheel._internal.history.segment import (
+    FILE_MODE,
+    segment_numbers,
+    sync_folder,
+)
+from jasminewheel.errors import DamagedError, SettingsError
+
+_DISK_ID_BYTES = 4
+
+
+def lock_folder(folder: Path) -> int:
+    """Return a descriptor that holds the folder's lock."""
+    flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+    descriptor = os.open(folder / 'lock', flags, FILE_MODE)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(descriptor)
+        raise SettingsError(
+            f'{folder} is in use by another process',
+            remedy='give each history process its own data folder',
+        ) from error
+    return descriptor
+
+
+def load_disk_id(folder: Path) -> str:
+    """Return the identity of the disk; draw it for an empty folder."""
+    path = folder / 'disk-id'
+    if path.exists():
+        return path.read_text(encoding='ascii').strip()
+    if segment_numbers(folder):
+        raise DamagedError(
+            f'{path} is missing beside existing segments',
+            remedy='replace this disk',
+        )
+    disk_id = secrets.token_hex(_DISK_ID_BYTES)
+    draft = path.with_suffix('.new')
+    draft.write_text(disk_id, encoding='ascii')
+    draft.replace(path)
+    sync_folder(folder)
+    return disk_id
--- /dev/null
+++ b/src/jasminewheel/_internal/history/gate.py
@@ -0,0 +1,97 @@
+"""Admit owners by their fence, and make what they ask durable."""
+
+from attrs import frozen
+
+from jasminewheel._internal.history.entry import Entry
+from jasminewheel._internal.history.journal import Journal
+from jasminewheel._internal.history.state import SlotState
+from jasminewheel._internal.replication.fence import Fence
+from jasminewheel._internal.wire.gen.history import ttypes as wire
+from jasminewheel.errors import PeerError
+
+MAX_SLOTS = 65536
+
+
+@frozen
+class Admission:
+    """Tell whether a fence was admitted, and what makes that durable."""
+
+    slot: SlotState
+    fence: Fence
+    accepted: bool
+    entries: list[Entry]
+
+    @property
+    def promised(self) -> wire.WireFence:
+        """Return the highest fence promised."""
+        return self.slot.promised.to_wire()
+
+    def entry(self, what: int, log: str = '', index: int = 0) -> Entry:
+        """Return an entry of the slot under the owner's fence."""
+        return Entry(what, self.slot.slot, self.fence, log, index)
+
+
+@frozen
+class Gate:
+    """Check each request against the disk and the promise of its slot."""
+
+    journal: Journal
+    member: str
+
+    @property
+    def replica(self) -> str:
+        """Return the name under which placements list this disk.
+
+        A member that lost its disk comes back under another name, so it is
+        never counted as a replica that holds what the old disk held.
+        """
+        disk_id = self.journal.disk.disk_id
+        return f'{self.member}#{disk_id}'
+
+    def slot_of(self, scope: wire.Scope) -> SlotState:
+        """Return the slot's state; refuse a request for another disk."""
+        self.check_replica(scope.replica)
+        return self.slot_numbered(scope.slot)
+
+    def check_replica(self, replica: str) -> None:
+        """Refuse a request that is meant for another disk."""
+        if replica not in {self.member, self.replica}:
+            raise PeerError(f'{replica} was asked, this is {self.replica}')
+
+    def admit(self, scope: wire.Scope) -> Admission:
+        """Check the fence of an owner against the promise."""
+        slot = self.slot_of(scope)
+        fence = Fence.from_wire(scope.fence)
+        if not slot.may_write(fence):
+            return Admission(slot, fence, accepted=False, entries=[])
+        joined_epoch = scope.joined_epoch or 0
+        entries = []
+        if fence > slot.promised or joined_epoch > slot.joined_epoch:
+            entries.append(slot.promise_entry(fence, joined_epoch))
+        return Admission(slot, fence, accepted=True, entries=entries)
+
+    async def admit_reader(self, scope: wire.Scope) -> Admission:
+        """Admit an owner, and wait for all that was accepted before it."""
+        admission = self.admit(scope)
+        if admission.accepted:
+            submission = self.journal.submit(admission.entries)
+            await self.journal.commit(submission)
+        return admission
+
+    async def acknowledge(
+        self, admission: Admission, entries: list[Entry]
+    ) -> wire.Acknowledged:
+        """Make an admitted request durable and answer it."""
+        durable = [*admission.entries, *entries]
+        if admission.accepted and durable:
+            await self.journal.commit(self.journal.submit(durable))
+        return wire.Acknowledged(
+            accepted=admission.accepted,
+            promised=admission.promised,
+        )
+
+    def slot_numbered(self, number: int | None) -> SlotState:
+        """Return the state of a slot; refuse an impossible number."""
+        if number is None or not 0 <= number < MAX_SLOTS:
+            raise PeerError(f'no slot {number}')
+        return self.journal.state.slot(number)
--- /dev/null
+++ b/src/jasminewheel/_internal/history/journal.py
@@ -0,0 +1,201 @@
+"""Commit entries in groups, one sync for all that wait."""
+
+import logging
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.events import history as events
+from jasminewheel._internal.history.disk import DiskLog
+from jasminewheel._internal.history.entry import PREFIX, Entry
+from jasminewheel._internal.history.segment import Segment
+from jasminewheel._internal.history.state import DiskState
+from jasminewheel.errors import DiskFullError, JasminewheelError
+
+# What one step of compaction may add to a group: 1 MiB.
+GROUP_BYTES = 1048576
+_LOGGER = logging.getLogger(__name__)
+
+
+@define
+class Submission:
+    """Hold entries that become durable together, and who waits for them."""
+
+    entries: list[Entry]
+    blocks: list[bytes]
+    done: trio.Event = field(factory=trio.Event)
+    error: JasminewheelError | None = None
+
+    def finish(self, error: JasminewheelError | None = None) -> None:
+        """Wake who waits."""
+        self.error = error
+        self.done.set()
+
+
+class Journal:
+    """Write what is submitted, in order, by one task."""
+
+    def __init__(self, disk: DiskLog, state: DiskState) -> None:
+        """Start with nothing submitted."""
+        self.disk = disk
+        self.state = state
+        self.queue: list[Submission] = []
+        self.queued_bytes = 0
+        self.wake = trio.Event()
+        self.syncs = 0
+
+    def load(self) -> None:
+        """Replay the disk."""
+        for found in self.disk.scan():
+            self.state.apply(found.entry, found.position)
+        events.LOADED.log(
+            _LOGGER,
+            slots=len(self.state.slots),
+            stored_bytes=self.disk.stored_bytes,
+        )
+
+    def submit(self, entries: list[Entry]) -> Submission:
+        """Queue entries without waiting, so that checks before still hold."""
+        blocks = [entry.to_bytes() for entry in entries]
+        self.queued_bytes += sum(map(len, blocks))
+        submission = Submission(entries, blocks)
+        self.queue.append(submission)
+        self.wake.set()
+        return submission
+
+    async def commit(self, submission: Submission) -> None:
+        """Wait until the entries are durable; raise if they are not."""
+        await submission.done.wait()
+        if submission.error:
+            raise submission.error
+
+    def check_room(self, entries: list[Entry]) -> None:
+        """Refuse records that do not fit."""
+        wanted = sum(len(entry.payload) for entry in entries)
+        if not self.disk.has_room(self.queued_bytes + wanted):
+            raise self.disk.full_error()
+
+    async def run(self) -> None:
+        """Write until cancelled; a failed sync stops the process."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            batch = self.take_queue()
+            if batch:
+                await self.write(batch)
+
+    def take_queue(self) -> list[Submission]:
+        """Return what is submitted and leave the queue empty."""
+        taken = self.queue
+        self.queue = []
+        self.queued_bytes = 0
+        return taken
+
+    async def write(self, batch: list[Submission]) -> None:
+        """Write one group and wake who waits for it."""
+        blocks = [block for one in batch for block in one.blocks]
+        try:
+            positions = await self.sync(blocks)
+        except DiskFullError as error:
+            events.DISK_FULL.log(_LOGGER, folder=self.disk.folder)
+            self.refuse(batch, error)
+            return
+        except OSError as fault:
+            # What the disk holds after a failed sync is unknown.
+            events.DISK_FAILED.log(_LOGGER, problem=repr(fault))
+            raise
+        entries = [entry for one in batch for entry in one.entries]
+        for entry, position in zip(entries, positions, strict=True):
+            self.state.apply(entry, position)
+        for submission in batch:
+            submission.finish()
+
+    async def sync(self, blocks: list[bytes]) -> list[int]:
+        """Make blocks durable beside the event loop."""
+        if not blocks:
+            return []
+        self.syncs += 1
+        return await trio.to_thread.run_sync(self.disk.write, blocks)
+
+    def refuse(self, batch: list[Submission], error: DiskFullError) -> None:
+        """Fail a group and all that was checked against its promises."""
+        waiting = self.take_queue()
+        self.state.reset_promises()
+        for submission in (*batch, *waiting):
+            submission.finish(error)
+
+
+class Compactor:
+    """Move live entries out of segments that are mostly dead."""
+
+    def __init__(self, journal: Journal, interval_seconds: float) -> None:
+        """Hold the journal."""
+        self.journal = journal
+        self.interval_seconds = interval_seconds
+        self.retired: list[Segment] = []
+
+    async def run(self) -> None:
+        """Look for work at each interval until cancelled."""
+        while True:
+            await trio.sleep(self.interval_seconds)
+            self.close_retired()
+            await self.compact_next()
+
+    def close_retired(self) -> None:
+        """Close files removed an interval ago, which nobody reads now."""
+        for segment in self.retired:
+            segment.close()
+        self.retired.clear()
+
+    async def compact_next(self) -> None:
+        """Compact the segment with the fewest live entries, if it is due."""
+        number = self.pick()
+        if number is None:
+            return
+        segment = self.journal.disk.segments[number]
+        moved = await trio.to_thread.run_sync(self.live_entries, segment)
+        await self.move(moved)
+        if self.journal.state.live[number]:
+            return
+        disk = self.journal.disk
+        self.retired.append(await trio.to_thread.run_sync(disk.remove, number))
+        self.journal.state.forget_segment(number, tuple(disk.segments))
+        events.SEGMENT_REMOVED.log(_LOGGER, segment=number, moved=len(moved))
+
+    async def move(self, entries: list[Entry]) -> None:
+        """Write entries anew, in small groups, and all promises."""
+        promises = list(self.journal.state.kept_entries())
+        pending = [*promises, *entries]
+        while pending:
+            group = _take_group(pending)
+            await self.journal.commit(self.journal.submit(group))
+
+    def pick(self) -> int | None:
+        """Return a closed segment of which less than half is live."""
+        state = self.journal.state
+        closed = [
+            number
+            for number in self.journal.disk.segments
+            if number != self.journal.disk.head.number
+            and state.live[number] * 2 <= state.total[number]
+        ]
+        return min(closed, key=lambda number: state.live[number], default=None)
+
+    def live_entries(self, segment: Segment) -> list[Entry]:
+        """Read the entries of the segment that still matter."""
+        state = self.journal.state
+        found = []
+        for scanned in segment.scan(deep=False):
+            if state.is_live(scanned.entry, scanned.position):
+                found.append(self.journal.disk.read(scanned.position))
+        return found
+
+
+def _take_group(pending: list[Entry]) -> list[Entry]:
+    group: list[Entry] = []
+    count = 0
+    while pending and count < GROUP_BYTES:
+        entry = pending.pop()
+        count += len(entry.payload) + PREFIX.size
+        group.append(entry)
+    return group
--- /dev/null
+++ b/src/jasminewheel/_internal/history/service.py
@@ -0,0 +1,106 @@
+"""Answer what owners ask of one disk."""
+
+from collections.abc import Mapping
+
+from attrs import frozen
+
+from jasminewheel._internal.history.gate import Gate
+from jasminewheel._internal.history.reader import DiskReader
+from jasminewheel._internal.history.state import NO_POSITION, LogState
+from jasminewheel._internal.history.writes import WriteService
+from jasminewheel._internal.peer.server import Exchange, Handler
+from jasminewheel._internal.wire.gen.history import ttypes as wire
+
+
+def history_handlers(gate: Gate, zone: str) -> Mapping[type, Handler]:
+    """Return the handlers of a history process for its peer server."""
+    reader = DiskReader(gate.journal.disk)
+    writes = WriteService(gate, reader)
+    reads = ReadService(gate, reader, zone)
+    return {
+        wire.SealSlot: writes.seal,
+        wire.AppendRecords: writes.append,
+        wire.DropLog: writes.drop,
+        wire.TrimLog: writes.trim,
+        wire.PurgeLogs: writes.purge,
+        wire.MarkCopied: writes.mark_copied,
+        wire.ReadIndex: reads.read_index,
+        wire.ReadRecords: reads.read_records,
+        wire.DescribeDisk: reads.describe_disk,
+        wire.DescribeSlot: reads.describe_slot,
+    }
+
+
+@frozen
+class ReadService:
+    """Read logs for owners, and describe the disk."""
+
+    gate: Gate
+    reader: DiskReader
+    zone: str
+
+    async def read_index(
+        self, exchange: Exchange, request: wire.ReadIndex
+    ) -> wire.LogIndexed:
+        """List index and fence of each record of a log."""
+        admission = await self.gate.admit_reader(request.scope)
+        slot = admission.slot
+        log = slot.logs.get(request.log, LogState())
+        heads = await self.reader.in_thread(
+            self.reader.read_heads, _positions(log)
+        )
+        return wire.LogIndexed(
+            accepted=admission.accepted,
+            promised=admission.promised,
+            dropped=request.log in slot.dropped,
+            first=log.first,
+            entries=[
+                wire.IndexEntry(head.index, head.fence.to_wire(), head.snapshot)
+                for head in heads
+            ],
+        )
+
+    async def read_records(
+        self, exchange: Exchange, request: wire.ReadRecords
+    ) -> wire.LogPage:
+        """Send the records of the indexes in pages."""
+        admission = await self.gate.admit_reader(request.scope)
+        log = admission.slot.logs.get(request.log, LogState())
+        positions = [log.position(index) for index in request.indexes]
+        wanted = [position for position in positions if position != NO_POSITION]
+        page = wire.LogPage(admission.accepted, admission.promised, [])
+        while wanted and admission.accepted:
+            page.records = await self.reader.in_thread(
+                self.reader.read_page, wanted
+            )
+            if wanted:
+                await exchange.reply(page)
+        return page
+
+    async def describe_disk(
+        self, exchange: Exchange, request: wire.DescribeDisk
+    ) -> wire.DiskDescribed:
+        """Tell the disk's name and how much it holds."""
+        state = self.gate.journal.state
+        return wire.DiskDescribed(
+            replica=self.gate.replica,
+            zone=self.zone,
+            stored_bytes=self.gate.journal.disk.stored_bytes,
+            logs=sum(len(slot.logs) for slot in state.slots.values()),
+        )
+
+    async def describe_slot(
+        self, exchange: Exchange, request: wire.DescribeSlot
+    ) -> wire.SlotDescribed:
+        """Tell what is durable of a slot, without a fence."""
+        self.gate.check_replica(request.replica)
+        slot = self.gate.slot_numbered(request.slot)
+        return wire.SlotDescribed(
+            promised=slot.durable.to_wire(),
+            joined_epoch=slot.joined_epoch,
+            copied_epoch=slot.copied.epoch,
+        )
+
+
+def _positions(log: LogState) -> list[int]:
+    return [log.position(index) for index in log.indexes()]
--- /dev/null
+++ b/src/jasminewheel/_internal/history/settings.py
@@ -0,0 +1,41 @@
+"""Describe the settings of a history process."""
+
+from attrs import field, frozen
+from attrs.validators import ge, in_, le
+
+_GIB = 1073741824
+_MAX_PORT = 65535
+_MIN_COMPACT_SECONDS = 0.01
+COMPACT_SECONDS = 10.0
+
+
+@frozen
+class HistorySettings:
+    """Hold what a history process is told at its start.
+
+    `peers` are addresses `ip:port` to ask for the fleet's members while the
+    key-value service cannot be reached; `quota_bytes` bounds the data folder.
+    `port_file` receives the peer port once the process serves.
+    """
+
+    member: str
+    zone: str
+    region: str
+    peer_host: str
+    peer_port: int = field(validator=[ge(0), le(_MAX_PORT)])
+    data_folder: str
+    key_file: str
+    quota_bytes: int = field(default=10 * _GIB, validator=ge(1))
+    compact_seconds: float = field(
+        default=COMPACT_SECONDS, validator=ge(_MIN_COMPACT_SECONDS)
+    )
+    store_url: str = ''
+    vms_url: str = ''
+    peers: tuple[str, ...] = ()
+    port_file: str = ''
+    statsd: str = ''
+    trace_file: str = ''
+    log_level: str = field(
+        default='INFO',
+        validator=in_(('DEBUG', 'INFO', 'WARNING', 'ERROR')),
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/history/state.py
@@ -0,0 +1,290 @@
+"""Know where the live entries of each slot stand on disk."""
+
+from array import array
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from itertools import repeat
+
+from attrs import define, field
+
+from jasminewheel._internal.history.entry import Entry
+from jasminewheel._internal.history.segment import segment_of
+from jasminewheel._internal.replication.fence import LOWEST_FENCE, Fence
+from jasminewheel._internal.wire.gen.history.ttypes import StoredKind
+
+# Positions fit 64 bits; none stands for a record that this disk lacks.
+NO_POSITION = 0xFFFFFFFFFFFFFFFF
+
+
+@define
+class LogState:
+    """Hold the positions of one log's records, from its first index on."""
+
+    first: int = 0
+    oldest_segment: int = 0
+    trimmed_at: int = NO_POSITION
+    positions: array = field(factory=lambda: array('Q'))
+
+    def position(self, index: int) -> int:
+        """Return where the record stands, or NO_POSITION."""
+        offset = index - self.first
+        if 0 <= offset < len(self.positions):
+            return self.positions[offset]
+        return NO_POSITION
+
+    def put(self, index: int, position: int) -> int:
+        """Note a record; return the position of the one it replaces."""
+        offset = index - self.first
+        missing = offset + 1 - len(self.positions)
+        if missing > 0:
+            self.positions.extend(repeat(NO_POSITION, missing))
+        replaced = self.positions[offset]
+        self.positions[offset] = position
+        return replaced
+
+    def trim(self, index: int) -> list[int]:
+        """Forget the records before the index; return their positions."""
+        count = index - self.first
+        freed = list(self.positions[:count])
+        self.positions = self.positions[count:]
+        self.first = index
+        return freed
+
+    def indexes(self) -> list[int]:
+        """Return the indexes of the records held."""
+        return [
+            self.first + offset
+            for offset, position in enumerate(self.positions)
+            if position != NO_POSITION
+        ]
+
+    def held(self) -> list[int]:
+        """Return all positions held, that of the trim entry included."""
+        held = [self.trimmed_at, *self.positions]
+        return [position for position in held if position != NO_POSITION]
+
+
+@define
+class DroppedLog:
+    """Remember a dropped log while its entries may remain on disk.
+
+    Dead entries of the log stand in no segment outside oldest to newest.
+    """
+
+    position: int
+    oldest: int
+    newest: int
+    purged: bool = False
+
+    def note(self, segment: int) -> None:
+        """Widen the range of segments that may hold entries of the log."""
+        self.oldest = min(self.oldest, segment)
+        self.newest = max(self.newest, segment)
+
+    def is_needless(self, segments: Iterable[int]) -> bool:
+        """Tell whether nothing of the log can be left on disk."""
+        touched = (self.oldest <= number <= self.newest for number in segments)
+        return self.purged and not any(touched)
+
+
+@define
+class SlotState:
+    """Hold what one disk knows of a slot.
+
+    `promised` counts entries still on their way to the disk; `durable` is
+    what a restart would find.
+    """
+
+    slot: int
+    promised: Fence = LOWEST_FENCE
+    durable: Fence = LOWEST_FENCE
+    joined_epoch: int = 0
+    copied: Fence = LOWEST_FENCE
+    logs: dict[str, LogState] = field(factory=dict)
+    dropped: dict[str, DroppedLog] = field(factory=dict)
+
+    def may_seal(self, fence: Fence) -> bool:
+        """Tell whether a new owner may take the slot."""
+        return fence == self.promised or fence.ballot > self.promised.ballot
+
+    def may_write(self, fence: Fence) -> bool:
+        """Tell whether the owner of the fence still holds the slot."""
+        return fence >= self.promised
+
+    def promise_entry(self, fence: Fence, joined_epoch: int) -> Entry:
+        """Raise the promise; return the entry that makes it durable."""
+        self.promised = fence
+        return Entry(
+            StoredKind.PROMISE,
+            self.slot,
+            fence,
+            joined_epoch=max(joined_epoch, self.joined_epoch),
+        )
+
+    def kept_entries(self) -> Iterator[Entry]:
+        """Give the entries to repeat before a segment is removed."""
+        yield Entry(
+            StoredKind.PROMISE,
+            self.slot,
+            self.durable,
+            joined_epoch=self.joined_epoch,
+        )
+        yield Entry(StoredKind.COPIED, self.slot, self.copied)
+
+    def live_dropped(self) -> list[str]:
+        """Return the dropped logs that are not purged yet."""
+        return [name for name, log in self.dropped.items() if not log.purged]
+
+
+class DiskState:
+    """Apply entries, in any order, to what is known of each slot."""
+
+    def __init__(self, read_head: Callable[[int], Entry]) -> None:
+        """Start with an empty disk; read_head gives the entry at a position."""
+        self.read_head = read_head
+        self.slots: dict[int, SlotState] = {}
+        self.live: Counter[int] = Counter()
+        self.total: Counter[int] = Counter()
+        self.appliers = {
+            StoredKind.RECORD: self.apply_record,
+            StoredKind.PROMISE: self.apply_promise,
+            StoredKind.DROP: self.apply_drop,
+            StoredKind.PURGE: self.apply_drop,
+            StoredKind.TRIM: self.apply_trim,
+            StoredKind.COPIED: self.apply_copied,
+        }
+
+    def slot(self, number: int) -> SlotState:
+        """Return the state of a slot."""
+        state = self.slots.get(number)
+        if state is None:
+            state = SlotState(number)
+            self.slots[number] = state
+        return state
+
+    def apply(self, entry: Entry, position: int) -> None:
+        """Note a durable entry."""
+        state = self.slot(entry.slot)
+        self.total[segment_of(position)] += 1
+        state.durable = max(state.durable, entry.fence)
+        state.promised = max(state.promised, state.durable)
+        self.appliers[entry.what](state, entry, position)
+
+    def apply_promise(
+        self, state: SlotState, entry: Entry, position: int
+    ) -> None:
+        """Void what the disk held from before it joined the replica set."""
+        if entry.joined_epoch <= state.joined_epoch:
+            return
+        state.joined_epoch = entry.joined_epoch
+        for log in state.logs.values():
+            self.bury(log.held())
+        for dropped in state.dropped.values():
+            self.bury([dropped.position])
+        state.logs.clear()
+        state.dropped.clear()
+
+    def apply_copied(
+        self, state: SlotState, entry: Entry, position: int
+    ) -> None:
+        """Note that the slot's logs are whole at the entry's epoch."""
+        state.copied = max(state.copied, entry.fence)
+
+    def apply_record(
+        self, state: SlotState, entry: Entry, position: int
+    ) -> None:
+        """Note a record unless its log is dropped or it is void."""
+        if entry.fence.epoch < state.joined_epoch:
+            return
+        dropped = state.dropped.get(entry.log)
+        if dropped:
+            dropped.note(segment_of(position))
+            return
+        log = _log_of(state, entry, position)
+        if entry.index < log.first:
+            return
+        # A compacted copy of a replaced record may come after its successor.
+        if not self.is_replaced(log.position(entry.index), entry):
+            self.live[segment_of(position)] += 1
+            self.bury([log.put(entry.index, position)])
+
+    def is_replaced(self, held_at: int, entry: Entry) -> bool:
+        """Tell whether the record held has a higher fence than the entry."""
+        if held_at == NO_POSITION:
+            return False
+        return self.read_head(held_at).fence > entry.fence
+
+    def apply_drop(self, state: SlotState, entry: Entry, position: int) -> None:
+        """Forget a log's records; a purge also hides that it was dropped."""
+        if entry.fence.epoch < state.joined_epoch:
+            return
+        log = state.logs.pop(entry.log, LogState())
+        self.bury(log.held())
+        segment = segment_of(position)
+        dropped = state.dropped.setdefault(
+            entry.log, DroppedLog(NO_POSITION, segment, segment)
+        )
+        dropped.note(log.oldest_segment or segment)
+        purges = entry.what == StoredKind.PURGE
+        if dropped.purged and not purges:
+            return
+        self.bury([dropped.position])
+        dropped.position = position
+        dropped.purged = purges
+        self.live[segment] += 1
+
+    def apply_trim(self, state: SlotState, entry: Entry, position: int) -> None:
+        """Forget the records before a snapshot."""
+        if entry.log in state.dropped or entry.fence.epoch < state.joined_epoch:
+            return
+        log = _log_of(state, entry, position)
+        if entry.index < log.first:
+            return
+        self.bury([log.trimmed_at, *log.trim(entry.index)])
+        log.trimmed_at = position
+        self.live[segment_of(position)] += 1
+
+    def bury(self, positions: list[int]) -> None:
+        """Count entries that no longer matter."""
+        for position in positions:
+            if position != NO_POSITION:
+                self.live[segment_of(position)] -= 1
+
+    def is_live(self, entry: Entry, position: int) -> bool:
+        """Tell whether the entry at the position still matters."""
+        state = self.slot(entry.slot)
+        log = state.logs.get(entry.log)
+        if entry.what == StoredKind.RECORD:
+            return log is not None and log.position(entry.index) == position
+        if entry.what == StoredKind.TRIM:
+            return log is not None and log.trimmed_at == position
+        dropped = state.dropped.get(entry.log)
+        return dropped is not None and dropped.position == position
+
+    def forget_segment(self, number: int, remaining: Iterable[int]) -> None:
+        """Note that a segment was removed; forget drops it made needless."""
+        self.live.pop(number, None)
+        self.total.pop(number, None)
+        for state in self.slots.values():
+            for name, dropped in tuple(state.dropped.items()):
+                if dropped.is_needless(remaining):
+                    self.bury([dropped.position])
+                    state.dropped.pop(name)
+
+    def reset_promises(self) -> None:
+        """Take back promises whose entries were not written."""
+        for state in self.slots.values():
+            state.promised = state.durable
+
+    def kept_entries(self) -> Iterator[Entry]:
+        """Give what must be repeated before a segment is removed."""
+        for state in tuple(self.slots.values()):
+            yield from state.kept_entries()
+
+
+def _log_of(state: SlotState, entry: Entry, position: int) -> LogState:
+    """Return the log of an entry and widen its range of segments."""
+    segment = segment_of(position)
+    log = state.logs.setdefault(entry.log, LogState())
+    log.oldest_segment = min(log.oldest_segment or segment, segment)
+    return log
--- /dev/null
+++ b/src/jasminewheel/_internal/history/writes.py
@@ -0,0 +1,137 @@
+"""Answer what owners change on one disk."""
+
+from attrs import frozen
+
+from jasminewheel._internal.history.entry import Entry
+from jasminewheel._internal.history.gate import Gate
+from jasminewheel._internal.history.reader import DiskReader
+from jasminewheel._internal.history.records import (
+    check_records,
+    differs,
+    record_entry,
+)
+from jasminewheel._internal.history.state import (
+    NO_POSITION,
+    LogState,
+    SlotState,
+)
+from jasminewheel._internal.peer.server import Exchange
+from jasminewheel._internal.replication.fence import Fence
+from jasminewheel._internal.replication.record import DROPPED_KIND
+from jasminewheel._internal.wire.gen.history import ttypes as wire
+from jasminewheel.errors import NotFoundError
+
+
+@frozen
+class WriteService:
+    """Change logs for owners; the highest fence of a slot rules."""
+
+    gate: Gate
+    reader: DiskReader
+
+    async def seal(
+        self, exchange: Exchange, request: wire.SealSlot
+    ) -> wire.SlotSealed:
+        """Promise to refuse all lower fences; list the slot's logs."""
+        slot = self.gate.slot_of(request.scope)
+        fence = Fence.from_wire(request.scope.fence)
+        if not slot.may_seal(fence):
+            return wire.SlotSealed(
+                accepted=False,
+                promised=slot.promised.to_wire(),
+                logs=[],
+                dropped=[],
+            )
+        promise = slot.promise_entry(fence, request.scope.joined_epoch or 0)
+        await self.gate.journal.commit(self.gate.journal.submit([promise]))
+        return wire.SlotSealed(
+            accepted=slot.promised == fence,
+            promised=slot.promised.to_wire(),
+            logs=list(slot.logs),
+            dropped=slot.live_dropped(),
+        )
+
+    async def append(
+        self, exchange: Exchange, request: wire.AppendRecords
+    ) -> wire.Acknowledged:
+        """Store records unless a higher fence was promised."""
+        check_records(request)
+        slot = self.gate.slot_of(request.scope)
+        fence = Fence.from_wire(request.scope.fence)
+        entries = [
+            record_entry(slot.slot, fence, request.log, record)
+            for record in request.records
+        ]
+        missing = await self.missing(slot, entries)
+        if request.log in slot.dropped:
+            raise NotFoundError(f'{request.log} has ended')
+        admission = self.gate.admit(request.scope)
+        # What ends a log is taken even on a full disk, because it frees it.
+        filling = [entry for entry in missing if entry.kind != DROPPED_KIND]
+        if admission.accepted and filling:
+            self.gate.journal.check_room(filling)
+        return await self.gate.acknowledge(admission, missing)
+
+    async def missing(
+        self, slot: SlotState, entries: list[Entry]
+    ) -> list[Entry]:
+        """Return the entries not stored yet; refuse a changed record."""
+        log = slot.logs.get(entries[0].log, LogState())
+        held = {
+            entry.index: log.position(entry.index)
+            for entry in entries
+            if log.position(entry.index) != NO_POSITION
+        }
+        if not held:
+            return entries
+        stored = await self.reader.in_thread(
+            self.reader.read_entries, list(held.values())
+        )
+        known = {entry.index: entry for entry in stored}
+        return [
+            entry
+            for entry in entries
+            if entry.index not in known or differs(known[entry.index], entry)
+        ]
+
+    async def drop(
+        self, exchange: Exchange, request: wire.DropLog
+    ) -> wire.Acknowledged:
+        """Free an ended log; remember that it is dropped."""
+        admission = self.gate.admit(request.scope)
+        entry = admission.entry(wire.StoredKind.DROP, request.log)
+        return await self.gate.acknowledge(admission, [entry])
+
+    async def trim(
+        self, exchange: Exchange, request: wire.TrimLog
+    ) -> wire.Acknowledged:
+        """Free the records before a snapshot that a majority holds."""
+        admission = self.gate.admit(request.scope)
+        log = admission.slot.logs.get(request.log, LogState())
+        if log.position(request.index) == NO_POSITION:
+            return await self.gate.acknowledge(admission, [])
+        entry = admission.entry(
+            wire.StoredKind.TRIM, request.log, request.index
+        )
+        return await self.gate.acknowledge(admission, [entry])
+
+    async def purge(
+        self, exchange: Exchange, request: wire.PurgeLogs
+    ) -> wire.Acknowledged:
+        """Stop listing dropped logs that no replica holds."""
+        admission = self.gate.admit(request.scope)
+        known = admission.slot.live_dropped()
+        entries = [
+            admission.entry(wire.StoredKind.PURGE, name)
+            for name in request.logs
+            if name in known
+        ]
+        return await self.gate.acknowledge(admission, entries)
+
+    async def mark_copied(
+        self, exchange: Exchange, request: wire.MarkCopied
+    ) -> wire.Acknowledged:
+        """Note that the slot's logs are whole at the fence's epoch."""
+        admission = self.gate.admit(request.scope)
+        entry = admission.entry(wire.StoredKind.COPIED)
+        return await self.gate.acknowledge(admission, [entry])
--- a/src/jasminewheel/_internal/peer/hello.py
+++ b/src/jasminewheel/_internal/peer/hello.py
@@ -19,7 +19,7 @@
 from jasminewheel._internal.wire.gen.frame.ttypes import Hello, Proof
 from jasminewheel.errors import PeerError
 
-HELLO_SECONDS = 5.0
+HELLO_SECONDS = 3.0
 MAX_HELLO_BYTES = 4096
 NONCE_BYTES = 32
 PROTOCOL_VERSION = 1
--- a/src/jasminewheel/_internal/peer/pool.py
+++ b/src/jasminewheel/_internal/peer/pool.py
@@ -19,6 +19,8 @@
 from jasminewheel.errors import JasminewheelError, PeerError
 
 DIAL_SECONDS = 3.0
+# Who asks again so soon after a failed dial gets the same error.
+REDIAL_SECONDS = 0.25
 ReplyT = TypeVar('ReplyT')
 
 
@@ -28,6 +30,18 @@
 
     connection: PeerConnection | None = None
     lock: trio.Lock = field(factory=trio.Lock)
+    error: PeerError | None = None
+    redial_at: float = 0
+
+    def note_failure(self, error: PeerError, now: float) -> None:
+        """Keep the error until the next dial makes sense."""
+        self.error = error
+        self.redial_at = now + REDIAL_SECONDS
+
+    def check_redial(self, now: float) -> None:
+        """Raise the last error again if it is too early to dial."""
+        if self.error and now < self.redial_at:
+            raise PeerError(self.error.message, sent=False)
 
     def live(self) -> PeerConnection | None:
         """Return the connection unless it broke."""
@@ -109,11 +123,21 @@
         async with slot.lock:
             connection = slot.live()
             if connection is None:
-                connection = await self.dial(address)
-                slot.connection = connection
-                self.nursery.start_soon(connection.run)
+                connection = await self.redial(slot, address)
             return connection
 
+    async def redial(self, slot: PeerSlot, address: str) -> PeerConnection:
+        """Connect to the address, unless that failed a moment ago."""
+        slot.check_redial(trio.current_time())
+        try:
+            connection = await self.dial(address)
+        except PeerError as error:
+            slot.note_failure(error, trio.current_time())
+            raise
+        slot.connection = connection
+        self.nursery.start_soon(connection.run)
+        return connection
+
     async def dial(self, address: str) -> PeerConnection:
         """Connect to the address and authenticate."""
         host, _, port = address.rpartition(':')
--- /dev/null
+++ b/src/jasminewheel/_internal/replication/ownership.py
@@ -0,0 +1,154 @@
+"""Take slots over by sealing a majority of their replicas."""
+
+import logging
+import random
+from collections.abc import Callable
+
+import trio
+
+from jasminewheel._internal.events import replication as events
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.replication.fence import Fence
+from jasminewheel._internal.replication.placement import (
+    Placement,
+    PlacementSource,
+)
+from jasminewheel._internal.replication.replicas import (
+    Replicas,
+    Target,
+    Votes,
+)
+from jasminewheel._internal.replication.slot import OwnedSlot, SealedLogs
+from jasminewheel._internal.wire.gen.history.ttypes import (
+    SealSlot,
+    SlotSealed,
+)
+from jasminewheel.errors import FencedError
+
+SEAL_ATTEMPTS = 6
+# The longest wait between two attempts of owners that race each other.
+SEAL_BACKOFF_SECONDS = 0.1
+_LOGGER = logging.getLogger(__name__)
+
+
+class Ownership:
+    """Hold the slots that this process owns."""
+
+    def __init__(
+        self,
+        pool: PeerPool,
+        identity: PeerIdentity,
+        placement_source: PlacementSource,
+        address_of: Callable[[str], str],
+    ) -> None:
+        """Start without slots; address_of takes a history's member name."""
+        self.identity = identity
+        self.placement_source = placement_source
+        self.replicas = Replicas(pool, address_of)
+        self.slots: dict[int, OwnedSlot] = {}
+        self.locks: dict[int, trio.Lock] = {}
+        self.terms: dict[int, int] = {}
+
+    async def own(self, slot: int) -> OwnedSlot:
+        """Return the slot, sealed first if it is not owned here.
+
+        Raises QuorumError if too few replicas answer and FencedError if
+        others take the slot over each time, or the placement is too old.
+        """
+        owned = self.owned(slot)
+        if owned:
+            return owned
+        async with self.locks.setdefault(slot, trio.Lock()):
+            owned = self.owned(slot)
+            if owned is None:
+                owned = await self.seal(slot, self.placement_source.current)
+                self.slots[slot] = owned
+            return owned
+
+    def owned(self, slot: int) -> OwnedSlot | None:
+        """Return the slot if this process owns it, as far as it knows."""
+        owned = self.slots.get(slot)
+        if owned and owned.lost:
+            self.release(slot)
+            return None
+        return owned
+
+    def release(self, slot: int) -> None:
+        """Stop owning a slot; another process may seal it at any time."""
+        owned = self.slots.pop(slot, None)
+        if owned:
+            owned.lost = True
+
+    async def seal(self, slot: int, placement: Placement) -> OwnedSlot:
+        """Find a term that a majority promises to this process."""
+        attempt = 0
+        while True:
+            target = Target(
+                slot,
+                self.next_fence(slot, placement.epoch),
+                placement.sets_of(slot),
+            )
+            try:
+                return await self.try_seal(target)
+            except FencedError:
+                attempt += 1
+                if attempt >= SEAL_ATTEMPTS:
+                    raise
+            await trio.sleep(SEAL_BACKOFF_SECONDS * random.random() * attempt)
+
+    async def try_seal(self, target: Target) -> OwnedSlot:
+        """Ask for the promise of one fence."""
+        votes = self.replicas.ask_all(
+            target.sets,
+            lambda name: SealSlot(target.scope(name)),
+            SlotSealed,
+        )
+        await self.settle(target, votes)
+        events.SLOT_SEALED.log(
+            _LOGGER, slot=target.slot, fence=target.fence.number
+        )
+        return OwnedSlot(self.replicas, target, sealed_logs(votes))
+
+    async def settle(self, target: Target, votes: Votes) -> None:
+        """Wait for a majority; a replica that refused asks for a new term.
+
+        A replica that promised a higher fence would refuse every append.
+        """
+        try:
+            await votes.majority()
+        except FencedError:
+            self.note_refusals(target, votes)
+            raise
+        if votes.refused:
+            self.note_refusals(target, votes)
+            raise votes.problem()
+
+    def note_refusals(self, target: Target, votes: Votes) -> None:
+        """Learn the terms to exceed; raise if the placement is too old."""
+        highest = max(votes.refused.values())
+        if highest.epoch > target.sets.epoch:
+            raise FencedError(
+                f'slot {target.slot} is at the newer epoch {highest.epoch}',
+                remedy='wait until this process has the newer placement',
+            )
+        known = self.terms.get(target.slot, 0)
+        self.terms[target.slot] = max(known, highest.term)
+
+    def next_fence(self, slot: int, epoch: int) -> Fence:
+        """Return a fence that this process has never used."""
+        term = self.terms.get(slot, 0) + 1
+        self.terms[slot] = term
+        return Fence(
+            epoch, term, self.identity.member, self.identity.incarnation
+        )
+
+
+def sealed_logs(votes: Votes) -> SealedLogs:
+    """Join the lists of logs that the replicas gave."""
+    live: set[str] = set()
+    dropped: set[str] = set()
+    for answer in votes.accepted.values():
+        live.update(answer.logs)
+        dropped.update(answer.dropped)
+    return SealedLogs(frozenset(live - dropped), frozenset(dropped))
--- /dev/null
+++ b/src/jasminewheel/_internal/replication/replicas.py
@@ -0,0 +1,217 @@
+"""Count answers of replica sets, and ask all replicas at once."""
+
+from collections.abc import Callable, Iterable, Mapping
+from contextlib import ExitStack
+from typing import Any
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.replication.fence import Fence
+from jasminewheel._internal.wire.gen.history.ttypes import Scope
+from jasminewheel.errors import (
+    DiskFullError,
+    FencedError,
+    JasminewheelError,
+    PeerError,
+    QuorumError,
+)
+
+REPLICA_SECONDS = 3.0
+# Requests that one replica may leave unanswered before it counts as failed.
+MAX_UNANSWERED = 512
+
+
+@frozen
+class ReplicaSets:
+    """Hold the sets of one slot; both are the same unless one is changing."""
+
+    epoch: int
+    current: tuple[str, ...]
+    previous: tuple[str, ...]
+
+    def members(self) -> tuple[str, ...]:
+        """Return every replica once."""
+        return tuple(dict.fromkeys((*self.current, *self.previous)))
+
+    def has_majority(self, names: Iterable[str]) -> bool:
+        """Tell whether the names hold a majority of each set."""
+        held = set(names)
+        return all(
+            2 * len(held.intersection(group)) > len(group)
+            for group in (self.current, self.previous)
+        )
+
+    def joined_epoch(self, replica: str) -> int:
+        """Return the epoch before which the replica's content is void."""
+        is_new = replica in self.current and replica not in self.previous
+        return self.epoch if is_new else 0
+
+    @property
+    def is_changing(self) -> bool:
+        """Tell whether the slot moves between disks."""
+        return set(self.current) != set(self.previous)
+
+
+@frozen
+class Target:
+    """Name one slot at one fence."""
+
+    slot: int
+    fence: Fence
+    sets: ReplicaSets
+
+    def scope(self, replica: str) -> Scope:
+        """Return what each request to the replica starts with."""
+        return Scope(
+            replica=replica,
+            slot=self.slot,
+            fence=self.fence.to_wire(),
+            joined_epoch=self.sets.joined_epoch(replica),
+        )
+
+
+@define
+class Votes:
+    """Collect the replicas' answers to one request."""
+
+    sets: ReplicaSets
+    accepted: dict[str, Any] = field(factory=dict)
+    refused: dict[str, Fence] = field(factory=dict)
+    failed: dict[str, JasminewheelError] = field(factory=dict)
+    change: trio.Event = field(factory=trio.Event)
+
+    def add(self, replica: str, answer: Any) -> None:
+        """Note an answer."""
+        if answer.accepted:
+            self.accepted[replica] = answer
+        else:
+            self.refused[replica] = Fence.from_wire(answer.promised)
+        self.change.set()
+
+    def fail(self, replica: str, error: JasminewheelError) -> None:
+        """Note that no answer will come."""
+        self.failed[replica] = error
+        self.change.set()
+
+    @property
+    def has_majority(self) -> bool:
+        """Tell whether enough replicas accepted."""
+        return self.sets.has_majority(self.accepted)
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every replica answered or failed."""
+        count = len(self.accepted) + len(self.refused) + len(self.failed)
+        return count == len(self.sets.members())
+
+    async def majority(self) -> None:
+        """Wait until enough accepted; raise once that cannot happen."""
+        while not self.has_majority:
+            if self.is_complete:
+                raise self.problem()
+            self.change = trio.Event()
+            await self.change.wait()
+
+    async def everyone(self) -> None:
+        """Wait for all replicas; raise unless enough accepted."""
+        while not self.is_complete:
+            self.change = trio.Event()
+            await self.change.wait()
+        if not self.has_majority:
+            raise self.problem()
+
+    def problem(self) -> JasminewheelError:
+        """Return why there is no majority."""
+        if self.refused:
+            highest = max(self.refused.values())
+            return FencedError(
+                f'the slot was taken over by {highest.member}',
+            )
+        names = sorted(self.failed)
+        full = [
+            error
+            for error in self.failed.values()
+            if isinstance(error, DiskFullError)
+        ]
+        # Only if all refused is it certain that none took the record.
+        if full and len(full) == len(self.sets.members()):
+            return full[0]
+        causes = '; '.join(f'{name}: {self.failed[name]}' for name in names)
+        return QuorumError(
+            f'no majority of the replicas: {causes}',
+            remedy='check the history processes named',
+        )
+
+
+class Replicas:
+    """Reach replicas by name and bound what each leaves unanswered."""
+
+    def __init__(
+        self,
+        pool: PeerPool,
+        address_of: Callable[[str], str],
+    ) -> None:
+        """Hold the pool; address_of takes the member before the `#`."""
+        self.pool = pool
+        self.address_of = address_of
+        self.unanswered: dict[str, int] = {}
+
+    def address(self, replica: str) -> str:
+        """Return where the replica listens."""
+        return self.address_of(replica.partition('#')[0])
+
+    def ask_all(
+        self,
+        sets: ReplicaSets,
+        request_of: Callable[[str], Any],
+        reply_kind: type,
+    ) -> Votes:
+        """Ask every replica of the sets; stragglers go on in background."""
+        requests = {name: request_of(name) for name in sets.members()}
+        return self.ask_each(sets, requests, reply_kind)
+
+    def ask_each(
+        self,
+        sets: ReplicaSets,
+        requests: Mapping[str, Any],
+        reply_kind: type,
+    ) -> Votes:
+        """Send each replica its own request."""
+        votes = Votes(sets)
+        for replica, request in requests.items():
+            self.pool.nursery.start_soon(
+                self.vote, votes, replica, request, reply_kind
+            )
+        return votes
+
+    async def vote(
+        self, votes: Votes, replica: str, request: Any, reply_kind: type
+    ) -> None:
+        """Add the answer of one replica to the votes."""
+        try:
+            answer = await self.ask(replica, request, reply_kind)
+        except JasminewheelError as error:
+            votes.fail(replica, error)
+            return
+        votes.add(replica, answer)
+
+    async def ask(self, replica: str, request: Any, reply_kind: type) -> Any:
+        """Return one replica's answer."""
+        pending = self.unanswered.get(replica, 0)
+        if pending >= MAX_UNANSWERED:
+            raise PeerError(f'{replica} leaves requests unanswered', sent=False)
+        with ExitStack() as stack:
+            self.unanswered[replica] = pending + 1
+            stack.callback(self.note_answered, replica)
+            return await self.pool.ask(
+                self.address(replica),
+                request,
+                reply_kind,
+                timeout_seconds=REPLICA_SECONDS,
+            )
+
+    def note_answered(self, replica: str) -> None:
+        """Count a request as answered or failed."""
+        self.unanswered[replica] -= 1
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -169,3 +169,15 @@
         """Keep whether the request may have reached the peer."""
         super().__init__(message, remedy=remedy)
         self.sent = sent
+
+
+class DiskFullError(JasminewheelError):
+    """Report that a disk takes no more records; those it has are kept."""
+
+    code = 'disk-full'
+
+
+class DamagedError(JasminewheelError):
+    """Report stored bytes that fail their checksum."""
+
+    code = 'damaged'
--- /dev/null
+++ b/tests/functional/test_ownership.py
@@ -0,0 +1,397 @@
+"""Check ownership of slots against histories over real sockets."""
+
+from contextlib import suppress
+from functools import partial
+
+import pytest
+import trio
+
+from jasminewheel._internal.replication.record import DROPPED_KIND, LogRecord
+from jasminewheel.errors import (
+    ConflictError,
+    DiskFullError,
+    FencedError,
+    NotFoundError,
+    QuorumError,
+)
+from tests.histories import fleet, placement_of
+
+THREE = ('h1', 'h2', 'h3')
+PLACEMENT = placement_of(*THREE)
+
+
+def run(scenario, folder):
+    """Run a scenario with a deadline."""
+
+    async def bounded():
+        with trio.fail_after(30):
+            await scenario(folder)
+
+    trio.run(bounded)
+
+
+def test_append_and_read_by_a_new_owner(tmp_path):
+    """A new owner reads all that the old one appended, in order."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as first:
+                slot = await first.own(3)
+                await append_all(slot, 'p', b'0', b'1', b'2', b'3', b'4')
+            async with running.owner('b', PLACEMENT) as second:
+                taken = await second.own(3)
+                assert taken.log_ids == {'p'}
+                assert taken.fence > slot.fence
+                assert taken.fence.number > slot.fence.number
+                assert await taken.read('p') == [
+                    LogRecord(index, 'turn', b'%d' % index)
+                    for index in range(5)
+                ]
+
+    run(scenario, tmp_path)
+
+
+def test_old_owner_cannot_append(tmp_path):
+    """An owner that was taken over is refused and loses the slot."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with (
+                running.owner('a', PLACEMENT) as first,
+                running.owner('b', PLACEMENT) as second,
+            ):
+                old = await first.own(3)
+                await old.append('p', 0, 'turn', b'x')
+                new = await second.own(3)
+                with pytest.raises(FencedError):
+                    await old.append('p', 1, 'turn', b'old')
+                assert first.owned(3) is None
+                await new.append('p', 1, 'turn', b'new')
+                payloads = [one.payload for one in await new.read('p')]
+                assert payloads == [b'x', b'new']
+
+    run(scenario, tmp_path)
+
+
+def test_one_replica_down(tmp_path):
+    """A majority suffices; without one the outcome is unknown."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            running.stop('h3')
+            async with running.owner('a', PLACEMENT) as owner:
+                slot = await owner.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+                running.stop('h2')
+                with pytest.raises(QuorumError):
+                    await slot.append('p', 1, 'turn', b'y')
+                await running.start('h3')
+                with pytest.raises(ConflictError, match='unknown outcome'):
+                    await slot.append('p', 1, 'turn', b'z')
+                await append_patiently(slot, 'p', 1, 'turn', b'y')
+                payloads = [one.payload for one in await slot.read('p')]
+                assert payloads == [b'x', b'y']
+
+    run(scenario, tmp_path)
+
+
+async def append_all(slot, log_id, *payloads):
+    """Append records from index 0 on."""
+    numbered = enumerate(payloads)
+    while True:
+        index, payload = next(numbered, (None, None))
+        if payload is None:
+            return
+        await slot.append(log_id, index, 'turn', payload)
+
+
+async def append_patiently(slot, *record):
+    """Append the same record until a majority holds it."""
+    while True:
+        try:
+            return await slot.append(*record)
+        except (DiskFullError, QuorumError):
+            await trio.sleep(0.05)
+
+
+def test_record_of_a_lost_minority_is_settled_once(tmp_path):
+    """A record at one replica only is kept or replaced, never both."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as first:
+                old = await first.own(3)
+                await old.append('p', 0, 'turn', b'x')
+                running.stop('h2', 'h3')
+                with pytest.raises(QuorumError):
+                    await old.append('p', 1, 'turn', b'lonely')
+            await running.start('h2')
+            await running.start('h3')
+            running.stop('h1')
+            async with running.owner('b', PLACEMENT) as second:
+                slot = await second.own(3)
+                assert len(await slot.read('p')) == 1
+                await slot.append('p', 1, 'turn', b'chosen')
+            await running.start('h1')
+            running.stop('h2')
+            async with running.owner('c', PLACEMENT) as third:
+                slot = await third.own(3)
+                payloads = [one.payload for one in await slot.read('p')]
+                assert payloads == [b'x', b'chosen']
+
+    run(scenario, tmp_path)
+
+
+def test_unsettled_last_record_is_written_again(tmp_path):
+    """Once a reader has seen the last record, no later reader may miss it.
+
+    h1 alone holds record 1 of owner a; h3 alone holds another record 1 of
+    owner b, with a higher fence. Owner c meets h1 and h2 and sees a's
+    record; owner d meets h1 and h3 and has to see the same.
+    """
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as first:
+                slot = await first.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+                running.stop('h2', 'h3')
+                with pytest.raises(QuorumError):
+                    await slot.append('p', 1, 'turn', b'of a')
+            await running.start('h2')
+            await running.start('h3')
+            running.stop('h1')
+            async with running.owner('b', PLACEMENT) as second:
+                slot = await second.own(3)
+                await slot.read('p')
+                running.stop('h2')
+                with pytest.raises(QuorumError):
+                    await slot.append('p', 1, 'turn', b'of b')
+            running.stop('h3')
+            await running.start('h1')
+            await running.start('h2')
+            async with running.owner('c', PLACEMENT) as third:
+                slot = await third.own(3)
+                seen = await slot.read('p')
+                assert [one.payload for one in seen] == [b'x', b'of a']
+            running.stop('h2')
+            await running.start('h3')
+            async with running.owner('d', PLACEMENT) as fourth:
+                slot = await fourth.own(3)
+                assert await slot.read('p') == seen
+
+    run(scenario, tmp_path)
+
+
+def test_append_is_idempotent(tmp_path):
+    """The same record again is the same record; another is refused."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as owner:
+                slot = await owner.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+                await slot.append('p', 0, 'turn', b'x')
+                with pytest.raises(ConflictError):
+                    await slot.append('p', 0, 'turn', b'y')
+                with pytest.raises(ConflictError):
+                    await slot.append('p', 2, 'turn', b'y')
+                assert len(await slot.read('p')) == 1
+
+    run(scenario, tmp_path)
+
+
+def test_dropped_log_stays_dropped(tmp_path):
+    """A replica that missed the drop does not bring the log back."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as first:
+                slot = await first.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+                running.stop('h3')
+                await slot.drop('p')
+                with pytest.raises(NotFoundError):
+                    await slot.append('p', 1, 'turn', b'y')
+            await running.start('h3')
+            running.stop('h1')
+            async with running.owner('b', PLACEMENT) as second:
+                slot = await second.own(3)
+                assert slot.log_ids == frozenset()
+                assert await slot.read('p') == []
+                with pytest.raises(NotFoundError):
+                    await slot.append('p', 0, 'turn', b'again')
+
+    run(scenario, tmp_path)
+
+
+def test_drop_is_completed_by_the_next_owner(tmp_path):
+    """An owner that dies after the last record has ended the log."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as first:
+                slot = await first.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+                await slot.append('p', 1, DROPPED_KIND, b'')
+            async with running.owner('b', PLACEMENT) as second:
+                slot = await second.own(3)
+                assert await slot.read('p') == []
+                with pytest.raises(NotFoundError):
+                    await slot.append('p', 2, 'turn', b'y')
+
+    run(scenario, tmp_path)
+
+
+def test_unfinished_drop_loses_nothing(tmp_path):
+    """A drop that reached one replica only frees no record anywhere."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            running.stop('h2')
+            async with running.owner('a', PLACEMENT) as first:
+                slot = await first.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+                running.stop('h1')
+                with pytest.raises(QuorumError):
+                    await slot.drop('p')
+            await running.start_all('h1', 'h2')
+            running.stop('h3')
+            async with running.owner('b', PLACEMENT) as second:
+                slot = await second.own(3)
+                await slot.append('p', 1, 'turn', b'y')
+            running.stop('h1')
+            await running.start('h3')
+            async with running.owner('c', PLACEMENT) as third:
+                slot = await third.own(3)
+                payloads = [one.payload for one in await slot.read('p')]
+                assert payloads == [b'x', b'y']
+
+    run(scenario, tmp_path)
+
+
+def test_snapshot_frees_older_records(tmp_path):
+    """A log may be replaced by a snapshot record."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as first:
+                slot = await first.own(3)
+                await append_all(slot, 'p', b'x', b'x', b'x')
+                await slot.snapshot('p', 3, 'whole', b'xxx')
+                await slot.append('p', 4, 'turn', b'y')
+            async with running.owner('b', PLACEMENT) as second:
+                slot = await second.own(3)
+                records = await slot.read('p')
+                assert records[-2:] == [
+                    LogRecord(3, 'whole', b'xxx', snapshot=True),
+                    LogRecord(4, 'turn', b'y'),
+                ]
+                assert len(records) == 2
+
+    run(scenario, tmp_path)
+
+
+async def race(running, name, numbers):
+    """Try to own a slot; note the number of the fence."""
+    async with running.owner(name, PLACEMENT) as owner:
+        with suppress(FencedError):
+            numbers.append((await owner.own(3)).fence.number)
+
+
+def test_racing_owners_share_no_fence(tmp_path):
+    """Owners that seal at once end with different numbers."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            numbers = []
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(race, running, 'a', numbers)
+                nursery.start_soon(race, running, 'b', numbers)
+                nursery.start_soon(race, running, 'c', numbers)
+            assert numbers
+            assert len(set(numbers)) == len(numbers)
+
+    run(scenario, tmp_path)
+
+
+def test_old_placement_is_refused(tmp_path):
+    """An owner with an old placement cannot take a slot of a newer one."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            newer = placement_of(*THREE, epoch=2)
+            async with running.owner('a', newer) as first:
+                await first.own(3)
+            async with running.owner('b', PLACEMENT) as second:
+                with pytest.raises(FencedError, match='newer epoch'):
+                    await second.own(3)
+
+    run(scenario, tmp_path)
+
+
+def test_wiped_disk_is_not_counted(tmp_path):
+    """A member that lost its disk is no longer the replica it was."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            named = placement_of(*running.replicas())
+            async with running.owner('a', named) as owner:
+                slot = await owner.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+            running.stop(*THREE)
+            await trio.sleep(0.05)
+            (folder / 'h1').rename(folder / 'gone-1')
+            (folder / 'h2').rename(folder / 'gone-2')
+            await running.start_all(*THREE)
+            async with running.owner('b', named) as owner:
+                with pytest.raises(QuorumError, match='was asked'):
+                    await owner.own(3)
+
+    run(scenario, tmp_path)
+
+
+def test_disk_full_is_refused_and_freed_by_drops(tmp_path):
+    """A full disk refuses records, keeps what it has, and recovers."""
+
+    async def scenario(folder):
+        big = b'x' * 100_000
+        limits = {'quota_bytes': 3 << 20, 'segment_bytes': 1 << 19}
+        async with fleet(folder, *THREE, **limits) as running:
+            async with running.owner('a', PLACEMENT) as owner:
+                slot = await owner.own(3)
+                count = await fill(partial(slot.append, 'p'), big)
+                assert count > 5
+            async with running.owner('b', PLACEMENT) as owner:
+                slot = await owner.own(3)
+                assert len(await slot.read('p')) in {count, count + 1}
+                await slot.drop('p')
+                await append_patiently(slot, 'q', 0, 'turn', big)
+
+    run(scenario, tmp_path)
+
+
+async def fill(append, payload):
+    """Append until refused; return how many records were taken."""
+    count = 0
+    while True:
+        try:
+            await append(count, 'turn', payload)
+        except (DiskFullError, QuorumError) as error:
+            assert 'full' in str(error)
+            return count
+        count += 1
+
+
+def test_refusal_names_the_full_disk(tmp_path):
+    """The refusal of one replica names the cause."""
+
+    async def scenario(folder):
+        async with fleet(folder, 'h1', quota_bytes=1 << 20) as running:
+            async with running.owner('a', placement_of('h1')) as owner:
+                slot = await owner.own(3)
+                with pytest.raises(DiskFullError, match='is full'):
+                    await slot.append('p', 0, 'turn', b'x' * 2000)
+
+    run(scenario, tmp_path)
--- /dev/null
+++ b/tests/histories.py
@@ -0,0 +1,132 @@
+"""Run histories and owners inside a test."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.history.disk import SEGMENT_BYTES, DiskLog
+from jasminewheel._internal.history.gate import Gate
+from jasminewheel._internal.history.journal import Compactor, Journal
+from jasminewheel._internal.history.service import history_handlers
+from jasminewheel._internal.history.state import DiskState
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.replication.ownership import Ownership
+from jasminewheel._internal.replication.placement import (
+    Placement,
+    PlacementView,
+)
+
+KEY = b'k' * 32
+QUOTA_BYTES = 1 << 30
+
+
+@define
+class RunningHistory:
+    """Hold a history served inside the test."""
+
+    member: str
+    address: str
+    journal: Journal
+    scope: trio.CancelScope
+
+    @property
+    def replica(self) -> str:
+        """Return the name that the disk has in a placement."""
+        return Gate(self.journal, self.member).replica
+
+    def stop(self) -> None:
+        """End it as a crash would."""
+        self.scope.cancel()
+
+
+@define
+class Fleet:
+    """Run histories by name; each keeps its folder over restarts."""
+
+    folder: Path
+    nursery: trio.Nursery
+    quota_bytes: int = QUOTA_BYTES
+    segment_bytes: int = SEGMENT_BYTES
+    histories: dict[str, RunningHistory] = field(factory=dict)
+    addresses: dict[str, str] = field(factory=dict)
+
+    async def start(self, member: str) -> RunningHistory:
+        """Start a history, on its former port if it ran before."""
+        history = await self.nursery.start(self.serve, member)
+        self.histories[member] = history
+        return history
+
+    async def start_all(self, *members: str) -> None:
+        """Start several histories."""
+        async with trio.open_nursery() as nursery:
+            for member in members:
+                nursery.start_soon(self.start, member)
+
+    def replicas(self) -> list[str]:
+        """Return the names under which placements list the disks."""
+        return [history.replica for history in self.histories.values()]
+
+    async def serve(
+        self,
+        member: str,
+        task_status: trio.TaskStatus[RunningHistory],
+    ) -> None:
+        """Serve one disk until it is stopped."""
+        port = int(self.addresses.get(member, ':0').partition(':')[2])
+        disk = DiskLog(
+            self.folder / member, self.quota_bytes, self.segment_bytes
+        )
+        identity = PeerIdentity(member, 'i', 'nottingham-a')
+        with trio.CancelScope() as scope, disk:
+            journal = Journal(disk, DiskState(disk.read_head))
+            journal.load()
+            handlers = history_handlers(Gate(journal, member), 'nottingham-a')
+            server = PeerServer(identity, KEY, handlers)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(journal.run)
+                nursery.start_soon(Compactor(journal, 0.05).run)
+                port = await nursery.start(server.serve, '127.0.0.1', port)
+                self.addresses[member] = f'127.0.0.1:{port}'
+                task_status.started(
+                    RunningHistory(
+                        member, self.addresses[member], journal, scope
+                    )
+                )
+
+    def stop(self, *members: str) -> None:
+        """Stop histories as a crash would."""
+        for member in members:
+            self.histories.pop(member).stop()
+
+    @asynccontextmanager
+    async def owner(
+        self, member: str, placement: Placement
+    ) -> AsyncIterator[Ownership]:
+        """Run an owner with its own connections."""
+        identity = PeerIdentity(member, f'{member}-1', 'leicester-a')
+        async with PeerPool(identity, KEY) as pool:
+            view = PlacementView(placement)
+            yield Ownership(pool, identity, view, self.addresses.__getitem__)
+
+
+@asynccontextmanager
+async def fleet(
+    folder: Path, *members: str, **fields: int
+) -> AsyncIterator[Fleet]:
+    """Run histories of these names."""
+    async with AsyncExitStack() as stack:
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        running = Fleet(folder, nursery, **fields)
+        await running.start_all(*members)
+        yield running
+        nursery.cancel_scope.cancel()
+
+
+def placement_of(*members: str, epoch: int = 1, slots: int = 16) -> Placement:
+    """Return a placement with one replica set."""
+    return Placement(epoch, slots, (members,))
