--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -1,5 +1,7 @@
 """Define the errors a user may see, with how to mend each."""
 
+from collections.abc import Iterable
+
 from jasminewheel.models.verdict import Verdict
 
 
@@ -181,3 +183,30 @@
     """Report stored bytes that fail their checksum."""
 
     code = 'damaged'
+
+
+class HistoryError(JasminewheelError):
+    """Report a program log that cannot be replayed."""
+
+    code = 'history-invalid'
+
+
+class MovedError(CallError):
+    """Send an operation to the entry that now owns the program."""
+
+    code = 'moved'
+    status = 503
+
+
+class InvalidResourceError(JasminewheelError):
+    """Report the wrong fields of resources; nothing was changed."""
+
+    code = 'resource-invalid'
+
+    def __init__(self, problems: Iterable[object]) -> None:
+        """Keep the wrong fields, each of which reads `path: problem`."""
+        self.problems = tuple(problems)
+        super().__init__(
+            '; '.join(str(problem) for problem in self.problems),
+            remedy='correct the fields named and apply again',
+        )
