--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -173,6 +173,18 @@
         self.sent = sent
 
 
+class DiskFullError(JasminewheelError):
+    """Report that a disk takes no more records; those it has are kept."""
+
+    code = 'disk-full'
+
+
+class DamagedError(JasminewheelError):
+    """Report stored bytes that fail their checksum."""
+
+    code = 'damaged'
+
+
 class HistoryError(JasminewheelError):
     """Report a program log that cannot be replayed."""
 
