Join histories to the fleet and test versions under faults

Cause: replica sets are made from the live histories, so these are members too. Ruled out: listing histories in entries' settings, which go stale as VMs are replaced. Change: commands/history.py serves the fleet's handlers beside its own and runs its part in the fleet; its loop over peers now ends with stop (was: a started task). Conclusion: tests/functional/test_fleet.py passes: store down at start, an older peer, restart of all but one, first replica sets, parts taken from peers.

--- a/src/jasminewheel/commands/history.py
+++ b/src/jasminewheel/commands/history.py
@@ -1,28 +1,32 @@
 """Serve one disk to the owners of slots."""
 
 import logging
-import secrets
 from functools import partial
 from pathlib import Path
 
 import trio
 
 from jasminewheel._internal.events import frame
+from jasminewheel._internal.fleet.fleet import FleetAddresses
+from jasminewheel._internal.fleet.opening import (
+    identity_of,
+    open_fleet,
+    starting_member,
+)
 from jasminewheel._internal.history.disk import DiskLog
 from jasminewheel._internal.history.gate import Gate
 from jasminewheel._internal.history.journal import Compactor, Journal
 from jasminewheel._internal.history.service import history_handlers
 from jasminewheel._internal.history.settings import HistorySettings
 from jasminewheel._internal.history.state import DiskState
+from jasminewheel._internal.membership.member import HISTORY
 from jasminewheel._internal.observability.logs import start_logging
 from jasminewheel._internal.observability.tracing import start_tracing
-from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.key import load_key
 from jasminewheel._internal.peer.server import PeerServer
 from jasminewheel._internal.process import run_process
 from jasminewheel._internal.settings.loader import load_settings
 
-_INCARNATION_BYTES = 8
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -49,9 +53,7 @@
             compactor = Compactor(journal, settings.compact_seconds)
             nursery.start_soon(compactor.run)
             gate = Gate(journal, settings.member)
-            port = await nursery.start(serve_peers, settings, gate)
-            frame.STARTED.log(_LOGGER, port=port, replica=gate.replica)
-            await stop.wait()
+            await serve_peers(settings, gate, stop)
             # Whatever is cancelled now was not acknowledged.
             nursery.cancel_scope.cancel()
 
@@ -59,23 +61,35 @@
 async def serve_peers(
     settings: HistorySettings,
     gate: Gate,
-    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    stop: trio.Event,
 ) -> None:
-    """Listen for peers until cancelled; the started value is the port."""
-    identity = PeerIdentity(
+    """Serve peers as a member of the fleet until stop."""
+    member = starting_member(
         settings.member,
-        secrets.token_hex(_INCARNATION_BYTES),
         settings.zone,
+        settings.region,
+        (HISTORY,),
     )
     key = load_key(Path(settings.key_file))
-    server = PeerServer(identity, key, history_handlers(gate, settings.zone))
-    async with trio.open_nursery() as nursery:
+    addresses = FleetAddresses(settings.peers)
+    opened = open_fleet(member, key, settings.store_url, addresses)
+    async with opened as fleet, trio.open_nursery() as nursery:
+        handlers = {
+            **history_handlers(gate, settings.zone),
+            **fleet.handlers(),
+        }
+        server = PeerServer(identity_of(member), key, handlers)
         port = await nursery.start(
             server.serve, settings.peer_host, settings.peer_port
         )
+        fleet.listens_at(f'{settings.peer_host}:{port}')
+        nursery.start_soon(fleet.run)
         if settings.port_file:
             write_port(Path(settings.port_file), port)
-        task_status.started(port)
+        frame.STARTED.log(_LOGGER, port=port, replica=gate.replica)
+        await stop.wait()
+        await fleet.depart()
+        nursery.cancel_scope.cancel()
 
 
 def write_port(path: Path, port: int) -> None:
--- /dev/null
+++ b/tests/functional/test_fleet.py
@@ -0,0 +1,228 @@
+"""Check that configurations come in force everywhere and never revert."""
+
+from contextlib import asynccontextmanager
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.configuration.configuration import Configuration
+from jasminewheel._internal.configuration.repository import (
+    ConfigurationRepository,
+)
+from jasminewheel._internal.fakes.faults import FaultMode
+from jasminewheel._internal.fakes.store import FakeStore, FakeStoreSettings
+from jasminewheel._internal.fleet.fleet import FleetAddresses
+from jasminewheel._internal.fleet.opening import (
+    identity_of,
+    open_fleet,
+    starting_member,
+)
+from jasminewheel._internal.membership.member import ENTRY, HISTORY
+from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.store.client import HttpStore
+from tests.configurations import caller_changes, target_change
+from tests.fleet import KEY, until
+from tests.stand_ins import serving
+
+
+@define
+class Bench:
+    """Hold a store's stand-in and the members that use it."""
+
+    stand_in: FakeStore
+    url: str
+    nursery: trio.Nursery
+    fleets: dict = field(factory=dict)
+    scopes: dict = field(factory=dict)
+
+    async def start(self, name, role=ENTRY, peers=()):
+        """Start a member, told of the addresses of peers."""
+        await self.nursery.start(self.run, name, role, tuple(peers))
+        return self.fleets[name]
+
+    async def run(self, name, role, peers, *, task_status):
+        """Run a member until it is killed."""
+        zone = f'zone-{name}'
+        member = starting_member(name, zone, 'east-mids', (role,))
+        scope = trio.CancelScope()
+        self.scopes[name] = scope
+        addresses = FleetAddresses(peers)
+        opened = open_fleet(member, KEY, self.url, addresses)
+        with scope:
+            async with opened as fleet, trio.open_nursery() as nursery:
+                server = PeerServer(identity_of(member), KEY, fleet.handlers())
+                port = await nursery.start(server.serve, '127.0.0.1', 0)
+                fleet.listens_at(f'127.0.0.1:{port}')
+                self.fleets[name] = fleet
+                await nursery.start(fleet.run)
+                task_status.started()
+
+    def kill(self, name):
+        """Stop a member at once."""
+        self.scopes[name].cancel()
+        self.fleets.pop(name)
+
+    def addresses(self):
+        """Return where the members listen."""
+        return [
+            fleet.membership.own.peer_address for fleet in self.fleets.values()
+        ]
+
+    def versions(self):
+        """Return the versions in force by member."""
+        return {
+            name: fleet.view.current.version
+            for name, fleet in self.fleets.items()
+        }
+
+    async def until_version(self, version):
+        """Wait until a version is in force everywhere."""
+        await until(lambda: set(self.versions().values()) == {version})
+
+    async def commit(self, *changes):
+        """Change the configuration as an operator at another VM does."""
+        async with HttpStore(self.url) as store:
+            repository = ConfigurationRepository(store, 'operator')
+            return await repository.commit(changes, Configuration())
+
+
+@asynccontextmanager
+async def bench(**settings):
+    """Run a store's stand-in and what a test starts."""
+    stand_in = FakeStore(FakeStoreSettings(**settings))
+    async with serving(stand_in) as url, trio.open_nursery() as nursery:
+        yield Bench(stand_in, url, nursery)
+        nursery.cancel_scope.cancel()
+
+
+def test_in_force_everywhere():
+    """A committed change is in force on all members within seconds."""
+
+    async def main():
+        async with bench() as fleet:
+            await fleet.start('vm-0')
+            for number in range(1, 6):
+                fleet.nursery.start_soon(
+                    fleet.start,
+                    f'vm-{number}',
+                    ENTRY,
+                    fleet.addresses(),
+                )
+            await until(lambda: len(fleet.fleets) == 6)
+            await fleet.commit(target_change())
+            with trio.fail_after(5):
+                await fleet.until_version(1)
+
+    trio.run(main)
+
+
+def test_store_down_at_start():
+    """A member that starts while the store is down takes peers' version."""
+
+    async def main():
+        async with bench() as fleet:
+            await fleet.commit(target_change())
+            await fleet.start('vm-0')
+            await fleet.start('vm-1', ENTRY, fleet.addresses())
+            fleet.stand_in.faults.mode = FaultMode.down
+            started = await fleet.start('vm-2', ENTRY, fleet.addresses())
+            assert 'helper' in started.view.current.targets
+
+    trio.run(main)
+
+
+def test_older_peer_does_not_revert():
+    """A member keeps its version when a peer or the store has an older."""
+
+    async def main():
+        async with bench() as fleet:
+            first = await fleet.commit(target_change())
+            old = await fleet.start('vm-0')
+            fleet.stand_in.faults.mode = FaultMode.down
+            new = await fleet.start('vm-1', ENTRY, fleet.addresses())
+            second = first.apply([target_change('second')], 'mark')
+            new.spread.configuration.install(second)
+            assert not new.spread.configuration.install(first)
+            await fleet.until_version(2)
+            fleet.stand_in.faults.mode = FaultMode.ok
+            assert await old.read_store()
+            assert fleet.versions() == {'vm-0': 2, 'vm-1': 2}
+
+    trio.run(main)
+
+
+def test_restart_of_all_but_one():
+    """Members restarted with the store down take what one still has."""
+
+    async def main():
+        async with bench() as fleet:
+            await fleet.commit(target_change())
+            keeper = await fleet.start('vm-0')
+            await fleet.start('vm-1', ENTRY, fleet.addresses())
+            fleet.stand_in.faults.mode = FaultMode.down
+            fleet.kill('vm-1')
+            again = await fleet.start(
+                'vm-1',
+                ENTRY,
+                [keeper.membership.own.peer_address],
+            )
+            assert again.view.current.version == 1
+
+    trio.run(main)
+
+
+def test_no_join_without_store_and_peers():
+    """A member that reaches no one is not ready."""
+
+    async def main():
+        async with bench() as fleet:
+            fleet.stand_in.faults.mode = FaultMode.down
+            with trio.move_on_after(2) as scope:
+                await fleet.start('vm-0', ENTRY, ['127.0.0.1:1'])
+            assert scope.cancelled_caught
+            fleet.nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_first_replica_sets():
+    """Histories get replica sets over three zones, known everywhere."""
+
+    async def main():
+        async with bench() as fleet:
+            await fleet.start('vm-0')
+            for number in range(3):
+                fleet.nursery.start_soon(
+                    fleet.start,
+                    f'disk-{number}',
+                    HISTORY,
+                    fleet.addresses(),
+                )
+            await until(lambda: len(fleet.fleets) == 4)
+            await until(
+                lambda: all(
+                    each.placements.epoch == 1 for each in fleet.fleets.values()
+                ),
+            )
+            placement = fleet.fleets['vm-0'].placements.placement
+            assert all(
+                set(one) == {'disk-0', 'disk-1', 'disk-2'}
+                for one in placement.current
+            )
+
+    trio.run(main)
+
+
+def test_parts_come_from_peers():
+    """A member that joins a fleet reads no parts from the store."""
+
+    async def main():
+        async with bench() as fleet:
+            await fleet.commit(*caller_changes(2000))
+            await fleet.start('vm-0')
+            reads = fleet.stand_in.calls['get']
+            joined = await fleet.start('vm-1', ENTRY, fleet.addresses())
+            assert len(joined.view.current.callers) == 2000
+            assert fleet.stand_in.calls['get'] - reads < 10
+
+    trio.run(main)
