--- a/src/jasminewheel/_internal/peer/failures.py
+++ b/src/jasminewheel/_internal/peer/failures.py
@@ -1,6 +1,7 @@
 """Carry errors between peers."""
 
 from collections.abc import Iterator
+from contextlib import suppress
 
 from jasminewheel._internal.wire.gen.frame.ttypes import Failure
 from jasminewheel.errors import CallError, JasminewheelError, PeerError
@@ -32,7 +33,11 @@
             remedy=failure.remedy,
             retry_after_seconds=failure.retry_after_seconds,
         )
-    return kind(failure.message, remedy=failure.remedy)
+    error = PeerError(failure.message, remedy=failure.remedy)
+    # Errors that take more than a message do not travel as their own type.
+    with suppress(TypeError):
+        return kind(failure.message, remedy=failure.remedy)
+    return error
 
 
 def _kind_of(code: str) -> type[JasminewheelError]:
