--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -210,3 +210,27 @@
             '; '.join(str(problem) for problem in self.problems),
             remedy='correct the fields named and apply again',
         )
+
+
+class ConfigurationError(JasminewheelError):
+    """Report a configuration that cannot be read whole."""
+
+    code = 'configuration-broken'
+
+
+class StaleVersionError(JasminewheelError):
+    """Refuse a change to a resource that is at another version."""
+
+    code = 'stale-version'
+
+
+class MissingResourceError(JasminewheelError):
+    """Refuse a change to a resource that is not there."""
+
+    code = 'resource-missing'
+
+
+class UnsettledCommitError(JasminewheelError):
+    """Report a change whose answer was lost and could not be settled."""
+
+    code = 'commit-unsettled'
