Drive programs shaped like both deployments and check the answers

Cause: promises and latency need a caller that knows what it is owed.

Ruled out: recorded traffic (none exists); a closed loop only (it hides waiting, so programs arrive by a seeded Poisson process with bursts).

Change: jasminewheel-load run, its checks against the stand-ins' counts, examples of both deployments, feeds of runners followed by one task each.

--- a/src/jasminewheel/_internal/events/scheduling.py
+++ b/src/jasminewheel/_internal/events/scheduling.py
@@ -18,3 +18,9 @@
 )
 BREAKER_CLOSED = Event(1602, logging.INFO, 'runner answers again')
 RUNNER_FORGOTTEN = Event(1603, logging.INFO, 'runner left the target')
+FEED_BROKEN = Event(
+    1604,
+    logging.INFO,
+    'feed of a runner broke; it is followed again',
+    'look at the runner if this goes on',
+)
--- /dev/null
+++ b/src/jasminewheel/_internal/load/__init__.py
@@ -0,0 +1,1 @@
+"""Drive programs shaped like the deployments' and check their answers."""
--- /dev/null
+++ b/src/jasminewheel/_internal/load/answer.py
@@ -0,0 +1,110 @@
+"""Collect a streamed answer whole, through breaks and restarts."""
+
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+import httpx
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.http.sse import ServerSentEvent
+from jasminewheel._internal.load.client import (
+    ATTEMPTS,
+    CallerClient,
+    LostError,
+    RefusedError,
+    pause_after_loss,
+    pause_before_retry,
+)
+
+_PROBLEM_STATUS = 502
+
+
+class CrossedError(Exception):
+    """Report an answer whose pieces do not fit together."""
+
+
+@define
+class StreamedAnswer:
+    """Put the pieces of one answer in place and time them."""
+
+    asked_at: float
+    text: str = ''
+    first_token_seconds: float | None = None
+    token_gaps: list[float] = field(factory=list)
+    last_token_at: float = 0
+    done: Mapping[str, Any] | None = None
+    restarts: int = 0
+
+    def take(self, event: ServerSentEvent, now: float) -> None:
+        """Take in one event."""
+        if event.name == 'token':
+            self._place(event.fields['offset'], event.fields['text'])
+            self._time(now)
+        elif event.name == 'restart':
+            self.text = ''
+            self.restarts += 1
+        elif event.name == 'problem':
+            status = int(event.fields.get('status', _PROBLEM_STATUS))
+            raise RefusedError(status, event.fields)
+        elif event.name == 'done':
+            self.done = event.fields
+
+    def _place(self, offset: int, piece: str) -> None:
+        known = self.text[offset : offset + len(piece)]
+        if offset > len(self.text) or not piece.startswith(known):
+            raise CrossedError(f'a piece at {offset} does not fit')
+        end = offset + len(piece)
+        self.text = ''.join((self.text[:offset], piece, self.text[end:]))
+
+    def _time(self, now: float) -> None:
+        if self.first_token_seconds is None:
+            self.first_token_seconds = now - self.asked_at
+        else:
+            self.token_gaps.append(now - self.last_token_at)
+        self.last_token_at = now
+
+
+async def collect_answer(
+    client: CallerClient,
+    program: str,
+    request_id: str,
+    body: Mapping[str, Any],
+) -> StreamedAnswer:
+    """Return the whole answer of a model call; resume it when cut off."""
+    answer = StreamedAnswer(trio.current_time())
+    calls = f'/v1/programs/{program}/calls'
+    attempt = 0
+    while answer.done is None:
+        attempt += 1
+        if attempt > ATTEMPTS:
+            raise LostError(f'no whole answer to {request_id}')
+        try:
+            await _read_some(client, calls, request_id, body, answer)
+        except RefusedError as refusal:
+            await pause_before_retry(refusal, attempt)
+        except httpx.TransportError as error:
+            await pause_after_loss(error, attempt)
+    return answer
+
+
+async def _read_some(
+    client: CallerClient,
+    calls: str,
+    request_id: str,
+    body: Mapping[str, Any],
+    answer: StreamedAnswer,
+) -> None:
+    if answer.text:
+        opening = client.resume(f'{calls}/{request_id}', len(answer.text))
+    else:
+        opening = client.stream(calls, request_id, body)
+    async with opening as events:
+        await _take_all(events, answer)
+
+
+async def _take_all(
+    events: AsyncIterator[ServerSentEvent], answer: StreamedAnswer
+) -> None:
+    async for event in events:
+        answer.take(event, trio.current_time())
--- /dev/null
+++ b/src/jasminewheel/_internal/load/arrivals.py
@@ -0,0 +1,56 @@
+"""Draw when programs start and of which class they are."""
+
+from collections.abc import Iterator
+from random import Random
+
+from attrs import frozen
+
+from jasminewheel._internal.load.workload import ProgramClass, Workload
+
+BURST_SECONDS = 2
+
+
+@frozen
+class Bounds:
+    """Bound a run of the load tool, in programs and in seconds."""
+
+    programs: int = 50
+    seconds: float = 30
+    open_programs: int = 200
+    # Programs still under way this long after the last start are cut off.
+    grace_seconds: float = 60
+    rate_factor: float = 1
+
+
+@frozen
+class Arrival:
+    """Hold one program's start, in seconds after the run's."""
+
+    at: float
+    kind: ProgramClass
+    number: int
+
+
+def draw_arrivals(
+    workload: Workload, seed: int, bounds: Bounds
+) -> Iterator[Arrival]:
+    """Yield arrivals within the bounds: Poisson, with bursts."""
+    random = Random(f'{workload.name}-{seed}')
+    weights = [kind.weight for kind in workload.classes]
+    rate = workload.programs_per_second * bounds.rate_factor
+    at = 0
+    burst_until = 0
+    for number in range(1, bounds.programs + 1):
+        bursting = at < burst_until
+        speed = workload.burst_factor if bursting else 1
+        at += random.expovariate(rate * speed)
+        if at > bounds.seconds:
+            return
+        if not bursting and _starts_burst(random, workload, rate):
+            burst_until = at + BURST_SECONDS
+        kind = random.choices(workload.classes, weights)[0]
+        yield Arrival(at, kind, number)
+
+
+def _starts_burst(random: Random, workload: Workload, rate: float) -> bool:
+    return random.random() < workload.burst_share / (BURST_SECONDS * rate)
--- /dev/null
+++ b/src/jasminewheel/_internal/load/client.py
@@ -0,0 +1,168 @@
+"""Call the entries as an agent framework does, with retries that are safe."""
+
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from itertools import cycle
+from typing import Any
+
+import httpx
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.http.sse import ServerSentEvent, parse_events
+from jasminewheel.models.verdict import Verdict
+
+ATTEMPTS = 8
+RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 2
+CALL_TIMEOUT_SECONDS = 60
+OVERLOADED_STATUS = 429
+UNAVAILABLE_STATUS = 503
+RETRIED_STATUSES = frozenset((OVERLOADED_STATUS, UNAVAILABLE_STATUS))
+
+
+class RefusedError(Exception):
+    """Report that a call got a problem document instead of an answer."""
+
+    def __init__(self, status: int, problem: Mapping[str, Any]) -> None:
+        """Keep what the problem says."""
+        super().__init__(f'{status} {problem.get("detail", "")}')
+        self.status = status
+        self.code = str(problem.get('code', ''))
+        self.verdict = Verdict(problem.get('verdict', 'may-have-run'))
+        self.retry_after_seconds = float(
+            problem.get('retry_after_seconds') or 0
+        )
+
+    @property
+    def overloaded(self) -> bool:
+        """Return whether the call was refused early."""
+        return self.status == OVERLOADED_STATUS
+
+
+class LostError(Exception):
+    """Report that no entry gave an answer."""
+
+
+@frozen
+class Reply:
+    """Hold the JSON of one answer."""
+
+    status: int
+    fields: Mapping[str, Any]
+
+
+class CallerClient:
+    """Send one caller's requests to the entries in turn."""
+
+    def __init__(
+        self, http: httpx.AsyncClient, entries: Sequence[str], key: str
+    ) -> None:
+        """Use the entries round robin, as the platform's balancer does."""
+        self.http = http
+        self.entries = cycle(entries)
+        self.key = key
+
+    async def post(
+        self, path: str, request_id: str, body: Mapping[str, Any]
+    ) -> Reply:
+        """Return the answer; repeat under the same identifier if it is lost."""
+        attempt = 0
+        while True:
+            attempt += 1
+            try:
+                return await self._post_once(path, request_id, body)
+            except RefusedError as refusal:
+                await pause_before_retry(refusal, attempt)
+            except httpx.TransportError as error:
+                await pause_after_loss(error, attempt)
+
+    async def delete(self, path: str) -> None:
+        """End a program."""
+        attempt = 0
+        while attempt < ATTEMPTS:
+            attempt += 1
+            try:
+                await self.http.delete(
+                    f'{next(self.entries)}{path}', headers=self._headers('')
+                )
+            except httpx.TransportError:
+                await trio.sleep(RETRY_SECONDS)
+            else:
+                return
+
+    @asynccontextmanager
+    async def stream(
+        self, path: str, request_id: str, body: Mapping[str, Any]
+    ) -> AsyncIterator[AsyncIterator[ServerSentEvent]]:
+        """Open an answer's stream of events."""
+        async with self.http.stream(
+            'POST',
+            f'{next(self.entries)}{path}',
+            json=body,
+            headers=self._headers(request_id),
+            timeout=CALL_TIMEOUT_SECONDS,
+        ) as response:
+            await _raise_for_problem(response)
+            yield parse_events(response.aiter_lines())
+
+    @asynccontextmanager
+    async def resume(
+        self, path: str, offset: int
+    ) -> AsyncIterator[AsyncIterator[ServerSentEvent]]:
+        """Take up an answer's stream from an offset in characters."""
+        async with self.http.stream(
+            'GET',
+            f'{next(self.entries)}{path}/stream',
+            params={'offset': offset},
+            headers=self._headers(''),
+            timeout=CALL_TIMEOUT_SECONDS,
+        ) as response:
+            await _raise_for_problem(response)
+            yield parse_events(response.aiter_lines())
+
+    async def _post_once(
+        self, path: str, request_id: str, body: Mapping[str, Any]
+    ) -> Reply:
+        response = await self.http.post(
+            f'{next(self.entries)}{path}',
+            json=body,
+            headers=self._headers(request_id),
+            timeout=CALL_TIMEOUT_SECONDS,
+        )
+        await _raise_for_problem(response)
+        return Reply(response.status_code, response.json())
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        headers = {'Authorization': f'Bearer {self.key}'}
+        if request_id:
+            headers['Idempotency-Key'] = request_id
+        return headers
+
+
+async def _raise_for_problem(response: httpx.Response) -> None:
+    if response.is_success:
+        return
+    await response.aread()
+    try:
+        problem = response.json()
+    except ValueError:
+        problem = {'detail': response.text}
+    raise RefusedError(response.status_code, problem)
+
+
+async def pause_before_retry(refusal: RefusedError, attempt: int) -> None:
+    """Wait as the refusal asks, or raise it when a retry is not safe."""
+    safe = refusal.verdict is Verdict.not_run
+    known = refusal.status in RETRIED_STATUSES
+    if attempt >= ATTEMPTS or not (safe and known):
+        raise refusal
+    pause = max(refusal.retry_after_seconds, RETRY_SECONDS)
+    await trio.sleep(min(pause, LONGEST_RETRY_SECONDS))
+
+
+async def pause_after_loss(error: httpx.TransportError, attempt: int) -> None:
+    """Wait before the next entry is tried, or raise LostError at the limit."""
+    if attempt >= ATTEMPTS:
+        raise LostError(str(error)) from error
+    await trio.sleep(RETRY_SECONDS * attempt)
--- /dev/null
+++ b/src/jasminewheel/_internal/load/drive.py
@@ -0,0 +1,88 @@
+"""Start programs as they arrive, bounded in count, time and number open."""
+
+import secrets
+from collections.abc import Callable
+from contextlib import ExitStack
+
+import httpx
+import trio
+
+from jasminewheel._internal.load.arrivals import (
+    Arrival,
+    Bounds,
+    draw_arrivals,
+)
+from jasminewheel._internal.load.client import CallerClient
+from jasminewheel._internal.load.program_run import ProgramRun
+from jasminewheel._internal.load.records import Records
+from jasminewheel._internal.load.workload import Workload
+
+_RUN_ID_BYTES = 4
+_CONNECTIONS = 400
+
+
+def open_http() -> httpx.AsyncClient:
+    """Return a client for many streams at once."""
+    limits = httpx.Limits(
+        max_connections=_CONNECTIONS, max_keepalive_connections=_CONNECTIONS
+    )
+    return httpx.AsyncClient(limits=limits, timeout=60, trust_env=False)
+
+
+class LoadDriver:
+    """Drive one workload against its entries."""
+
+    def __init__(
+        self,
+        workload: Workload,
+        http: httpx.AsyncClient,
+        progress: Callable[[Records], None],
+    ) -> None:
+        """Report to `progress` after each program."""
+        self.workload = workload
+        self.http = http
+        self.progress = progress
+        self.records = Records()
+        self.run_id = secrets.token_hex(_RUN_ID_BYTES)
+        self.clients = {
+            kind.name: CallerClient(http, workload.entries, kind.key)
+            for kind in workload.classes
+        }
+
+    async def drive(self, bounds: Bounds, seed: int) -> Records:
+        """Run the programs that arrive within the bounds."""
+        latest = trio.current_time() + bounds.seconds + bounds.grace_seconds
+        scope = trio.CancelScope(deadline=latest)
+        with scope:
+            await self._start_all(bounds, seed)
+        if scope.cancelled_caught:
+            self.records.problem('programs cut off at the end of the run')
+        return self.records
+
+    async def _start_all(self, bounds: Bounds, seed: int) -> None:
+        arrivals = draw_arrivals(self.workload, seed, bounds)
+        places = trio.Semaphore(bounds.open_programs)
+        started_at = trio.current_time()
+        arrival = next(arrivals, None)
+        async with trio.open_nursery() as nursery:
+            while arrival:
+                await trio.sleep_until(started_at + arrival.at)
+                await places.acquire()
+                nursery.start_soon(self._run_one, arrival, seed, places)
+                arrival = next(arrivals, None)
+
+    async def _run_one(
+        self, arrival: Arrival, seed: int, places: trio.Semaphore
+    ) -> None:
+        kind = arrival.kind
+        run = ProgramRun(
+            kind,
+            f'{self.run_id}-{kind.name}-{arrival.number}',
+            f'{seed}-{kind.name}-{arrival.number}',
+            self.clients[kind.name],
+            self.records,
+        )
+        with ExitStack() as cleanup:
+            cleanup.callback(places.release)
+            await run.run()
+        self.progress(self.records)
--- /dev/null
+++ b/src/jasminewheel/_internal/load/program_run.py
@@ -0,0 +1,182 @@
+"""Run one program from its first call to its last answer."""
+
+from contextlib import AsyncExitStack
+from random import Random
+
+import trio
+from attrs import define, evolve, field
+
+from jasminewheel._internal.load.answer import (
+    CrossedError,
+    StreamedAnswer,
+    collect_answer,
+)
+from jasminewheel._internal.load.client import (
+    CallerClient,
+    LostError,
+    RefusedError,
+)
+from jasminewheel._internal.load.conversation import Conversation
+from jasminewheel._internal.load.records import (
+    Outcome,
+    Promise,
+    Records,
+)
+from jasminewheel._internal.load.tool_call import ToolCall, call_tool
+from jasminewheel._internal.load.workload import (
+    ProgramClass,
+    SubAgents,
+    ToolUse,
+)
+
+PROGRAM_ERRORS = (RefusedError, LostError, CrossedError)
+_PROBLEM_CHARACTERS = 100
+
+
+@define(eq=False)
+class ProgramRun:
+    """Draw a program's next step as it goes and take it."""
+
+    kind: ProgramClass
+    name: str
+    seed: str
+    client: CallerClient
+    records: Records
+    turns: int = 0
+    conversation: Conversation = field()
+    calls: int = 0
+    failure: Exception | None = None
+    random: Random = field(init=False)
+
+    @conversation.default
+    def new_conversation(self) -> Conversation:
+        """Return a conversation without messages."""
+        return Conversation(self.kind.model)
+
+    def __attrs_post_init__(self) -> None:
+        """Seed the draws."""
+        self.random = Random(self.seed)
+        self.turns = self.turns or self.kind.turns.draw(self.random)
+
+    async def run(self) -> None:
+        """Run the program and record how it ended."""
+        started_at = trio.current_time()
+        outcome = Outcome.finished
+        try:
+            await self._run_whole()
+        except PROGRAM_ERRORS as error:
+            outcome = _record_failure(self.records, self.name, error)
+        record = self.records.of_class(self.kind)
+        record.ended(outcome, trio.current_time() - started_at)
+
+    async def run_as_child(self, parent: str) -> None:
+        """Run as a sub-agent; keep the failure for the parent."""
+        try:
+            await self._run_in(f'/v1/programs/{parent}/children')
+        except PROGRAM_ERRORS as error:
+            self.failure = error
+
+    async def _run_whole(self) -> None:
+        if self.kind.model:
+            await self._run_in('/v1/programs')
+            return
+        await self._use_tools(list(self.kind.tools), '/v1/calls')
+
+    async def _run_in(self, path: str) -> None:
+        opened = await self.client.post(path, f'{self.name}-open', {})
+        program = opened.fields['program']
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._end, program)
+            while self.turns:
+                self.turns -= 1
+                await self._take_turn(program)
+
+    async def _end(self, program: str) -> None:
+        with trio.CancelScope(shield=True):
+            await self.client.delete(f'/v1/programs/{program}')
+
+    async def _take_turn(self, program: str) -> None:
+        await self._ask_model(program)
+        uses = [
+            tool
+            for tool in self.kind.tools
+            if self.random.random() < tool.probability
+        ]
+        await self._use_tools(uses, f'/v1/programs/{program}/calls')
+        if self.random.random() < self.kind.sub_agents.probability:
+            await self._run_sub_agents(program)
+        if self.turns:
+            await trio.sleep(self.kind.pause.draw(self.random))
+
+    async def _ask_model(self, program: str) -> None:
+        asked = self.conversation.next_messages(self.kind, self.random)
+        max_tokens = self.kind.answer_tokens.draw(self.random)
+        body = {
+            'target': self.kind.target,
+            'input': {
+                'messages': asked,
+                'max_tokens': max_tokens,
+                'model': self.kind.model,
+            },
+            'repeatable': True,
+            'stream': True,
+        }
+        self.records.new_tokens.update(self.conversation.prompt_blocks())
+        answer = await collect_answer(
+            self.client, program, self._next_id(), body
+        )
+        self._check(answer, max_tokens)
+        self.conversation.answered(answer.text)
+
+    def _check(self, answer: StreamedAnswer, max_tokens: int) -> None:
+        self.records.of_class(self.kind).answered(answer)
+        expected = self.conversation.expected_answer(max_tokens)
+        if answer.text != expected:
+            detail = f'{len(answer.text)} of {len(expected)} characters'
+            self.records.broken(Promise.whole_answer, self.name, detail)
+
+    async def _use_tools(self, uses: list[ToolUse], path: str) -> None:
+        while uses:
+            call = ToolCall(uses.pop(0), self._next_id())
+            reply = await call_tool(self.client, self.records, path, call)
+            self.records.of_class(self.kind).calls += 1
+            if call.request_id not in str(reply.fields):
+                self.records.broken(
+                    Promise.whole_answer, call.request_id, 'crossed answer'
+                )
+
+    async def _run_sub_agents(self, parent: str) -> None:
+        count = self.random.randint(1, self.kind.sub_agents.most)
+        children = [self._make_child(number) for number in range(count)]
+        async with trio.open_nursery() as nursery:
+            for child in children:
+                nursery.start_soon(child.run_as_child, parent)
+        for child in children:
+            if child.failure is not None:
+                raise child.failure
+
+    def _make_child(self, number: int) -> 'ProgramRun':
+        # A sub-agent starts from what its parent knows so far.
+        return ProgramRun(
+            evolve(self.kind, sub_agents=SubAgents()),
+            f'{self._next_id()}-{number}',
+            f'{self.seed}-{self.calls}-{number}',
+            self.client,
+            self.records,
+            self.kind.sub_agents.turns.draw(self.random),
+            self.conversation.fork(),
+        )
+
+    def _next_id(self) -> str:
+        self.calls += 1
+        return f'{self.name}-{self.calls}'
+
+
+def _record_failure(
+    records: Records, request_id: str, error: Exception
+) -> Outcome:
+    if isinstance(error, CrossedError):
+        records.broken(Promise.whole_answer, request_id, str(error))
+    refused = isinstance(error, RefusedError) and error.overloaded
+    records.problem(str(error)[:_PROBLEM_CHARACTERS])
+    return Outcome.refused if refused else Outcome.failed
--- /dev/null
+++ b/src/jasminewheel/_internal/load/records.py
@@ -0,0 +1,135 @@
+"""Record what came of each program and call."""
+
+from enum import Enum
+
+from attrs import define, field, frozen
+from hdrh.histogram import HdrHistogram
+
+from jasminewheel._internal.load.answer import StreamedAnswer
+from jasminewheel._internal.load.workload import ProgramClass
+from jasminewheel.models.verdict import Verdict
+
+_LONGEST_MICROSECONDS = 3_600_000_000
+_DIGITS = 3
+_MICROSECONDS = 1_000_000
+
+
+class Outcome(Enum):
+    """Say how a program ended."""
+
+    finished = 'finished'
+    refused = 'refused'
+    failed = 'failed'
+
+
+class Promise(Enum):
+    """Name a promise that the load tool checks."""
+
+    whole_answer = 'each caller receives the whole answer to its request'
+    at_most_once = 'a call that may not be repeated runs at most once'
+    answered_ran = 'an answered call ran'
+    not_run = 'a call refused as not run did not run'
+    memory_released = 'no engine memory is held for ended programs'
+
+
+@frozen
+class Breach:
+    """Hold one breach of a promise."""
+
+    promise: Promise
+    request_id: str
+    detail: str
+
+
+@frozen
+class OnceCall:
+    """Hold what the caller knows of a call that may not be repeated."""
+
+    request_id: str
+    verdict: Verdict
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(1, _LONGEST_MICROSECONDS, _DIGITS)
+
+
+@define(eq=False)
+class Durations:
+    """Keep a histogram of durations in seconds."""
+
+    histogram: HdrHistogram = field(factory=make_histogram)
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        self.histogram.record_value(max(1, round(seconds * _MICROSECONDS)))
+
+    def percentile(self, percent: float) -> float:
+        """Return a percentile in seconds, 0 when nothing was counted."""
+        if not self.count:
+            return 0
+        found = self.histogram.get_value_at_percentile(percent)
+        return found / _MICROSECONDS
+
+    @property
+    def count(self) -> int:
+        """Return how many durations were counted."""
+        return self.histogram.get_total_count()
+
+
+@define(eq=False)
+class ClassRecord:
+    """Hold what came of the programs of one class."""
+
+    name: str
+    caller: str
+    favoured: bool
+    programs: Durations = field(factory=Durations)
+    first_tokens: Durations = field(factory=Durations)
+    token_gaps: Durations = field(factory=Durations)
+    outcomes: dict[Outcome, int] = field(factory=dict)
+    calls: int = 0
+    restarts: int = 0
+
+    def answered(self, answer: StreamedAnswer) -> None:
+        """Count a model's answer and time its tokens."""
+        self.calls += 1
+        self.restarts += answer.restarts
+        if answer.first_token_seconds is not None:
+            self.first_tokens.add(answer.first_token_seconds)
+        for gap in answer.token_gaps:
+            self.token_gaps.add(gap)
+
+    def ended(self, outcome: Outcome, seconds: float) -> None:
+        """Count a program's end; only finished ones are timed."""
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        if outcome is Outcome.finished:
+            self.programs.add(seconds)
+
+
+@define(eq=False)
+class Records:
+    """Hold what came of one run of the load tool."""
+
+    classes: dict[str, ClassRecord] = field(factory=dict)
+    once_calls: list[OnceCall] = field(factory=list)
+    breaches: list[Breach] = field(factory=list)
+    problems: dict[str, int] = field(factory=dict)
+    # Tokens of the prompt blocks that had to be computed at least once.
+    new_tokens: dict[str, int] = field(factory=dict)
+
+    def of_class(self, kind: ProgramClass) -> ClassRecord:
+        """Return the record of a class, new if unknown."""
+        found = self.classes.get(kind.name)
+        if found is None:
+            found = ClassRecord(kind.name, kind.caller, kind.favoured)
+            self.classes[kind.name] = found
+        return found
+
+    def problem(self, text: str) -> None:
+        """Count a problem by its text."""
+        self.problems[text] = self.problems.get(text, 0) + 1
+
+    def broken(self, promise: Promise, request_id: str, detail: str) -> None:
+        """Note a breach of a promise."""
+        self.breaches.append(Breach(promise, request_id, detail))
--- /dev/null
+++ b/src/jasminewheel/_internal/load/report.py
@@ -0,0 +1,200 @@
+"""Report what a run of the load tool measured and which promises broke."""
+
+from collections.abc import Mapping
+
+from attrs import asdict, frozen
+from rich.console import Console
+from rich.table import Table
+
+from jasminewheel._internal.load.counts import EngineTotals
+from jasminewheel._internal.load.records import (
+    Breach,
+    ClassRecord,
+    Durations,
+    Outcome,
+    Records,
+)
+
+_PERCENTILES = (50.0, 95.0, 99.0)
+_SHOWN_BREACHES = 20
+_MILLISECONDS = 1000
+
+
+@frozen
+class Percentiles:
+    """Hold percentiles of a duration in seconds."""
+
+    p50: float
+    p95: float
+    p99: float
+    count: int
+
+
+@frozen
+class ClassReport:
+    """Report on the programs of one class."""
+
+    name: str
+    caller: str
+    favoured: bool
+    finished: int
+    refused: int
+    failed: int
+    calls: int
+    restarts: int
+    program: Percentiles
+    first_token: Percentiles
+    between_tokens: Percentiles
+
+
+@frozen
+class CacheReport:
+    """Report on prompts, in tokens.
+
+    Wasted tokens were computed again or shipped although some engine had
+    computed them before; unused ones were evicted before any reuse.
+    """
+
+    prompt_tokens: int
+    cached_tokens: int
+    computed_tokens: int
+    first_time_tokens: int
+    wasted_tokens: int
+    evicted_unused_tokens: int
+    shipped_tokens: int
+
+    @property
+    def hit_ratio(self) -> float:
+        """Return the share of the prompts found in a cache."""
+        return self.cached_tokens / max(1, self.prompt_tokens)
+
+
+@frozen
+class Report:
+    """Report on one run of the load tool."""
+
+    workload: str
+    seed: int
+    seconds: float
+    classes: tuple[ClassReport, ...]
+    cache: CacheReport
+    once_calls: int
+    once_runs: Mapping[int, int]
+    problems: Mapping[str, int]
+    breaches: tuple[Breach, ...]
+
+    @property
+    def kept(self) -> bool:
+        """Return whether no promise broke and every class finished some."""
+        finished = all(one.finished for one in self.classes)
+        return finished and bool(self.classes) and not self.breaches
+
+
+def report_class(record: ClassRecord) -> ClassReport:
+    """Return the report on one class."""
+    outcomes = record.outcomes
+    return ClassReport(
+        name=record.name,
+        caller=record.caller,
+        favoured=record.favoured,
+        finished=outcomes.get(Outcome.finished, 0),
+        refused=outcomes.get(Outcome.refused, 0),
+        failed=outcomes.get(Outcome.failed, 0),
+        calls=record.calls,
+        restarts=record.restarts,
+        program=_percentiles(record.programs),
+        first_token=_percentiles(record.first_tokens),
+        between_tokens=_percentiles(record.token_gaps),
+    )
+
+
+def report_cache(records: Records, totals: EngineTotals) -> CacheReport:
+    """Return the report on prompts; shipped tokens count as computed."""
+    first_time = sum(records.new_tokens.values())
+    computed = totals.computed_tokens
+    spent = computed + totals.imported_tokens
+    return CacheReport(
+        prompt_tokens=totals.prompt_tokens,
+        cached_tokens=totals.cached_tokens,
+        computed_tokens=computed,
+        first_time_tokens=first_time,
+        wasted_tokens=max(0, spent - first_time),
+        evicted_unused_tokens=totals.evicted_unused_tokens,
+        shipped_tokens=totals.imported_tokens,
+    )
+
+
+def _percentiles(durations: Durations) -> Percentiles:
+    values = (durations.percentile(percent) for percent in _PERCENTILES)
+    return Percentiles(*values, count=durations.count)
+
+
+def print_report(report: Report, console: Console) -> None:
+    """Print the report as tables."""
+    console.print(_class_table(report))
+    cache = report.cache
+    parts = (
+        ('prompt tokens', cache.prompt_tokens),
+        ('cached share', _join(3, cache.hit_ratio)),
+        ('wasted (computed again or shipped)', cache.wasted_tokens),
+        ('evicted unused', cache.evicted_unused_tokens),
+        ('shipped', cache.shipped_tokens),
+    )
+    console.print(', '.join(f'{name} {count}' for name, count in parts))
+    console.print('runs of calls that may not be repeated:', report.once_runs)
+    for text, count in report.problems.items():
+        console.print('problem', count, 'times:', text, markup=False)
+    _print_verdict(report, console)
+
+
+def _class_table(report: Report) -> Table:
+    table = Table(title=f'{report.workload}, seed {report.seed}')
+    headings = (
+        'class',
+        'finished',
+        'refused',
+        'failed',
+        'program p50/p95/p99 s',
+        'first token p50/p95 s',
+        'between p50/p95 ms',
+    )
+    for heading in headings:
+        table.add_column(heading)
+    for one in report.classes:
+        table.add_row(*_class_cells(one))
+    return table
+
+
+def _class_cells(one: ClassReport) -> tuple[str, ...]:
+    mark = ' *' if one.favoured else ''
+    counts = (one.finished, one.refused, one.failed)
+    program, first, between = one.program, one.first_token, one.between_tokens
+    durations = (
+        _join(2, program.p50, program.p95, program.p99),
+        _join(3, first.p50, first.p95),
+        _join(1, between.p50 * _MILLISECONDS, between.p95 * _MILLISECONDS),
+    )
+    return (one.name + mark, *map(str, counts), *durations)
+
+
+def _join(digits: int, *durations: float) -> str:
+    return ' '.join(str(round(one, digits)) for one in durations)
+
+
+def _print_verdict(report: Report, console: Console) -> None:
+    if report.kept:
+        console.print('all checked promises held')
+        return
+    console.print(f'{len(report.breaches)} breaches of promises')
+    for breach in report.breaches[:_SHOWN_BREACHES]:
+        parts = (breach.promise.value, breach.request_id, breach.detail)
+        console.print('  ', *parts, markup=False)
+
+
+def report_fields(report: Report) -> dict[str, object]:
+    """Return the report as it goes into a result file."""
+    return asdict(report, value_serializer=_plain)
+
+
+def _plain(_instance: object, _attribute: object, raw: object) -> object:
+    return getattr(raw, 'value', raw)
--- a/src/jasminewheel/_internal/scheduling/belief.py
+++ b/src/jasminewheel/_internal/scheduling/belief.py
@@ -5,7 +5,8 @@
 
 from attrs import define, field, frozen
 
-from jasminewheel._internal.scheduling.request import Block
+from jasminewheel._internal.targets.engine import CacheEvent
+from jasminewheel._internal.targets.prefix import PrefixBlock
 
 RUNNER_BLOCK_LIMIT = 20_000
 FRESH_TRUST = 0.98
@@ -17,16 +18,6 @@
 MOST_GAPS = 20
 
 
-@frozen
-class CacheEvent:
-    """Hold one cache event of an engine's feed."""
-
-    seq: int
-    kind: str
-    block: str
-    tokens: int
-
-
 @frozen
 class Held:
     """Say how much of a prompt a runner is believed to hold."""
@@ -56,7 +47,7 @@
     """Keep the believed blocks of one runner, oldest use first."""
 
     blocks: OrderedDict[str, _Belief] = field(factory=OrderedDict)
-    next_seq: int | None = None
+    next_sequence: int | None = None
     gaps: int = 0
     stored_tokens: int = 0
     capacity_tokens: int = 0
@@ -64,9 +55,12 @@
 
     def observe(self, event: CacheEvent, now: float) -> None:
         """Take in an event; count the ones missing before it."""
-        if self.next_seq is not None and event.seq > self.next_seq:
-            self.gaps += event.seq - self.next_seq
-        self.next_seq = max(self.next_seq or 0, event.seq + 1)
+        if (
+            self.next_sequence is not None
+            and event.sequence > self.next_sequence
+        ):
+            self.gaps += event.sequence - self.next_sequence
+        self.next_sequence = max(self.next_sequence or 0, event.sequence + 1)
         if event.kind == 'evicted':
             self.blocks.pop(event.block, None)
             return
@@ -103,7 +97,7 @@
         faded = 0.5 ** ((now - belief.seen_at) / HALF_LIFE_SECONDS)
         return self.accuracy * faded * GAP_TRUST ** min(missed, MOST_GAPS)
 
-    def held(self, blocks: Sequence[Block], now: float) -> Held:
+    def held(self, blocks: Sequence[PrefixBlock], now: float) -> Held:
         """Return the longest prefix of the blocks believed held."""
         remaining = sum(block.tokens for block in blocks)
         for block in reversed(blocks):
--- a/src/jasminewheel/_internal/scheduling/decision.py
+++ b/src/jasminewheel/_internal/scheduling/decision.py
@@ -5,7 +5,8 @@
 from attrs import define, field
 
 from jasminewheel._internal.scheduling.placement import Choice, Option
-from jasminewheel._internal.scheduling.request import PlacementRequest, Usage
+from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.targets.engine import EngineUsage
 
 
 class Ledger(Protocol):
@@ -15,7 +16,10 @@
         """Take in the first token's arrival."""
 
     def finished(
-        self, decision: 'PlacementDecision', usage: Usage | None, now: float
+        self,
+        decision: 'PlacementDecision',
+        usage: EngineUsage | None,
+        now: float,
     ) -> None:
         """Take in a whole answer."""
 
@@ -69,7 +73,7 @@
             self.first_token_at = now
             self.ledger.first_token(self, now)
 
-    def finished(self, usage: Usage | None, now: float) -> None:
+    def finished(self, usage: EngineUsage | None, now: float) -> None:
         """Report the whole answer; services have no usage."""
         if self._end():
             self.ledger.finished(self, usage, now)
--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -13,9 +13,10 @@
     price_options,
 )
 from jasminewheel._internal.scheduling.queue import QueuedCall
-from jasminewheel._internal.scheduling.request import PlacementRequest, Runner
+from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.runners import RunnerBook
 from jasminewheel._internal.scheduling.waiting import TargetBook, TargetState
+from jasminewheel.models.target import Runner
 
 # Calls behind the first may pass it when it waits for a certain runner.
 LOOK_AHEAD = 16
--- a/src/jasminewheel/_internal/scheduling/load.py
+++ b/src/jasminewheel/_internal/scheduling/load.py
@@ -4,22 +4,14 @@
 
 from attrs import define, field, frozen
 
+from jasminewheel._internal.targets.engine import LoadReport
+
 DEFAULT_LAG_SECONDS = 0.2
 HISTORY_SECONDS = 10
 # A report this old says nothing about other entries' calls any more.
 REPORT_LIFE_SECONDS = 10
 
 
-@frozen
-class LoadReport:
-    """Hold what an engine says of itself, late by its lag."""
-
-    running: int
-    waiting: int
-    kv_used_tokens: int
-    kv_capacity_tokens: int
-
-
 @frozen
 class _Step:
     at: float
--- a/src/jasminewheel/_internal/scheduling/outcomes.py
+++ b/src/jasminewheel/_internal/scheduling/outcomes.py
@@ -6,9 +6,9 @@
 from jasminewheel._internal.events import scheduling as events
 from jasminewheel._internal.scheduling.breaker import BreakerState
 from jasminewheel._internal.scheduling.decision import PlacementDecision
-from jasminewheel._internal.scheduling.request import Usage
 from jasminewheel._internal.scheduling.runners import RunnerBook, RunnerState
 from jasminewheel._internal.scheduling.waiting import TargetBook
+from jasminewheel._internal.targets.engine import EngineUsage
 
 LOGGER = logging.getLogger(__name__)
 
@@ -42,7 +42,7 @@
         rates.learn_prefill(computed, now - decision.placed_at)
 
     def finished(
-        self, decision: PlacementDecision, usage: Usage | None, now: float
+        self, decision: PlacementDecision, usage: EngineUsage | None, now: float
     ) -> None:
         """Learn what was cached and close the breaker."""
         state = self._state(decision)
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -12,7 +12,7 @@
     TargetRates,
     price,
 )
-from jasminewheel._internal.scheduling.request import Runner
+from jasminewheel.models.target import Runner
 
 WAIT_REASON = 'waits for a runner that costs less than a free one'
 
--- a/src/jasminewheel/_internal/scheduling/request.py
+++ b/src/jasminewheel/_internal/scheduling/request.py
@@ -1,34 +1,10 @@
-"""Describe a call that waits for a runner, and what a target offers."""
+"""Describe a call that waits for a runner."""
 
 from collections.abc import Sequence
-from typing import Protocol
 
 from attrs import frozen
 
-
-class Block(Protocol):
-    """Name one cached unit of a prompt prefix and its size."""
-
-    block: str
-    tokens: int
-
-
-class Runner(Protocol):
-    """Name one process of a target and where it stands."""
-
-    name: str
-    url: str
-    region: str
-    zone: str
-    max_running: int
-
-
-class Usage(Protocol):
-    """Count the tokens of one finished engine call."""
-
-    prompt_tokens: int
-    cached_tokens: int
-    completion_tokens: int
+from jasminewheel._internal.targets.prefix import PrefixBlock
 
 
 @frozen
@@ -39,7 +15,7 @@
     caller: str
     priority: int
     target: str
-    blocks: Sequence[Block]
+    blocks: Sequence[PrefixBlock]
     max_tokens: int
     deadline: float
     attained_tokens: int
--- a/src/jasminewheel/_internal/scheduling/runners.py
+++ b/src/jasminewheel/_internal/scheduling/runners.py
@@ -2,9 +2,10 @@
 
 from attrs import define, field
 
-from jasminewheel._internal.scheduling.belief import CacheEvent, RunnerBelief
+from jasminewheel._internal.scheduling.belief import RunnerBelief
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
-from jasminewheel._internal.scheduling.load import LoadReport, RunnerLoad
+from jasminewheel._internal.scheduling.load import RunnerLoad
+from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -14,13 +14,11 @@
     Refusal,
     judge,
 )
-from jasminewheel._internal.scheduling.belief import CacheEvent
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.dispatch import (
     ConfigurationSource,
     Dispatcher,
 )
-from jasminewheel._internal.scheduling.load import LoadReport
 from jasminewheel._internal.scheduling.queue import (
     ProgramOrdering,
     QueuedCall,
@@ -32,6 +30,7 @@
     TargetState,
     Waiter,
 )
+from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
 
 LOGGER = logging.getLogger(__name__)
--- a/tests/functional/test_scheduler.py
+++ b/tests/functional/test_scheduler.py
@@ -4,14 +4,13 @@
 
 import pytest
 import trio
-from attrs import frozen
 from trio.testing import MockClock, wait_all_tasks_blocked
 
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.configuration.view import ConfigurationView
-from jasminewheel._internal.scheduling.belief import CacheEvent
-from jasminewheel._internal.scheduling.load import LoadReport
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
+from jasminewheel._internal.targets.prefix import PrefixBlock
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
 from jasminewheel.models.policy import Policy
@@ -19,14 +18,6 @@
 from jasminewheel.models.verdict import Verdict
 
 
-@frozen
-class SimpleBlock:
-    """Stand for a prefix block."""
-
-    block: str
-    tokens: int
-
-
 def make_scheduler(limit: int = 1, **policy) -> Scheduler:
     """Return a scheduler over two runners of one model."""
     runners = tuple(
@@ -100,7 +91,7 @@
 def test_prefix_draws_a_program_back_to_its_runner():
     async def scenario():
         scheduler = make_scheduler(limit=4)
-        chain = [SimpleBlock('a', 4000)]
+        chain = [PrefixBlock('a', 4000)]
         scheduler.observe_cache('r2', CacheEvent(1, 'stored', 'a', 4000), 0)
         asked = request('p', blocks=chain)
         async with scheduler.place(asked, 0) as decision:
@@ -123,7 +114,7 @@
 def test_a_failing_runner_is_left_alone_then_probed():
     async def scenario():
         scheduler = make_scheduler(limit=4)
-        chain = [SimpleBlock('a', 4000)]
+        chain = [PrefixBlock('a', 4000)]
         scheduler.observe_cache('r2', CacheEvent(1, 'stored', 'a', 4000), 0)
         asked = request('p', blocks=chain)
         for _ in range(3):
--- a/tests/unit/test_scheduling_rules.py
+++ b/tests/unit/test_scheduling_rules.py
@@ -1,11 +1,9 @@
 """Check the pure rules of scheduling: queue, load, belief, breaker, pauses."""
 
-from attrs import frozen
-
 from jasminewheel._internal.scheduling.admission import Throughput, judge
-from jasminewheel._internal.scheduling.belief import CacheEvent, RunnerBelief
+from jasminewheel._internal.scheduling.belief import RunnerBelief
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
-from jasminewheel._internal.scheduling.load import LoadReport, RunnerLoad
+from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.pause import (
     PAUSE_BOUNDS_SECONDS,
     PauseLearner,
@@ -20,14 +18,8 @@
     QueuedCall,
 )
 from jasminewheel._internal.scheduling.request import PlacementRequest
-
-
-@frozen
-class SimpleBlock:
-    """Stand for a prefix block."""
-
-    block: str
-    tokens: int
+from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
+from jasminewheel._internal.targets.prefix import PrefixBlock
 
 
 def make_request(program: str = 'p', priority: int = 0, attained: int = 0):
@@ -90,7 +82,7 @@
 
 def test_belief_ends_by_eviction_and_by_replaced_capacity():
     belief = RunnerBelief(capacity_tokens=100)
-    chain = [SimpleBlock('a', 40), SimpleBlock('b', 40)]
+    chain = [PrefixBlock('a', 40), PrefixBlock('b', 40)]
     belief.observe(CacheEvent(1, 'stored', 'a', 40), 0)
     belief.observe(CacheEvent(2, 'stored', 'b', 40), 0)
     assert belief.held(chain, 0).tokens == 80
@@ -104,7 +96,7 @@
 
 def test_belief_trusts_less_after_gaps_age_and_misses():
     belief = RunnerBelief()
-    chain = [SimpleBlock('a', 40)]
+    chain = [PrefixBlock('a', 40)]
     belief.observe(CacheEvent(1, 'stored', 'a', 40), 0)
     fresh = belief.trust('a', 0)
     belief.observe(CacheEvent(9, 'stored', 'z', 1), 0)
