--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/baselines.py
@@ -0,0 +1,107 @@
+"""Place calls by simple rules, to measure the policy against them."""
+
+from functools import partial
+from itertools import count
+
+import xxhash
+from attrs import define, field, frozen
+
+from jasminewheel._internal.scheduling.placement import (
+    FULL_REASON,
+    NONE_REASON,
+    PlacementRule,
+)
+from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.view import Choice, Option, TargetView
+
+
+@define(eq=False)
+class RoundRobin:
+    """Send each call to the next runner at once."""
+
+    counter: count = field(factory=count)
+
+    def choose(
+        self, view: TargetView, request: PlacementRequest, now: float
+    ) -> Choice:
+        """Return the next runner that may be sent calls."""
+        names = [name for name in view.fleet.runners if view.allows(name, now)]
+        if not names:
+            return Choice(None, (), NONE_REASON)
+        name = names[next(self.counter) % len(names)]
+        option = view.option(view.fleet.runners[name], request, now)
+        return Choice(option, (option,), 'is next in turn')
+
+
+@frozen
+class LeastLoaded:
+    """Send each call at once to the runner with the fewest."""
+
+    def choose(
+        self, view: TargetView, request: PlacementRequest, now: float
+    ) -> Choice:
+        """Return the least loaded runner."""
+        option = _least_loaded(view, request, now)
+        if option is None:
+            return Choice(None, (), NONE_REASON)
+        return Choice(option, (option,), 'has the fewest calls')
+
+
+@frozen
+class SessionHash:
+    """Send all calls of a program and its sub-agents to one runner."""
+
+    def choose(
+        self, view: TargetView, request: PlacementRequest, now: float
+    ) -> Choice:
+        """Return the runner of the highest hash with the root program."""
+        root = request.program_id.partition('.')[0]
+        names = [name for name in view.fleet.runners if view.allows(name, now)]
+        if not names:
+            return Choice(None, (), NONE_REASON)
+        name = max(names, key=partial(_affinity, root))
+        option = view.option(view.fleet.runners[name], request, now)
+        return Choice(option, (option,), "is the program's runner by hash")
+
+
+@frozen
+class PriorityFifo:
+    """Send calls by priority and age to the least loaded free runner."""
+
+    def choose(
+        self, view: TargetView, request: PlacementRequest, now: float
+    ) -> Choice:
+        """Return the least loaded runner if it is free."""
+        option = _least_loaded(view, request, now)
+        if option is None:
+            return Choice(None, (), NONE_REASON)
+        if option.situation.free:
+            return Choice(option, (option,), 'has the fewest calls')
+        return Choice(None, (option,), FULL_REASON)
+
+
+def _least_loaded(
+    view: TargetView, request: PlacementRequest, now: float
+) -> Option | None:
+    found = view.fleet.least_loaded(1, partial(view.allows, now=now))
+    options = [view.option(runner, request, now) for runner in found]
+    return min(options, key=_occupied, default=None)
+
+
+def _occupied(option: Option) -> float:
+    return option.situation.running / option.situation.limit
+
+
+def _affinity(root: str, runner: str) -> int:
+    return xxhash.xxh64_intdigest(f'{root} {runner}')
+
+
+def make_rules(cheapest: PlacementRule) -> dict[str, PlacementRule]:
+    """Return the rules by the names that the policy resource gives them."""
+    return {
+        'cost': cheapest,
+        'round-robin': RoundRobin(),
+        'least-loaded': LeastLoaded(),
+        'session-hash': SessionHash(),
+        'priority-fifo': PriorityFifo(),
+    }
--- a/src/jasminewheel/_internal/scheduling/cost.py
+++ b/src/jasminewheel/_internal/scheduling/cost.py
@@ -1,17 +1,12 @@
-"""Price running a call at a runner, in seconds of its program's latency."""
+"""Price running a call at a runner, in seconds of programs' latency."""
 
-from attrs import define, frozen
+from attrs import frozen
 
-from jasminewheel._internal.scheduling.belief import Held
+from jasminewheel._internal.scheduling.prefixes import Held
+from jasminewheel._internal.scheduling.rates import TargetRates
 
-RATE_STEP = 0.2
-DEFAULT_PREFILL_SECONDS_PER_TOKEN = 0.0002
-DEFAULT_SERVICE_SECONDS = 1
-MOST_PREFILL_SECONDS_PER_TOKEN = 0.01
 BYTES_PER_PROMPT_TOKEN = 4
 REGION_ROUND_TRIP_SECONDS = 0.04
-# Fewer computed tokens tell more of the network than of the engine.
-FEWEST_MEASURED_TOKENS = 64
 
 
 @frozen
@@ -30,41 +25,30 @@
         return max(1, self.link_bytes_per_second * self.link_share)
 
 
-@define(eq=False)
-class TargetRates:
-    """Learn how fast a target's runners work."""
-
-    prefill_seconds_per_token: float = DEFAULT_PREFILL_SECONDS_PER_TOKEN
-    service_seconds: float = DEFAULT_SERVICE_SECONDS
-
-    def learn_prefill(self, computed_tokens: int, seconds: float) -> None:
-        """Take in the time to the first token of a call."""
-        if computed_tokens < FEWEST_MEASURED_TOKENS:
-            return
-        measured = min(
-            seconds / computed_tokens, MOST_PREFILL_SECONDS_PER_TOKEN
-        )
-        change = measured - self.prefill_seconds_per_token
-        self.prefill_seconds_per_token += RATE_STEP * change
+@frozen
+class Demand:
+    """Hold what a call asks of a runner."""
 
-    def learn_service(self, seconds: float) -> None:
-        """Take in the whole time of a call at its runner."""
-        self.service_seconds += RATE_STEP * (seconds - self.service_seconds)
+    prompt_tokens: int
+    answer_tokens: float
 
 
 @frozen
 class Situation:
-    """Hold what is known of one runner when a call is to be placed."""
+    """Hold what is known of one runner when a call is to be placed.
 
-    running: float
-    max_running: int
+    `limit` is how many calls this call's priority may fill the runner up to.
+    """
+
+    running: int
+    limit: int
     held: Held
     same_region: bool
 
     @property
     def free(self) -> bool:
         """Return whether a call would start at once."""
-        return self.running + 1 <= self.max_running
+        return self.running < self.limit
 
 
 @frozen
@@ -72,47 +56,52 @@
     """Hold the parts of a cost in seconds."""
 
     recompute_seconds: float
-    wait_seconds: float
     crowding_seconds: float
+    wait_seconds: float
     link_seconds: float
-
-    @property
-    def total_seconds(self) -> float:
-        """Return the sum of all parts."""
-        return (
-            self.recompute_seconds
-            + self.wait_seconds
-            + self.crowding_seconds
-            + self.link_seconds
-        )
+    total_seconds: float
 
 
 def price(
     situation: Situation,
-    prompt_tokens: int,
+    demand: Demand,
     rates: TargetRates,
     weights: CostWeights,
 ) -> Cost:
-    """Return what running the call at the runner costs."""
-    missing = max(0, prompt_tokens - situation.held.expected_tokens)
-    occupied = situation.running / situation.max_running
-    excess = situation.running + 1 - situation.max_running
-    turns_to_wait = max(0, excess) / situation.max_running
-    return Cost(
-        recompute_seconds=(
-            weights.prefix * missing * rates.prefill_seconds_per_token
-        ),
-        wait_seconds=turns_to_wait * rates.service_seconds,
-        crowding_seconds=weights.load * occupied * rates.service_seconds,
-        link_seconds=_link_seconds(situation, prompt_tokens, weights),
-    )
+    """Return what running the call at the runner costs all programs there."""
+    recompute = weights.prefix * _recompute_seconds(situation, demand, rates)
+    crowding = weights.load * _crowding_seconds(situation, demand, rates)
+    excess = max(0, situation.running + 1 - situation.limit)
+    wait = rates.service_seconds * excess / situation.limit
+    link = weights.link * _link_seconds(situation, demand, weights)
+    total = recompute + crowding + wait + link
+    return Cost(recompute, crowding, wait, link, total)
+
+
+def _recompute_seconds(
+    situation: Situation, demand: Demand, rates: TargetRates
+) -> float:
+    missing = max(0, demand.prompt_tokens - situation.held.expected_tokens)
+    # A prompt that is computed holds up every answer of the same batch.
+    held_up = 1 + situation.running
+    return missing * rates.prefill_seconds_per_token * held_up
+
+
+def _crowding_seconds(
+    situation: Situation, demand: Demand, rates: TargetRates
+) -> float:
+    if not demand.prompt_tokens:
+        return rates.service_seconds * situation.running / situation.limit
+    # Each running call slows this one, and this one slows each of them.
+    slowed = 2 * situation.running
+    return demand.answer_tokens * rates.crowding.seconds * slowed
 
 
 def _link_seconds(
-    situation: Situation, prompt_tokens: int, weights: CostWeights
+    situation: Situation, demand: Demand, weights: CostWeights
 ) -> float:
     if situation.same_region:
         return 0
-    sent = prompt_tokens * BYTES_PER_PROMPT_TOKEN
+    sent = demand.prompt_tokens * BYTES_PER_PROMPT_TOKEN
     transfer = sent / weights.usable_bytes_per_second
-    return weights.link * (transfer + REGION_ROUND_TRIP_SECONDS)
+    return transfer + REGION_ROUND_TRIP_SECONDS
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/explanations.py
@@ -0,0 +1,150 @@
+"""Keep why calls were placed, made to wait or refused, bounded in memory."""
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from typing import Protocol
+
+from attrs import define, field, frozen
+
+from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.view import Choice, Option
+
+PROGRAMS_KEPT = 4096
+DECISIONS_A_PROGRAM = 16
+DECISIONS_A_TARGET = 128
+OPTIONS_KEPT = 5
+
+
+@frozen
+class Weighed:
+    """Hold one runner's part in a decision; costs are in seconds."""
+
+    runner: str
+    region: str
+    running: int
+    limit: int
+    held_tokens: int
+    trust: float
+    recompute_seconds: float
+    crowding_seconds: float
+    wait_seconds: float
+    link_seconds: float
+    total_seconds: float
+
+
+@frozen
+class Explanation:
+    """Hold one decision; `at` is Unix time."""
+
+    at: float
+    program_id: str
+    request_id: str
+    target: str
+    decision: str
+    runner: str
+    reason: str
+    waited_seconds: float
+    calls_ahead: int
+    weighed: tuple[Weighed, ...]
+
+
+class Explainer(Protocol):
+    """Tell why recent decisions were made."""
+
+    def explain_program(self, program_id: str) -> Sequence[Explanation]:
+        """Return a program's recent decisions, the oldest first."""
+
+    def explain_target(self, target: str) -> Sequence[Explanation]:
+        """Return a target's recent decisions, the oldest first."""
+
+
+def _new_ring() -> deque[Explanation]:
+    return deque(maxlen=DECISIONS_A_TARGET)
+
+
+@define(eq=False)
+class ExplanationBook:
+    """Keep the latest decisions by program and by target."""
+
+    programs: OrderedDict[str, deque[Explanation]] = field(factory=OrderedDict)
+    targets: dict[str, deque[Explanation]] = field(factory=dict)
+
+    def record(self, explanation: Explanation) -> None:
+        """Keep a decision; the oldest ones make room."""
+        ring = self.programs.get(explanation.program_id)
+        if ring is None:
+            ring = deque(maxlen=DECISIONS_A_PROGRAM)
+            self.programs[explanation.program_id] = ring
+        ring.append(explanation)
+        self.programs.move_to_end(explanation.program_id)
+        if len(self.programs) > PROGRAMS_KEPT:
+            self.programs.popitem(last=False)
+        self.targets.setdefault(explanation.target, _new_ring()).append(
+            explanation
+        )
+
+    def explain_program(self, program_id: str) -> Sequence[Explanation]:
+        """Return a program's recent decisions, the oldest first."""
+        return tuple(self.programs.get(program_id, ()))
+
+    def explain_target(self, target: str) -> Sequence[Explanation]:
+        """Return a target's recent decisions, the oldest first."""
+        return tuple(self.targets.get(target, ()))
+
+
+def explain_choice(
+    request: PlacementRequest,
+    choice: Choice,
+    now: float,
+    waited_seconds: float,
+    calls_ahead: int,
+) -> Explanation:
+    """Return the explanation of a placement or of a wait."""
+    option = choice.option
+    return Explanation(
+        at=now,
+        program_id=request.program_id,
+        request_id=request.request_id,
+        target=request.target,
+        decision='placed' if option else 'waits',
+        runner=option.runner.name if option else '',
+        reason=choice.reason,
+        waited_seconds=waited_seconds,
+        calls_ahead=calls_ahead,
+        weighed=tuple(map(_weighed, choice.weighed[:OPTIONS_KEPT])),
+    )
+
+
+def explain_refusal(
+    request: PlacementRequest, reason: str, now: float, calls_ahead: int
+) -> Explanation:
+    """Return the explanation of an early refusal."""
+    return Explanation(
+        at=now,
+        program_id=request.program_id,
+        request_id=request.request_id,
+        target=request.target,
+        decision='refused',
+        runner='',
+        reason=reason,
+        waited_seconds=0,
+        calls_ahead=calls_ahead,
+        weighed=(),
+    )
+
+
+def _weighed(option: Option) -> Weighed:
+    situation, cost = option.situation, option.cost
+    return Weighed(
+        runner=option.runner.name,
+        region=option.runner.region,
+        running=situation.running,
+        limit=situation.limit,
+        held_tokens=situation.held.tokens,
+        trust=situation.held.trust,
+        recompute_seconds=cost.recompute_seconds,
+        crowding_seconds=cost.crowding_seconds,
+        wait_seconds=cost.wait_seconds,
+        link_seconds=cost.link_seconds,
+        total_seconds=cost.total_seconds,
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/fleet.py
@@ -0,0 +1,83 @@
+"""Order a target's runners by load, so that few have to be weighed."""
+
+from collections.abc import Callable, Iterator
+
+import xxhash
+from sortedcontainers import SortedList
+
+from jasminewheel.models.target import Runner, Target
+
+# Runners with open breakers are passed over up to this many.
+MOST_PASSED = 32
+
+
+class TargetFleet:
+    """Keep the serving runners of one target by region and occupancy."""
+
+    def __init__(self, target: Target, salt: str) -> None:
+        """Order equally loaded runners by the salt, so that entries differ."""
+        self.runners = {one.name: one for one in target.serving_runners()}
+        self.regions: dict[str, SortedList] = {}
+        self.keys: dict[str, tuple[float, int, str]] = {}
+        self.ties = {
+            name: xxhash.xxh32_intdigest(salt + name) for name in self.runners
+        }
+
+    def update(self, name: str, running: int) -> None:
+        """Put a runner in its place for its present load."""
+        runner = self.runners.get(name)
+        if runner is None:
+            return
+        order = self.regions.setdefault(runner.region, SortedList())
+        known = self.keys.get(name)
+        if known is not None:
+            order.remove(known)
+        key = (running / runner.max_running, self.ties[name], name)
+        self.keys[name] = key
+        order.add(key)
+
+    def least_loaded(
+        self, count: int, allows: Callable[[str], bool]
+    ) -> Iterator[Runner]:
+        """Yield the least loaded runners of each region."""
+        for order in self.regions.values():
+            left = count
+            for _, _, name in order.islice(0, count + MOST_PASSED):
+                if left and allows(name):
+                    left -= 1
+                    yield self.runners[name]
+
+
+class FleetBook:
+    """Keep the fleet of each target in step with the configuration."""
+
+    def __init__(
+        self, salt: str, estimate: Callable[[str, float], int]
+    ) -> None:
+        """Order by what `estimate` returns for a runner and time."""
+        self.salt = salt
+        self.estimate = estimate
+        self.fleets: dict[str, TargetFleet] = {}
+        self.declared: dict[str, Target] = {}
+        self.targets_of: dict[str, str] = {}
+
+    def fleet(self, target: Target, now: float) -> TargetFleet:
+        """Return the fleet of a target, made anew if it was changed."""
+        if self.declared.get(target.name) is not target:
+            self._make(target, now)
+        return self.fleets[target.name]
+
+    def update(self, runner: str, now: float) -> None:
+        """Put a runner in its place for its present load."""
+        target = self.targets_of.get(runner)
+        if target is not None:
+            load = self.estimate(runner, now)
+            self.fleets[target].update(runner, load)
+
+    def _make(self, target: Target, now: float) -> None:
+        fleet = TargetFleet(target, self.salt)
+        for name in fleet.runners:
+            fleet.update(name, self.estimate(name, now))
+            self.targets_of[name] = target.name
+        self.fleets[target.name] = fleet
+        self.declared[target.name] = target
--- a/src/jasminewheel/_internal/scheduling/load.py
+++ b/src/jasminewheel/_internal/scheduling/load.py
@@ -23,10 +23,9 @@
     """Estimate how many calls one runner has now."""
 
     lag_seconds: float = DEFAULT_LAG_SECONDS
-    report: LoadReport | None = None
     reported_at: float = 0
     own_running: int = 0
-    others_running: float = 0
+    others_running: int = 0
     steps: deque[_Step] = field(factory=deque)
 
     def started(self, now: float) -> None:
@@ -41,30 +40,22 @@
 
     def reported(self, report: LoadReport, now: float) -> None:
         """Take in a report; what is not this entry's is the others'."""
-        self.report = report
         self.reported_at = now
         total = report.running + report.waiting
         own_then = self._own_at(now - self.lag_seconds)
         self.others_running = max(0, total - own_then)
 
-    def estimate(self, now: float) -> float:
+    def estimate(self, now: float) -> int:
         """Return the calls that the runner has now."""
-        return self.own_running + self.others(now)
-
-    def others(self, now: float) -> float:
-        """Return the calls of other entries, fading as the report ages."""
-        age = now - self.reported_at
-        if age >= REPORT_LIFE_SECONDS:
-            return 0
-        return self.others_running * (1 - age / REPORT_LIFE_SECONDS)
+        if now - self.reported_at > REPORT_LIFE_SECONDS:
+            return self.own_running
+        return self.own_running + self.others_running
 
     def _own_at(self, moment: float) -> int:
-        running = self.own_running
         for step in reversed(self.steps):
-            running = step.running
             if step.at <= moment:
-                return running
-        return 0 if self.steps else running
+                return step.running
+        return 0 if self.steps else self.own_running
 
     def _remember(self, now: float) -> None:
         self.steps.append(_Step(now, self.own_running))
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -1,78 +1,87 @@
 """Choose the runner of a call, or to wait for a better one."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterator
+from functools import partial
+from itertools import islice
 from typing import Protocol
 
-from attrs import frozen
+from attrs import define, frozen
 
-from jasminewheel._internal.scheduling.cost import (
-    Cost,
-    CostWeights,
-    Situation,
-    TargetRates,
-    price,
-)
-from jasminewheel.models.target import Runner
+from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.view import Choice, Option, TargetView
 
 WAIT_REASON = 'waits for a runner that costs less than a free one'
-
-
-@frozen
-class Option:
-    """Hold a runner that may be chosen and what it would cost."""
-
-    runner: Runner
-    situation: Situation
-    cost: Cost
-
-
-@frozen
-class Choice:
-    """Hold the chosen option, or none to wait, and all that was weighed."""
-
-    option: Option | None
-    weighed: tuple[Option, ...]
-    reason: str
+FULL_REASON = 'waits because all runners are full'
+NONE_REASON = 'no runner may be sent calls'
+HOLDERS_WEIGHED = 6
+LEAST_LOADED_WEIGHED = 4
 
 
 class PlacementRule(Protocol):
     """Choose among the runners of a target."""
 
-    def choose(self, options: Sequence[Option]) -> Choice:
+    def choose(
+        self, view: TargetView, request: PlacementRequest, now: float
+    ) -> Choice:
         """Return the runner to use now, or a choice to wait."""
 
 
-def price_options(
-    situations: Iterable[tuple[Runner, Situation]],
-    prompt_tokens: int,
-    rates: TargetRates,
-    weights: CostWeights,
-) -> list[Option]:
-    """Return the runners with what each would cost."""
-    return [
-        Option(
-            runner,
-            situation,
-            price(situation, prompt_tokens, rates, weights),
+@frozen
+class CheapestRunner:
+    """Take the runner of the lowest cost; wait when that one is full.
+
+    Only the runners that hold a part of the prompt and the least loaded ones
+    of each region are weighed, so the fleet's size hardly matters.
+    """
+
+    def choose(
+        self, view: TargetView, request: PlacementRequest, now: float
+    ) -> Choice:
+        """Return the cheapest runner unless waiting for it costs less."""
+        weighed = tuple(
+            sorted(weigh_runners(view, request, now), key=_total_seconds)
         )
-        for runner, situation in situations
-    ]
+        if not weighed:
+            return Choice(None, weighed, NONE_REASON)
+        best = weighed[0]
+        if best.situation.free:
+            return Choice(best, weighed, 'costs least')
+        if 'waiting' in view.policy.without:
+            return _first_free(weighed)
+        free = any(option.situation.free for option in weighed)
+        return Choice(None, weighed, WAIT_REASON if free else FULL_REASON)
+
+
+def weigh_runners(
+    view: TargetView, request: PlacementRequest, now: float
+) -> Iterator[Option]:
+    """Yield the runners worth weighing with their costs."""
+    allows = partial(view.allows, now=now)
+    known = set()
+    for runner, held in islice(
+        _holders(view, request, now), HOLDERS_WEIGHED
+    ):
+        if allows(runner):
+            known.add(runner)
+            declared = view.fleet.runners[runner]
+            yield view.option(declared, request, now, held)
+    for declared in view.fleet.least_loaded(LEAST_LOADED_WEIGHED, allows):
+        if declared.name not in known:
+            yield view.option(declared, request, now)
+
+
+def _holders(view: TargetView, request: PlacementRequest, now: float):
+    if 'prefix' in view.policy.without:
+        return iter(())
+    return view.runners.prefixes.holders(request.blocks, now)
 
 
 def _total_seconds(option: Option) -> float:
     return option.cost.total_seconds
 
 
-@frozen
-class CheapestRunner:
-    """Take the runner of the lowest cost; wait when that one is full."""
-
-    def choose(self, options: Sequence[Option]) -> Choice:
-        """Return the cheapest free runner unless waiting costs less."""
-        weighed = tuple(sorted(options, key=_total_seconds))
-        if not weighed:
-            return Choice(None, weighed, 'no runner may be sent calls')
-        best = weighed[0]
-        if best.situation.free:
-            return Choice(best, weighed, 'costs least')
-        return Choice(None, weighed, WAIT_REASON)
+def _first_free(weighed: tuple[Option, ...]) -> Choice:
+    free = (option for option in weighed if option.situation.free)
+    option = next(free, None)
+    reason = 'costs least of the free ones' if option else FULL_REASON
+    return Choice(option, weighed, reason)
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/rates.py
@@ -0,0 +1,78 @@
+"""Learn how fast a target's runners work."""
+
+from attrs import define
+
+RATE_STEP = 0.1
+DEFAULT_PREFILL_SECONDS_PER_TOKEN = 0.0001
+DEFAULT_SERVICE_SECONDS = 0.2
+DEFAULT_ANSWER_TOKENS = 50
+DEFAULT_CROWDING_SECONDS = 0.0005
+DEFAULT_TOKEN_SECONDS = 0.005
+DEFAULT_RUNNING = 4
+LEAST_VARIANCE = 0.5
+# Fewer computed tokens tell more of the network than of the engine.
+FEWEST_MEASURED_TOKENS = 256
+MOST_PREFILL_SECONDS_PER_TOKEN = 0.01
+
+
+@define(eq=False)
+class CrowdingSlope:
+    """Fit how much each other call slows a token, recent calls more."""
+
+    mean_running: float = DEFAULT_RUNNING
+    mean_seconds: float = DEFAULT_TOKEN_SECONDS
+    variance: float = 1
+    covariance: float = DEFAULT_CROWDING_SECONDS
+
+    def learn(self, running: float, token_seconds: float) -> None:
+        """Take in the time for each token of one call."""
+        far_running = running - self.mean_running
+        far_seconds = token_seconds - self.mean_seconds
+        self.mean_running += RATE_STEP * far_running
+        self.mean_seconds += RATE_STEP * far_seconds
+        self.variance += RATE_STEP * (far_running**2 - self.variance)
+        product = far_running * far_seconds
+        self.covariance += RATE_STEP * (product - self.covariance)
+
+    @property
+    def seconds(self) -> float:
+        """Return the seconds that each other call adds to a token."""
+        slope = self.covariance / max(self.variance, LEAST_VARIANCE)
+        return max(0, slope)
+
+
+@define(eq=False)
+class TargetRates:
+    """Hold the learned rates of one target."""
+
+    crowding: CrowdingSlope
+    prefill_seconds_per_token: float = DEFAULT_PREFILL_SECONDS_PER_TOKEN
+    service_seconds: float = DEFAULT_SERVICE_SECONDS
+    answer_tokens: float = DEFAULT_ANSWER_TOKENS
+
+    def learn_prefill(self, computed_tokens: int, seconds: float) -> None:
+        """Take in the time to the first token of a call."""
+        if computed_tokens < FEWEST_MEASURED_TOKENS:
+            return
+        measured = min(
+            seconds / computed_tokens, MOST_PREFILL_SECONDS_PER_TOKEN
+        )
+        change = measured - self.prefill_seconds_per_token
+        self.prefill_seconds_per_token += RATE_STEP * change
+
+    def learn_answer(
+        self, tokens: int, decode_seconds: float, running: float
+    ) -> None:
+        """Take in the length and speed of an answer."""
+        self.answer_tokens += RATE_STEP * (tokens - self.answer_tokens)
+        if tokens > 1:
+            self.crowding.learn(running, decode_seconds / tokens)
+
+    def learn_service(self, seconds: float) -> None:
+        """Take in the whole time of a call at its runner."""
+        self.service_seconds += RATE_STEP * (seconds - self.service_seconds)
+
+
+def new_rates() -> TargetRates:
+    """Return rates before anything was learned."""
+    return TargetRates(CrowdingSlope())
--- a/src/jasminewheel/_internal/scheduling/runners.py
+++ b/src/jasminewheel/_internal/scheduling/runners.py
@@ -2,18 +2,17 @@
 
 from attrs import define, field
 
-from jasminewheel._internal.scheduling.belief import RunnerBelief
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
 from jasminewheel._internal.scheduling.load import RunnerLoad
-from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
+from jasminewheel._internal.scheduling.prefixes import PrefixIndex
+from jasminewheel._internal.targets.engine import LoadReport
 
 
 @define(eq=False)
 class RunnerState:
-    """Hold the load, the believed cache and the breaker of one runner."""
+    """Hold the load and the breaker of one runner."""
 
     load: RunnerLoad = field(factory=RunnerLoad)
-    belief: RunnerBelief = field(factory=RunnerBelief)
     breaker: CircuitBreaker = field(factory=CircuitBreaker)
 
 
@@ -23,6 +22,7 @@
     def __init__(self) -> None:
         """Start with no runner known."""
         self.states: dict[str, RunnerState] = {}
+        self.prefixes = PrefixIndex()
 
     def state(self, runner: str) -> RunnerState:
         """Return a runner's state, new if unknown."""
@@ -32,16 +32,16 @@
             self.states[runner] = found
         return found
 
-    def observe_load(self, runner: str, report: LoadReport, now: float) -> None:
+    def observe_load(
+        self, runner: str, report: LoadReport, now: float
+    ) -> None:
         """Take in a load report."""
-        state = self.state(runner)
-        state.load.reported(report, now)
-        state.belief.capacity_tokens = report.kv_capacity_tokens
-
-    def observe_cache(self, runner: str, event: CacheEvent, now: float) -> None:
-        """Take in a cache event."""
-        self.state(runner).belief.observe(event, now)
+        self.state(runner).load.reported(report, now)
+        cache = self.prefixes.cache(runner)
+        cache.capacity_tokens = report.kv_capacity_tokens
+        cache.used_tokens = report.kv_used_tokens
 
     def forget(self, runner: str) -> bool:
         """Drop a runner's state; return whether it was known."""
+        self.prefixes.forget(runner)
         return self.states.pop(runner, None) is not None
