--- a/src/jasminewheel/_internal/scheduling/admission.py
+++ b/src/jasminewheel/_internal/scheduling/admission.py
@@ -9,14 +9,6 @@
 QUIET_SECONDS = 5
 
 
-@frozen
-class AdmissionLimits:
-    """Bound a target's queue in calls and in time."""
-
-    max_queue: int = 1000
-    max_wait_seconds: float = 30
-
-
 @define(eq=False)
 class Throughput:
     """Measure how many calls of a target end each second."""
--- a/src/jasminewheel/_internal/scheduling/baselines.py
+++ b/src/jasminewheel/_internal/scheduling/baselines.py
@@ -93,7 +93,7 @@
 
 
 def _affinity(root: str, runner: str) -> int:
-    return xxhash.xxh64_intdigest(f'{root} {runner}')
+    return xxhash.xxh64_intdigest(f'{root} {runner}'.encode())
 
 
 def make_rules(cheapest: PlacementRule) -> dict[str, PlacementRule]:
--- a/src/jasminewheel/_internal/scheduling/decision.py
+++ b/src/jasminewheel/_internal/scheduling/decision.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field
 
-from jasminewheel._internal.scheduling.placement import Choice, Option
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.view import Choice, Option
 from jasminewheel._internal.targets.engine import EngineUsage
 
 
--- a/src/jasminewheel/_internal/scheduling/explanations.py
+++ b/src/jasminewheel/_internal/scheduling/explanations.py
@@ -9,10 +9,10 @@
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.view import Choice, Option
 
-PROGRAMS_KEPT = 4096
-DECISIONS_A_PROGRAM = 16
+PROGRAMS_KEPT = 1024
+DECISIONS_A_PROGRAM = 8
 DECISIONS_A_TARGET = 128
-OPTIONS_KEPT = 5
+OPTIONS_KEPT = 4
 
 
 @frozen
@@ -45,7 +45,12 @@
     reason: str
     waited_seconds: float
     calls_ahead: int
-    weighed: tuple[Weighed, ...]
+    options: tuple[Option, ...]
+
+    @property
+    def weighed(self) -> tuple[Weighed, ...]:
+        """Return the numbers of the runners weighed, the best first."""
+        return tuple(map(_weighed, self.options))
 
 
 class Explainer(Protocol):
@@ -111,7 +116,7 @@
         reason=choice.reason,
         waited_seconds=waited_seconds,
         calls_ahead=calls_ahead,
-        weighed=tuple(map(_weighed, choice.weighed[:OPTIONS_KEPT])),
+        options=choice.weighed[:OPTIONS_KEPT],
     )
 
 
@@ -129,7 +134,7 @@
         reason=reason,
         waited_seconds=0,
         calls_ahead=calls_ahead,
-        weighed=(),
+        options=(),
     )
 
 
--- a/src/jasminewheel/_internal/scheduling/fleet.py
+++ b/src/jasminewheel/_internal/scheduling/fleet.py
@@ -19,9 +19,7 @@
         self.runners = {one.name: one for one in target.serving_runners()}
         self.regions: dict[str, SortedList] = {}
         self.keys: dict[str, tuple[float, int, str]] = {}
-        self.ties = {
-            name: xxhash.xxh32_intdigest(salt + name) for name in self.runners
-        }
+        self.ties = {name: _tie(salt, name) for name in self.runners}
 
     def update(self, name: str, running: int) -> None:
         """Put a runner in its place for its present load."""
@@ -81,3 +79,7 @@
             self.targets_of[name] = target.name
         self.fleets[target.name] = fleet
         self.declared[target.name] = target
+
+
+def _tie(salt: str, runner: str) -> int:
+    return xxhash.xxh32_intdigest(f'{salt} {runner}'.encode())
--- a/src/jasminewheel/_internal/scheduling/outcomes.py
+++ b/src/jasminewheel/_internal/scheduling/outcomes.py
@@ -3,9 +3,13 @@
 import logging
 from collections.abc import Callable
 
+from attrs import define
+
 from jasminewheel._internal.events import scheduling as events
 from jasminewheel._internal.scheduling.breaker import BreakerState
 from jasminewheel._internal.scheduling.decision import PlacementDecision
+from jasminewheel._internal.scheduling.fleet import FleetBook
+from jasminewheel._internal.scheduling.rates import TargetRates
 from jasminewheel._internal.scheduling.runners import RunnerBook, RunnerState
 from jasminewheel._internal.scheduling.waiting import TargetBook
 from jasminewheel._internal.targets.engine import EngineUsage
@@ -13,51 +17,43 @@
 LOGGER = logging.getLogger(__name__)
 
 
+@define(eq=False)
 class OutcomeLedger:
-    """Keep loads, beliefs, rates and breakers in step with placed calls."""
+    """Keep loads, beliefs, rates and breakers in step with placed calls.
 
-    def __init__(
-        self,
-        runners: RunnerBook,
-        targets: TargetBook,
-        freed: Callable[[str, float], None],
-    ) -> None:
-        """Call `freed` with the target whenever one of its calls ended."""
-        self.runners = runners
-        self.targets = targets
-        self.freed = freed
+    `freed` is called with the target whenever one of its calls ended.
+    """
+
+    runners: RunnerBook
+    fleets: FleetBook
+    targets: TargetBook
+    freed: Callable[[str, float], None]
 
     def placed(self, decision: PlacementDecision, now: float) -> None:
         """Count the call at its runner."""
         state = self._state(decision)
         state.load.started(now)
         state.breaker.sent(now)
+        self.fleets.update(decision.runner, now)
 
     def first_token(self, decision: PlacementDecision, now: float) -> None:
         """Learn the time to compute the prompt."""
         computed = (
             decision.request.prompt_tokens - decision.expected_cached_tokens
         )
-        rates = self.targets.state(decision.request.target).rates
-        rates.learn_prefill(computed, now - decision.placed_at)
+        self._rates(decision).learn_prefill(computed, now - decision.placed_at)
 
     def finished(
         self, decision: PlacementDecision, usage: EngineUsage | None, now: float
     ) -> None:
-        """Learn what was cached and close the breaker."""
-        state = self._state(decision)
-        was_closed = state.breaker.state is BreakerState.closed
-        state.breaker.succeeded()
-        if not was_closed:
-            events.BREAKER_CLOSED.log(LOGGER, runner=decision.runner)
-        if usage is not None:
-            state.belief.learn(
-                decision.expected_cached_tokens, usage.cached_tokens
-            )
-        for block in decision.request.blocks:
-            state.belief.touch(block.block, now)
-        rates = self.targets.state(decision.request.target).rates
+        """Learn what was cached and how fast the runner was."""
+        self._close_breaker(decision)
+        rates = self._rates(decision)
         rates.learn_service(now - decision.placed_at)
+        if usage is not None:
+            self._learn_usage(decision, usage, now)
+        prefixes = self.runners.prefixes
+        prefixes.touch(decision.runner, decision.request.blocks, now)
         self._end(decision, now)
 
     def failed(self, decision: PlacementDecision, now: float) -> None:
@@ -74,11 +70,34 @@
         self._state(decision).breaker.abandoned(now)
         self._end(decision, now)
 
+    def _learn_usage(
+        self, decision: PlacementDecision, usage: EngineUsage, now: float
+    ) -> None:
+        cache = self.runners.prefixes.cache(decision.runner)
+        cache.learn(decision.expected_cached_tokens, usage.cached_tokens)
+        if decision.first_token_at is not None:
+            self._rates(decision).learn_answer(
+                usage.completion_tokens,
+                now - decision.first_token_at,
+                decision.option.situation.running,
+            )
+
+    def _close_breaker(self, decision: PlacementDecision) -> None:
+        breaker = self._state(decision).breaker
+        was_closed = breaker.state is BreakerState.closed
+        breaker.succeeded()
+        if not was_closed:
+            events.BREAKER_CLOSED.log(LOGGER, runner=decision.runner)
+
+    def _rates(self, decision: PlacementDecision) -> TargetRates:
+        return self.targets.state(decision.request.target).rates
+
     def _state(self, decision: PlacementDecision) -> RunnerState:
         return self.runners.state(decision.runner)
 
     def _end(self, decision: PlacementDecision, now: float) -> None:
         self._state(decision).load.ended(now)
+        self.fleets.update(decision.runner, now)
         target = decision.request.target
         self.targets.state(target).throughput.ended(now)
         self.freed(target, now)
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -5,7 +5,7 @@
 from itertools import islice
 from typing import Protocol
 
-from attrs import define, frozen
+from attrs import frozen
 
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.view import Choice, Option, TargetView
@@ -58,9 +58,7 @@
     """Yield the runners worth weighing with their costs."""
     allows = partial(view.allows, now=now)
     known = set()
-    for runner, held in islice(
-        _holders(view, request, now), HOLDERS_WEIGHED
-    ):
+    for runner, held in islice(_holders(view, request, now), HOLDERS_WEIGHED):
         if allows(runner):
             known.add(runner)
             declared = view.fleet.runners[runner]
--- a/src/jasminewheel/_internal/scheduling/queue.py
+++ b/src/jasminewheel/_internal/scheduling/queue.py
@@ -1,12 +1,12 @@
 """Order the waiting calls of a target by their programs' claims."""
 
 from math import log2
-from typing import Protocol
 
 from attrs import define, field, frozen
 from sortedcontainers import SortedKeyList
 
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel.models.policy import COST_RULE, Policy
 
 TOP_PRIORITY = 9
 PRIORITY_STEP_SECONDS = 6
@@ -41,13 +41,6 @@
         )
 
 
-class Ordering(Protocol):
-    """Weigh a call's claim when it is queued."""
-
-    def claim(self, request: PlacementRequest, waited_seconds: float) -> Claim:
-        """Return the claim of a call whose program waited so long before."""
-
-
 def attained_level(tokens: int) -> int:
     """Return the level of attained service, 0 for a new program."""
     level = int(log2(1 + tokens / ATTAINED_UNIT_TOKENS))
@@ -60,7 +53,7 @@
 
     by_priority: bool = True
     by_attained: bool = True
-    by_waited: bool = True
+    by_age: bool = True
 
     def claim(self, request: PlacementRequest, waited_seconds: float) -> Claim:
         """Return the claim of a call whose program waited so long before."""
@@ -70,8 +63,23 @@
         return Claim(
             priority_seconds=self.by_priority * steps * PRIORITY_STEP_SECONDS,
             attained_seconds=self.by_attained * level * ATTAINED_STEP_SECONDS,
-            waited_seconds=self.by_waited * credit,
+            waited_seconds=self.by_age * credit,
+        )
+
+
+FIFO = ProgramOrdering(by_priority=False, by_attained=False, by_age=False)
+PRIORITY_FIFO = ProgramOrdering(by_attained=False, by_age=False)
+
+
+def ordering_of(policy: Policy) -> ProgramOrdering:
+    """Return the order that a policy asks for."""
+    if policy.rule == COST_RULE:
+        return ProgramOrdering(
+            by_priority='priority' not in policy.without,
+            by_attained='attained' not in policy.without,
+            by_age='age' not in policy.without,
         )
+    return PRIORITY_FIFO if policy.rule == 'priority-fifo' else FIFO
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/scheduling/runners.py
+++ b/src/jasminewheel/_internal/scheduling/runners.py
@@ -32,9 +32,7 @@
             self.states[runner] = found
         return found
 
-    def observe_load(
-        self, runner: str, report: LoadReport, now: float
-    ) -> None:
+    def observe_load(self, runner: str, report: LoadReport, now: float) -> None:
         """Take in a load report."""
         self.state(runner).load.reported(report, now)
         cache = self.prefixes.cache(runner)
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import ExitStack, asynccontextmanager
 
 import trio
@@ -10,7 +10,6 @@
 from jasminewheel._internal.events import scheduling as events
 from jasminewheel._internal.scheduling.admission import (
     SHORTEST_RETRY_SECONDS,
-    AdmissionLimits,
     Refusal,
     judge,
 )
@@ -19,17 +18,14 @@
     ConfigurationSource,
     Dispatcher,
 )
-from jasminewheel._internal.scheduling.queue import (
-    ProgramOrdering,
-    QueuedCall,
+from jasminewheel._internal.scheduling.explanations import (
+    Explanation,
+    explain_choice,
+    explain_refusal,
 )
+from jasminewheel._internal.scheduling.queue import QueuedCall, ordering_of
 from jasminewheel._internal.scheduling.request import PlacementRequest
-from jasminewheel._internal.scheduling.runners import RunnerBook
-from jasminewheel._internal.scheduling.waiting import (
-    TargetBook,
-    TargetState,
-    Waiter,
-)
+from jasminewheel._internal.scheduling.waiting import TargetState, Waiter
 from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
 
@@ -45,16 +41,18 @@
         configuration: ConfigurationSource,
         region: str,
         clock: Callable[[], float] = time.time,
+        salt: str = '',
     ) -> None:
-        """Start with empty queues; clock gives Unix time in seconds."""
+        """Start with empty queues; clock gives Unix time in seconds.
+
+        The salt, such as the member's name, makes entries differ in which of
+        equally good runners they take.
+        """
         self.configuration = configuration
         self.clock = clock
-        self.runners = RunnerBook()
-        self.targets = TargetBook()
-        self.ordering = ProgramOrdering()
-        self.dispatcher = Dispatcher(
-            configuration, region, self.runners, self.targets
-        )
+        self.dispatcher = Dispatcher(configuration, region, salt)
+        self.runners = self.dispatcher.runners
+        self.targets = self.dispatcher.targets
 
     @asynccontextmanager
     async def place(
@@ -62,7 +60,8 @@
     ) -> AsyncIterator[PlacementDecision]:
         """Wait for a runner; raise OverloadedError if that takes too long."""
         patience = self._patience(request, now)
-        claim = self.ordering.claim(request, 0)
+        policy = self.configuration.current.policy
+        claim = ordering_of(policy).claim(request, 0)
         waiter = Waiter(QueuedCall(request, now, claim))
         state = self.targets.state(request.target)
         self._admit(state, waiter.call, patience)
@@ -74,23 +73,32 @@
     def observe_load(self, runner: str, report: LoadReport, now: float) -> None:
         """Take in a runner's load report and place what it lets through."""
         self.runners.observe_load(runner, report, now)
-        self.dispatcher.pump_all(now)
+        self.dispatcher.pump_runner(runner, now)
 
     def observe_cache(self, runner: str, event: CacheEvent, now: float) -> None:
         """Take in a runner's cache event."""
-        self.runners.observe_cache(runner, event, now)
+        self.runners.prefixes.observe(runner, event, now)
 
     def forget_runner(self, runner: str) -> None:
         """Drop what is known of a runner that left."""
         if self.runners.forget(runner):
             events.RUNNER_FORGOTTEN.log(LOGGER, runner=runner)
 
+    def explain_program(self, program_id: str) -> Sequence[Explanation]:
+        """Return a program's recent decisions, the oldest first."""
+        return self.dispatcher.explanations.explain_program(program_id)
+
+    def explain_target(self, target: str) -> Sequence[Explanation]:
+        """Return a target's recent decisions, the oldest first."""
+        return self.dispatcher.explanations.explain_target(target)
+
     async def _turn_of(
         self, waiter: Waiter, latest: float
     ) -> PlacementDecision:
         target = waiter.call.request.target
         now = self.clock()
         self.dispatcher.pump(target, now)
+        self._explain_wait(waiter, now)
         while not waiter.turn.is_set() and now < latest:
             with trio.move_on_after(min(RECHECK_SECONDS, latest - now)):
                 await waiter.turn.wait()
@@ -98,9 +106,18 @@
             if not waiter.turn.is_set():
                 self.dispatcher.pump(target, now)
         if waiter.decision is None:
-            raise _refuse(waiter.call.request, _late_refusal(waiter))
+            raise self._refuse(waiter.call, _late_refusal(waiter))
         return waiter.decision
 
+    def _explain_wait(self, waiter: Waiter, now: float) -> None:
+        if waiter.choice is None or waiter.turn.is_set():
+            return
+        request = waiter.call.request
+        ahead = self.targets.state(request.target).queue.ahead_of(waiter.call)
+        self.dispatcher.explanations.record(
+            explain_choice(request, waiter.choice, now, 0, ahead)
+        )
+
     def _release(self, state: TargetState, waiter: Waiter) -> None:
         state.remove(waiter)
         if waiter.decision is not None:
@@ -109,28 +126,35 @@
     def _admit(
         self, state: TargetState, call: QueuedCall, patience: float
     ) -> None:
-        limits = self._limits()
-        full = len(state.queue) >= limits.max_queue
+        policy = self.configuration.current.policy
+        full = len(state.queue) >= policy.max_queue_per_target
         if full and not state.displace_last(call):
             retry = state.throughput.expected_wait(len(state.queue))
-            raise _refuse(call.request, Refusal('the queue is full', retry))
+            raise self._refuse(call, Refusal('the queue is full', retry))
+        if 'admission' in policy.without:
+            return
         ahead = state.queue.ahead_of(call)
         refusal = judge(ahead, patience, state.throughput)
         if refusal is not None:
-            raise _refuse(call.request, refusal)
+            raise self._refuse(call, refusal)
 
     def _patience(self, request: PlacementRequest, now: float) -> float:
-        if request.target not in self.configuration.current.targets:
+        snapshot = self.configuration.current
+        if request.target not in snapshot.targets:
             raise NotFoundError(f'target {request.target} is not declared')
         if request.deadline <= now:
             raise DeadlineError('the deadline passed before the call ran')
-        return min(self._limits().max_wait_seconds, request.deadline - now)
+        left = request.deadline - now
+        return min(snapshot.policy.max_queue_seconds, left)
 
-    def _limits(self) -> AdmissionLimits:
-        policy = self.configuration.current.policy
-        return AdmissionLimits(
-            policy.max_queue_per_target, policy.max_queue_seconds
+    def _refuse(self, call: QueuedCall, refusal: Refusal) -> OverloadedError:
+        request = call.request
+        now = self.clock()
+        ahead = self.targets.state(request.target).queue.ahead_of(call)
+        self.dispatcher.explanations.record(
+            explain_refusal(request, refusal.reason, now, ahead)
         )
+        return _overloaded(request, refusal)
 
 
 def _late_refusal(waiter: Waiter) -> Refusal:
@@ -139,7 +163,7 @@
     return Refusal('no runner became free in time', 1)
 
 
-def _refuse(request: PlacementRequest, refusal: Refusal) -> OverloadedError:
+def _overloaded(request: PlacementRequest, refusal: Refusal) -> OverloadedError:
     events.REFUSED_EARLY.log(
         LOGGER,
         program=request.program_id,
--- a/src/jasminewheel/_internal/scheduling/waiting.py
+++ b/src/jasminewheel/_internal/scheduling/waiting.py
@@ -4,7 +4,8 @@
 from attrs import define, field
 
 from jasminewheel._internal.scheduling.admission import Throughput
-from jasminewheel._internal.scheduling.cost import TargetRates
+from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
+from jasminewheel._internal.scheduling.view import Choice
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.queue import ProgramQueue, QueuedCall
 
@@ -16,6 +17,7 @@
     call: QueuedCall
     turn: trio.Event = field(factory=trio.Event)
     decision: PlacementDecision | None = None
+    choice: Choice | None = None
     displaced: bool = False
 
     def place(self, decision: PlacementDecision) -> None:
@@ -35,7 +37,7 @@
 
     queue: ProgramQueue = field(factory=ProgramQueue)
     waiters: dict[QueuedCall, Waiter] = field(factory=dict)
-    rates: TargetRates = field(factory=TargetRates)
+    rates: TargetRates = field(factory=new_rates)
     throughput: Throughput = field(factory=Throughput)
 
     def push(self, waiter: Waiter) -> None:
--- a/src/jasminewheel/models/policy.py
+++ b/src/jasminewheel/models/policy.py
@@ -8,11 +8,33 @@
 from jasminewheel.models.rules import Between, OneOf
 
 POLICY_NAME = 'default'
+COST_RULE = 'cost'
+RULES = (
+    COST_RULE,
+    'round-robin',
+    'least-loaded',
+    'session-hash',
+    'priority-fifo',
+)
+PARTS = (
+    'priority',
+    'attained',
+    'age',
+    'prefix',
+    'waiting',
+    'reserve',
+    'admission',
+    'retention',
+)
 
 
 @frozen
 class Policy:
-    """Tune admission, queueing, placement and the use of the regions' link."""
+    """Tune admission, queueing, placement and the use of the regions' link.
+
+    `rule` places calls; all but `cost` are simple rules to compare with.
+    `without` leaves parts out of the policy, to measure what each is worth.
+    """
 
     name: Annotated[str, OneOf((POLICY_NAME,))] = POLICY_NAME
     max_queue_per_target: Count = 1000
@@ -28,3 +50,5 @@
     breaker_failures: Count = 5
     breaker_seconds: Seconds = 5.0
     reserved_share: Ratio = 0.1
+    rule: Annotated[str, OneOf(RULES)] = COST_RULE
+    without: tuple[Annotated[str, OneOf(PARTS)], ...] = ()
--- a/tests/functional/test_scheduler.py
+++ b/tests/functional/test_scheduler.py
@@ -9,11 +9,11 @@
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.configuration.view import ConfigurationView
 from jasminewheel._internal.scheduling.request import PlacementRequest
-from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
+from jasminewheel._internal.targets.engine import LoadReport
 from jasminewheel._internal.targets.prefix import PrefixBlock
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
-from jasminewheel.models.policy import Policy
+from jasminewheel.models.policy import COST_RULE, RULES, Policy
 from jasminewheel.models.target import MODEL, Runner, Target
 from jasminewheel.models.verdict import Verdict
 
@@ -92,7 +92,7 @@
     async def scenario():
         scheduler = make_scheduler(limit=4)
         chain = [PrefixBlock('a', 4000)]
-        scheduler.observe_cache('r2', CacheEvent(1, 'stored', 'a', 4000), 0)
+        scheduler.runners.prefixes.touch('r2', chain, 0)
         asked = request('p', blocks=chain)
         async with scheduler.place(asked, 0) as decision:
             assert decision.runner == 'r2'
@@ -115,7 +115,7 @@
     async def scenario():
         scheduler = make_scheduler(limit=4)
         chain = [PrefixBlock('a', 4000)]
-        scheduler.observe_cache('r2', CacheEvent(1, 'stored', 'a', 4000), 0)
+        scheduler.runners.prefixes.touch('r2', chain, 0)
         asked = request('p', blocks=chain)
         for _ in range(3):
             async with scheduler.place(asked, 0) as decision:
@@ -188,3 +188,34 @@
                 pytest.fail('the deadline passed')
 
     run(scenario)
+
+
+def test_decisions_are_explained_and_bounded():
+    async def scenario():
+        scheduler = make_scheduler(limit=2)
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(hold, scheduler, request('p'), [])
+        explained = scheduler.explain_program('p')
+        assert 0 < len(explained) <= 8
+        assert explained[-1].decision == 'placed'
+        weighed = explained[-1].weighed
+        assert weighed[0].total_seconds <= weighed[-1].total_seconds
+        with pytest.raises(DeadlineError):
+            async with scheduler.place(request('p', deadline=1), 2):
+                pytest.fail('the deadline passed')
+        assert scheduler.explain_target('guide')[-1].program_id == 'p'
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('rule', [one for one in RULES if one != COST_RULE])
+def test_every_baseline_places_calls(rule):
+    async def scenario():
+        scheduler, order = make_scheduler(rule=rule), []
+        async with trio.open_nursery() as nursery:
+            for name in ('a', 'b', 'c'):
+                nursery.start_soon(hold, scheduler, request(name), order)
+        assert sorted(order) == ['a', 'b', 'c']
+
+    run(scenario)
--- a/tests/unit/test_scheduling_rules.py
+++ b/tests/unit/test_scheduling_rules.py
@@ -1,7 +1,6 @@
 """Check the pure rules of scheduling: queue, load, belief, breaker, pauses."""
 
 from jasminewheel._internal.scheduling.admission import Throughput, judge
-from jasminewheel._internal.scheduling.belief import RunnerBelief
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
 from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.pause import (
@@ -11,6 +10,10 @@
     Retention,
     decide_retention,
 )
+from jasminewheel._internal.scheduling.prefixes import (
+    NOTHING_HELD,
+    PrefixIndex,
+)
 from jasminewheel._internal.scheduling.queue import (
     STARVATION_BOUND_SECONDS,
     ProgramOrdering,
@@ -80,31 +83,54 @@
     assert load.estimate(60) == 2
 
 
+def held_tokens(index: PrefixIndex, chain, now: float) -> int:
+    """Return what the runner `r` is believed to hold."""
+    return dict(index.holders(chain, now)).get('r', NOTHING_HELD).tokens
+
+
 def test_belief_ends_by_eviction_and_by_replaced_capacity():
-    belief = RunnerBelief(capacity_tokens=100)
+    index = PrefixIndex()
+    index.cache('r').capacity_tokens = 100
     chain = [PrefixBlock('a', 40), PrefixBlock('b', 40)]
-    belief.observe(CacheEvent(1, 'stored', 'a', 40), 0)
-    belief.observe(CacheEvent(2, 'stored', 'b', 40), 0)
-    assert belief.held(chain, 0).tokens == 80
-    belief.observe(CacheEvent(3, 'evicted', 'b', 40), 1)
-    assert belief.held(chain, 1).tokens == 40
+    index.touch('r', chain, 0)
+    assert held_tokens(index, chain, 0) == 80
+    index.observe('r', CacheEvent(3, 'evicted', 'b', 40), 1)
+    assert held_tokens(index, chain, 1) == 40
     # The eviction of `a` is lost, but 110 newer tokens fill the cache.
-    belief.observe(CacheEvent(4, 'stored', 'c', 60), 2)
-    belief.observe(CacheEvent(6, 'stored', 'd', 50), 2)
-    assert belief.held(chain, 2).tokens == 0
+    index.observe('r', CacheEvent(4, 'stored', 'c', 60), 2)
+    index.observe('r', CacheEvent(6, 'stored', 'd', 50), 2)
+    assert held_tokens(index, chain, 2) == 0
+    assert 'c' not in index.blocks
 
 
 def test_belief_trusts_less_after_gaps_age_and_misses():
-    belief = RunnerBelief()
+    index = PrefixIndex()
     chain = [PrefixBlock('a', 40)]
-    belief.observe(CacheEvent(1, 'stored', 'a', 40), 0)
-    fresh = belief.trust('a', 0)
-    belief.observe(CacheEvent(9, 'stored', 'z', 1), 0)
-    gapped = belief.trust('a', 0)
+    index.observe('r', CacheEvent(1, 'stored', 'x', 1), 0)
+    index.touch('r', chain, 0)
+
+    def trust(now: float) -> float:
+        return dict(index.holders(chain, now))['r'].trust
+
+    fresh = trust(0)
+    index.observe('r', CacheEvent(9, 'stored', 'z', 1), 0)
+    gapped = trust(0)
     assert gapped < fresh
-    assert belief.trust('a', 600) < gapped
-    belief.learn(40, 0)
-    assert belief.held(chain, 0).trust < gapped
+    assert trust(600) < gapped
+    index.cache('r').learn(40, 0)
+    assert trust(0) < gapped
+
+
+def test_belief_of_long_prompts_is_bounded():
+    index = PrefixIndex()
+    chain = [PrefixBlock(str(number), 1) for number in range(200)]
+    index.touch('r', chain, 0)
+    assert len(index.blocks) <= 10
+    assert held_tokens(index, chain, 0) == 200
+    index.drop(chain)
+    assert held_tokens(index, chain, 0) == 2
+    index.forget('r')
+    assert held_tokens(index, chain, 0) == 0
 
 
 def test_breaker_opens_probes_once_and_backs_off():
