--- a/src/jasminewheel/_internal/scheduling/baselines.py
+++ b/src/jasminewheel/_internal/scheduling/baselines.py
@@ -25,12 +25,10 @@
         self, view: TargetView, request: PlacementRequest, now: float
     ) -> Choice:
         """Return the next runner that may be sent calls."""
-        names = [name for name in view.fleet.runners if view.allows(name, now)]
-        if not names:
-            return Choice(None, (), NONE_REASON)
-        name = names[next(self.counter) % len(names)]
-        option = view.option(view.fleet.runners[name], request, now)
-        return Choice(option, (option,), 'is next in turn')
+        names = _allowed(view, now)
+        position = next(self.counter) % max(1, len(names))
+        name = names[position] if names else None
+        return _chosen(view, request, now, name, 'is next in turn')
 
 
 @frozen
@@ -56,12 +54,9 @@
     ) -> Choice:
         """Return the runner of the highest hash with the root program."""
         root = request.program_id.partition('.')[0]
-        names = [name for name in view.fleet.runners if view.allows(name, now)]
-        if not names:
-            return Choice(None, (), NONE_REASON)
-        name = max(names, key=partial(_affinity, root))
-        option = view.option(view.fleet.runners[name], request, now)
-        return Choice(option, (option,), "is the program's runner by hash")
+        affinity = partial(_affinity, root)
+        name = max(_allowed(view, now), key=affinity, default=None)
+        return _chosen(view, request, now, name, "is the program's by hash")
 
 
 @frozen
@@ -80,6 +75,23 @@
         return Choice(None, (option,), FULL_REASON)
 
 
+def _allowed(view: TargetView, now: float) -> list[str]:
+    return [name for name in view.fleet.runners if view.allows(name, now)]
+
+
+def _chosen(
+    view: TargetView,
+    request: PlacementRequest,
+    now: float,
+    name: str | None,
+    reason: str,
+) -> Choice:
+    if name is None:
+        return Choice(None, (), NONE_REASON)
+    option = view.option(view.fleet.runners[name], request, now)
+    return Choice(option, (option,), reason)
+
+
 def _least_loaded(
     view: TargetView, request: PlacementRequest, now: float
 ) -> Option | None:
