Keep budgets by grants from accounts in replicated logs

Cause: a caller's budget may never be exceeded, through store outages and deaths of owners, with no store call in a request's path. Ruled out: slices by compare-and-swap in the key-value service (a write for each slice, and none in an outage); windows by number (a longer window by configuration would send them back). Change: an account is a log owned with the slot of the caller's name; a grant is appended at a majority before it is answered, once for each identifier; entries reserve the worst case from their grants and settle after.

--- /dev/null
+++ b/src/jasminewheel/_internal/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Keep callers within their budgets."""
--- /dev/null
+++ b/src/jasminewheel/_internal/budget/journal.py
@@ -0,0 +1,108 @@
+"""Keep an account in a replicated log."""
+
+from typing import Any, Self
+
+from attrs import define, frozen
+
+from jasminewheel._internal.budget.account import Account
+from jasminewheel._internal.budget.ports import AccountRecord, SlotLog
+from jasminewheel._internal.wire.codec import decode, encode
+from jasminewheel._internal.wire.gen.budget.ttypes import (
+    AccountChange,
+    AccountSnapshot,
+)
+
+SNAPSHOT_KIND = 'account-snapshot'
+CHANGE_KIND = 'account-change'
+# A new owner reads at most so many records.
+_RECORDS_PER_SNAPSHOT = 512
+
+
+def log_of(caller: str) -> str:
+    """Return the name of the log that keeps a caller's account."""
+    return f'budget:{caller}'
+
+
+@frozen
+class _Pending:
+    index: int
+    kind: str
+    message: Any
+
+
+@define
+class AccountJournal:
+    """Change an account only once a majority holds the change.
+
+    A record with an unknown outcome is appended again before anything else.
+    One task at a time may use a journal.
+    """
+
+    slot: SlotLog
+    log_id: str
+    account: Account
+    next_index: int = 0
+    records: int = 0
+    pending: _Pending | None = None
+
+    @classmethod
+    async def load(cls, slot: SlotLog, caller: str) -> Self:
+        """Read the account of a caller from a slot owned here."""
+        log_id = log_of(caller)
+        journal = cls(slot, log_id, Account())
+        for record in await slot.read(log_id):
+            journal.replay(record)
+        return journal
+
+    def replay(self, record: AccountRecord) -> None:
+        """Apply a record of the log."""
+        kind = AccountChange
+        if record.kind == SNAPSHOT_KIND:
+            kind = AccountSnapshot
+        message = decode(kind, record.payload)
+        self.apply(_Pending(record.index, record.kind, message))
+
+    def apply(self, pending: _Pending) -> None:
+        """Make the change of a record that the log holds."""
+        self.next_index = pending.index + 1
+        self.records += 1
+        if pending.kind == SNAPSHOT_KIND:
+            self.account = Account.from_snapshot(pending.message)
+            self.records = 1
+        else:
+            self.account.apply(pending.message)
+
+    async def open_window(self, window_start_ms: int) -> None:
+        """Start a window with nothing granted, if it is another one."""
+        if window_start_ms != self.account.window_start_ms or not self.records:
+            await self.write_snapshot(Account(window_start_ms))
+
+    async def commit(self, change: AccountChange) -> None:
+        """Make a change; raise QuorumError if its outcome is unknown."""
+        await self.settle()
+        if self.records >= _RECORDS_PER_SNAPSHOT:
+            await self.write_snapshot(self.account)
+        if change.taken or change.returned:
+            await self.write(CHANGE_KIND, change)
+
+    async def write_snapshot(self, account: Account) -> None:
+        """Append a snapshot, which frees the records before it."""
+        await self.write(SNAPSHOT_KIND, account.snapshot())
+
+    async def write(self, kind: str, message: Any) -> None:
+        """Append one record."""
+        self.pending = _Pending(self.next_index, kind, message)
+        await self.settle()
+
+    async def settle(self) -> None:
+        """Append the record whose outcome is unknown, if there is one."""
+        pending = self.pending
+        if pending is None:
+            return
+        append = self.slot.append
+        if pending.kind == SNAPSHOT_KIND:
+            append = self.slot.snapshot
+        payload = encode(pending.message)
+        await append(self.log_id, pending.index, pending.kind, payload)
+        self.apply(pending)
+        self.pending = None
--- /dev/null
+++ b/src/jasminewheel/_internal/budget/service.py
@@ -0,0 +1,153 @@
+"""Grant slices of budgets as the owner of their accounts."""
+
+import logging
+import time
+from collections.abc import Callable, Mapping
+from contextlib import ExitStack
+from typing import Any
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.budget.account import BudgetLimit
+from jasminewheel._internal.budget.journal import AccountJournal, log_of
+from jasminewheel._internal.budget.ports import LimitSource, SlotSource
+from jasminewheel._internal.events import budget as events
+from jasminewheel._internal.peer.server import Exchange, Handler
+from jasminewheel._internal.wire.gen.budget.ttypes import (
+    GrantReturned,
+    GrantTaken,
+    ReturnGrant,
+    TakeGrant,
+)
+from jasminewheel.errors import FencedError, NotFoundError
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@define(eq=False)
+class _Request:
+    message: TakeGrant | ReturnGrant
+    answer: GrantTaken | GrantReturned | None = None
+
+
+@define(eq=False)
+class _Desk:
+    """Queue the requests of one account; whoever has the lock serves all."""
+
+    lock: trio.Lock = field(factory=trio.Lock)
+    queue: list[_Request] = field(factory=list)
+    journal: AccountJournal | None = None
+
+    def messages(self, kind: type[Any]) -> list[Any]:
+        """Return the queued messages of a kind."""
+        return [
+            request.message
+            for request in self.queue
+            if isinstance(request.message, kind)
+        ]
+
+
+@define(eq=False)
+class BudgetService:
+    """Answer requests for grants; a majority holds each grant first."""
+
+    slots: SlotSource
+    limit_of: LimitSource
+    clock: Callable[[], float] = time.time
+    desks: dict[str, _Desk] = field(factory=dict)
+
+    def handlers(self) -> Mapping[type, Handler]:
+        """Return the handlers of peers' messages."""
+        return {TakeGrant: self.handle_take, ReturnGrant: self.handle_return}
+
+    async def handle_take(
+        self, _exchange: Exchange, message: TakeGrant
+    ) -> GrantTaken:
+        """Answer a peer that takes a grant."""
+        return await self.take(message)
+
+    async def handle_return(
+        self, _exchange: Exchange, message: ReturnGrant
+    ) -> GrantReturned:
+        """Answer a peer that gives back a grant."""
+        return await self.give_back(message)
+
+    async def take(self, message: TakeGrant) -> GrantTaken:
+        """Grant tokens once a majority of replicas holds the grant.
+
+        Raises QuorumError if the outcome is unknown; the same identifier may
+        then be asked for again. Raises FencedError if the account is lost.
+        """
+        return await self.submit(message.caller, _Request(message))
+
+    async def give_back(self, message: ReturnGrant) -> GrantReturned:
+        """Take back what is unspent of a grant."""
+        return await self.submit(message.caller, _Request(message))
+
+    async def submit(self, caller: str, request: _Request) -> Any:
+        """Queue a request and return its answer."""
+        desk = self.desks.setdefault(caller, _Desk())
+        with ExitStack() as stack:
+            desk.queue.append(request)
+            stack.callback(self.leave, caller, desk, request)
+            async with desk.lock:
+                if request.answer is None:
+                    await self.serve(caller, desk)
+        return request.answer
+
+    def leave(self, caller: str, desk: _Desk, request: _Request) -> None:
+        """Take a request out; free a desk that never had a journal."""
+        if request in desk.queue:
+            desk.queue.remove(request)
+        if desk.journal is None and not desk.queue:
+            self.desks.pop(caller, None)
+
+    async def serve(self, caller: str, desk: _Desk) -> None:
+        """Answer all queued requests by one record."""
+        limit = self.limit_of(caller)
+        if limit is None:
+            raise NotFoundError(f'no caller {caller}')
+        try:
+            await self.serve_within(limit, caller, desk)
+        except FencedError:
+            desk.journal = None
+            raise
+
+    async def serve_within(
+        self, limit: BudgetLimit, caller: str, desk: _Desk
+    ) -> None:
+        """Append one record with all grants and returns, then answer."""
+        journal = await self.journal_of(caller, desk)
+        # What is unsettled may have opened a newer window.
+        await journal.settle()
+        window = journal.account.window_at(self.clock(), limit)
+        await journal.open_window(window)
+        served = list(desk.queue)
+        change = journal.account.decide(
+            desk.messages(TakeGrant),
+            desk.messages(ReturnGrant),
+            limit,
+        )
+        await journal.commit(change)
+        counted = {back.grant for back in change.returned}
+        seconds_left = journal.account.seconds_left(self.clock(), limit)
+        for request in served:
+            if isinstance(request.message, ReturnGrant):
+                is_counted = request.message.grant in counted
+                request.answer = GrantReturned(counted=is_counted)
+            else:
+                request.answer = GrantTaken(
+                    amount=journal.account.amount_of(request.message.grant),
+                    window_start_ms=journal.account.window_start_ms,
+                    seconds_left=seconds_left,
+                )
+            desk.queue.remove(request)
+
+    async def journal_of(self, caller: str, desk: _Desk) -> AccountJournal:
+        """Return the account's journal, read anew after a change of owner."""
+        slot = await self.slots.own(log_of(caller))
+        if desk.journal is None or desk.journal.slot is not slot:
+            desk.journal = await AccountJournal.load(slot, caller)
+            events.ACCOUNT_LOADED.log(_LOGGER, caller=caller)
+        return desk.journal
--- /dev/null
+++ b/tests/memory_slots.py
@@ -0,0 +1,119 @@
+"""Keep the logs of one slot in memory, with lost answers and new owners."""
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel.errors import FencedError, QuorumError
+
+
+@frozen
+class Record:
+    """Hold one record."""
+
+    index: int
+    kind: str
+    payload: bytes
+    snapshot: bool = False
+
+
+@define
+class MemoryLogs:
+    """Hold what the replicas of a slot hold.
+
+    Each item of `faults` meets one append, in order: 'ok'; 'lost', a majority
+    holds it but no answer comes; 'minority', the next owner may find it or
+    not; 'down', nobody holds it. After the last one all appends succeed.
+    """
+
+    logs: dict[str, list[Record]] = field(factory=dict)
+    limbo: dict[str, Record] = field(factory=dict)
+    fence: int = 0
+    faults: list[str] = field(factory=list)
+    adopts_limbo: bool = True
+
+    def seal(self):
+        """Return the slot for a new owner."""
+        self.fence += 1
+        return MemorySlot(self, self.fence)
+
+    def store(self, log_id, record):
+        """Store a record under the next fault."""
+        fault = self.faults.pop(0) if self.faults else 'ok'
+        if fault == 'minority':
+            self.limbo[log_id] = record
+        if fault in {'minority', 'down'}:
+            raise QuorumError(fault)
+        self.commit(log_id, record)
+        if fault == 'lost':
+            raise QuorumError(fault)
+
+    def commit(self, log_id, record):
+        """Hold a record at a majority; the same one again changes nothing."""
+        log = self.logs.setdefault(log_id, [])
+        last = log[-1].index if log else -1
+        if record.index == last:
+            assert log[-1] == record, 'another record at the same index'
+            return
+        assert record.index == last + 1, 'a hole in the log'
+        if record.snapshot:
+            log.clear()
+        log.append(record)
+        self.limbo.pop(log_id, None)
+
+    def recover(self, log_id):
+        """Settle for a new owner what an earlier one left half written."""
+        record = self.limbo.pop(log_id, None)
+        if record and self.adopts_limbo:
+            self.commit(log_id, record)
+
+
+@define(eq=False)
+class MemorySlot:
+    """Read and append until a newer owner has sealed the slot."""
+
+    logs: MemoryLogs
+    fence: int
+
+    @property
+    def lost(self):
+        """Tell whether a newer owner has sealed the slot."""
+        return self.fence < self.logs.fence
+
+    async def read(self, log_id):
+        """Return the records of a log from its last snapshot on."""
+        await self.check()
+        self.logs.recover(log_id)
+        return list(self.logs.logs.get(log_id, ()))
+
+    async def append(self, log_id, index, kind, payload):
+        """Append a record."""
+        await self.check()
+        self.logs.store(log_id, Record(index, kind, payload))
+
+    async def snapshot(self, log_id, index, kind, payload):
+        """Append a record that stands for all before it."""
+        await self.check()
+        self.logs.store(log_id, Record(index, kind, payload, snapshot=True))
+
+    async def check(self):
+        """Raise FencedError for an owner of the past."""
+        await trio.lowlevel.checkpoint()
+        if self.lost:
+            raise FencedError('sealed by another')
+
+
+@define
+class MemorySlots:
+    """Own the slot for one process, sealing it when it was lost."""
+
+    logs: MemoryLogs
+    slot: MemorySlot | None = None
+    # A paused owner doesn't notice that it has lost the slot.
+    is_paused: bool = False
+
+    async def own(self, subject):
+        """Return the slot."""
+        await trio.lowlevel.checkpoint()
+        if self.slot is None or (self.slot.lost and not self.is_paused):
+            self.slot = self.logs.seal()
+        return self.slot
--- /dev/null
+++ b/tests/unit/test_wallet.py
@@ -0,0 +1,286 @@
+"""Check how an entry spends from grants."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from attrs import define, field
+from memory_slots import MemoryLogs, MemorySlots
+from trio.testing import MockClock
+
+from jasminewheel._internal.budget.account import BudgetLimit
+from jasminewheel._internal.budget.asker import GrantAsker
+from jasminewheel._internal.budget.service import BudgetService
+from jasminewheel._internal.budget.wallet import Wallet
+from jasminewheel.errors import (
+    BudgetError,
+    OverloadedError,
+    TargetFailedError,
+    UnavailableError,
+)
+from jasminewheel.models.verdict import Verdict
+
+LIMIT = BudgetLimit(1000, 3600)
+
+
+@define
+class Source:
+    """Reach the service over a line that breaks."""
+
+    service: BudgetService
+    asked: int = 0
+    lost: int = 0
+    is_down: bool = False
+
+    async def take(self, request):
+        """Take a grant."""
+        return await self.send(self.service.take, request)
+
+    async def give_back(self, request):
+        """Give back a grant."""
+        return await self.send(self.service.give_back, request)
+
+    async def send(self, handler, request):
+        """Send a request; lose so many answers."""
+        self.asked += 1
+        if self.is_down:
+            raise UnavailableError('down')
+        answer = await handler(request)
+        if self.lost:
+            self.lost -= 1
+            raise UnavailableError('answer lost')
+        return answer
+
+
+@define
+class Bench:
+    """Hold one owner and the wallets of two entries."""
+
+    logs: MemoryLogs = field(factory=MemoryLogs)
+    service: BudgetService = field(init=False)
+    limit: BudgetLimit = LIMIT
+
+    def __attrs_post_init__(self):
+        """Start the owner."""
+        self.service = BudgetService(
+            MemorySlots(self.logs),
+            lambda _: self.limit,
+            trio.current_time,
+        )
+
+    @asynccontextmanager
+    async def wallet(self, holder):
+        """Run the wallet of an entry."""
+        source = Source(self.service)
+        asker = GrantAsker(source, holder, trio.current_time)
+        async with Wallet(asker, trio.current_time) as wallet:
+            yield wallet, source
+
+    @property
+    def granted(self):
+        """Return the tokens granted in the window."""
+        journal = self.service.desks['yard'].journal
+        return journal.account.granted
+
+
+async def spend_often(wallet, count, tokens, used=None):
+    """Settle one call after the other."""
+    if count:
+        await spend(wallet, tokens, used)
+        await spend_often(wallet, count - 1, tokens, used)
+
+
+async def spend(wallet, tokens, used=None):
+    """Reserve and settle one call."""
+    now = trio.current_time()
+    async with wallet.reserve('yard', tokens, now) as reservation:
+        reservation.settle(tokens if used is None else used)
+
+
+def run(check):
+    """Run check on a clock that jumps over waits."""
+    trio.run(check, clock=MockClock(autojump_threshold=0))
+
+
+async def check_whole_budget():
+    """Spend all, then be refused."""
+    bench = Bench()
+    async with bench.wallet('one') as (wallet, _):
+        await spend_often(wallet, 100, 10)
+        with pytest.raises(BudgetError) as refused:
+            await spend(wallet, 10)
+    assert refused.value.verdict is Verdict.not_run
+    assert refused.value.retry_after_seconds > 3000
+    assert bench.granted == 1000
+
+
+def test_whole_budget():
+    """The whole budget can be spent, and no more."""
+    run(check_whole_budget)
+
+
+async def check_settle():
+    """Reserve a lot, use little."""
+    bench = Bench()
+    async with bench.wallet('one') as (wallet, _):
+        await spend_often(wallet, 100, 500, used=5)
+    assert bench.granted == 500
+
+
+def test_settle():
+    """What a call did not use goes to the next, at the stop to the owner."""
+    run(check_settle)
+
+
+async def check_errors():
+    """Fail calls before and after dispatch."""
+    bench = Bench()
+    async with bench.wallet('one') as (wallet, _):
+        with pytest.raises(OverloadedError):
+            async with wallet.reserve('yard', 400, trio.current_time()):
+                raise OverloadedError('full')
+        with pytest.raises(TargetFailedError):
+            async with wallet.reserve('yard', 300, trio.current_time()):
+                raise TargetFailedError('cut', verdict=Verdict.may_have_run)
+    assert bench.granted == 300
+
+
+def test_errors():
+    """A call that did not run costs nothing; one that may have, all."""
+    run(check_errors)
+
+
+async def check_lost_answer():
+    """Lose the answer to a grant."""
+    bench = Bench()
+    async with bench.wallet('one') as (wallet, source):
+        source.lost = 1
+        with pytest.raises(UnavailableError):
+            await spend(wallet, 100)
+        granted = bench.granted
+        await spend(wallet, 100)
+        assert granted > 0
+        assert bench.granted == granted
+    assert bench.granted == 100
+
+
+def test_lost_answer():
+    """A lost answer is settled by the grant's identifier."""
+    run(check_lost_answer)
+
+
+async def check_death():
+    """Let an entry die with a grant."""
+    bench = Bench()
+    dead = Source(bench.service)
+    gone = Wallet(GrantAsker(dead, 'gone', trio.current_time))
+    gone.nursery = None
+    await gone.asker.ask(gone.account('yard'), 200)
+    held = bench.granted
+    async with bench.wallet('two') as (wallet, _):
+        spent = 0
+        with pytest.raises(BudgetError):
+            while True:
+                await spend(wallet, 10)
+                spent += 10
+    assert spent + held <= 1000
+    assert spent >= 1000 - held - 10
+
+
+def test_death():
+    """What a dead entry held counts as spent; the rest can be spent."""
+    run(check_death)
+
+
+async def check_prefetch():
+    """Spend steadily and count how often a call waits."""
+    bench = Bench(limit=BudgetLimit(1_000_000, 3600))
+    async with bench.wallet('one') as (wallet, source):
+        waits = await spend_steadily(wallet, 2000)
+    assert waits <= 3
+    assert source.asked <= 30
+
+
+async def spend_steadily(wallet, count):
+    """Spend twenty calls a second; return how many had to wait."""
+    purse = wallet.account('yard').purse
+    waits = 0
+    while count:
+        count -= 1
+        waits += purse.left(trio.current_time()) < 100
+        await spend(wallet, 100)
+        await trio.sleep(0.05)
+    return waits
+
+
+def test_prefetch():
+    """At a steady demand calls do not wait, and the owner is asked rarely."""
+    run(check_prefetch)
+
+
+async def check_outage():
+    """Go on from grants in hand while no owner answers."""
+    bench = Bench()
+    async with bench.wallet('one') as (wallet, source):
+        await spend(wallet, 100)
+        source.is_down = True
+        await spend(wallet, 100)
+        with pytest.raises(UnavailableError) as refused:
+            await spend(wallet, 800)
+    assert refused.value.verdict is Verdict.not_run
+
+
+def test_outage():
+    """Without an owner, the grants in hand are all there is."""
+    run(check_outage)
+
+
+async def check_new_window():
+    """Wait for the next window."""
+    bench = Bench(limit=BudgetLimit(1000, 60))
+    async with bench.wallet('one') as (wallet, _):
+        await spend(wallet, 1000)
+        with pytest.raises(BudgetError, match='exhausted'):
+            await spend(wallet, 10)
+        await trio.sleep(60)
+        await spend(wallet, 1000)
+    assert bench.granted == 1000
+
+
+def test_new_window():
+    """Each window has the whole budget, none is carried over."""
+    run(check_new_window)
+
+
+async def check_idle():
+    """Let one entry's idle grant serve another entry."""
+    bench = Bench()
+    async with bench.wallet('one') as (first, _):
+        async with bench.wallet('two') as (second, _):
+            await spend(first, 900, used=0)
+            with pytest.raises(BudgetError):
+                await spend(second, 900)
+            await trio.sleep(90)
+            await spend(second, 900)
+            assert not first.accounts
+
+
+def test_idle():
+    """Idle grants go back and can be granted to others."""
+    run(check_idle)
+
+
+async def check_crowd():
+    """Reserve for many calls at once."""
+    bench = Bench(limit=BudgetLimit(100_000, 3600))
+    async with bench.wallet('one') as (wallet, source):
+        async with trio.open_nursery() as nursery:
+            for _ in range(300):
+                nursery.start_soon(spend, wallet, 100)
+        assert source.asked <= 4
+    assert bench.granted == 30_000
+
+
+def test_crowd():
+    """Calls at the same moment share one grant."""
+    run(check_crowd)
