Serve operators: resources, watches, status, events and jasminewheelctl

Cause: operators write desired state and watch it; a script needs exit codes. Ruled out: a watch by server-sent events, which needs reconnects to be handled by each client; a long poll from a version does the same with one request. Change: /apis/v1/, author and keys of the last 64 changes in the root (the audit reads them from any entry, store down as well), watch from a ring of changes, status and events gathered from all members, jasminewheelctl thin over commands/ctl. Errors carry the HTTP status that operators see.

--- a/src/jasminewheel/_internal/configuration/configuration.py
+++ b/src/jasminewheel/_internal/configuration/configuration.py
@@ -1,7 +1,7 @@
 """Hold one version of all resources and derive the next one."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
 from attrs import Factory, evolve, frozen
@@ -15,7 +15,14 @@
     part_name,
 )
 from jasminewheel._internal.configuration.references import check_references
-from jasminewheel._internal.configuration.root import WRITERS_KEPT, Root
+from jasminewheel._internal.configuration.root import (
+    CHANGES_KEPT,
+    KEYS_NAMED,
+    UNKNOWN_AUTHOR,
+    Author,
+    Root,
+    RootChange,
+)
 from jasminewheel._internal.configuration.sharded import (
     ShardedKeys,
     ShardedSpecs,
@@ -78,6 +85,7 @@
         self,
         changes: Iterable[ResourceChange],
         writer: str,
+        author: Author = UNKNOWN_AUTHOR,
     ) -> 'Configuration':
         """Return the next version, or this one if nothing differs.
 
@@ -87,7 +95,7 @@
         wanted = [one for one in changes if self.differs(one)]
         if not wanted:
             return self
-        following = self.next_version(wanted, writer)
+        following = self.next_version(wanted, writer, author)
         problems = check_references(
             self.snapshot(),
             following.snapshot(),
@@ -113,8 +121,9 @@
 
     def next_version(
         self,
-        changes: Iterable[ResourceChange],
+        changes: Sequence[ResourceChange],
         writer: str,
+        author: Author,
     ) -> 'Configuration':
         """Return the next version without checks."""
         version = self.version + 1
@@ -127,12 +136,19 @@
         for name, entries in updates.items():
             _update_part(parts, name, entries)
         parts, shards = balance(parts, shards)
+        made = RootChange(
+            version=version,
+            writer=writer,
+            author=author,
+            keys=tuple(str(one.key) for one in changes[:KEYS_NAMED]),
+            count=len(changes),
+        )
         root = Root(
             version=version,
             writer=writer,
             parts={one: parts[one].digest for one in sorted(parts)},
             caller_shards=shards,
-            writers=(*self.root.writers, writer)[-WRITERS_KEPT:],
+            changes=(*self.root.changes, made)[-CHANGES_KEPT:],
         )
         return evolve(self, root=root, parts=parts)
 
--- a/src/jasminewheel/_internal/configuration/repository.py
+++ b/src/jasminewheel/_internal/configuration/repository.py
@@ -13,6 +13,8 @@
 from jasminewheel._internal.configuration.root import (
     PART_PREFIX,
     ROOT_KEY,
+    UNKNOWN_AUTHOR,
+    Author,
     Root,
     read_root,
 )
@@ -101,6 +103,7 @@
         self,
         changes: Iterable[ResourceChange],
         in_force: Configuration,
+        author: Author = UNKNOWN_AUTHOR,
     ) -> Configuration:
         """Make all of the changes at once, or raise and make none.
 
@@ -116,7 +119,7 @@
             stored = await self.read()
             writer = f'{self.member}/{uuid4().hex}'
             base = max(stored.configuration, in_force, key=_version)
-            following = base.apply(wanted, writer)
+            following = base.apply(wanted, writer, author)
             if following is base:
                 return following
             if await self.replace(stored, following):
--- a/src/jasminewheel/_internal/configuration/root.py
+++ b/src/jasminewheel/_internal/configuration/root.py
@@ -11,29 +11,52 @@
 ROOT_KEY = 'config/root'
 PART_PREFIX = 'config/part/'
 INITIAL_CALLER_SHARDS = 128
-WRITERS_KEPT = 32
+CHANGES_KEPT = 64
+KEYS_NAMED = 8
 
 _CONVERTER = Converter()
 
 
+@frozen
+class Author:
+    """Say who changes the configuration, and when in Unix time."""
+
+    operator: str = ''
+    at: float = 0
+
+
+UNKNOWN_AUTHOR = Author()
+
+
+@frozen
+class RootChange:
+    """Record one change; the writer's mark is unlike any other's."""
+
+    version: int
+    writer: str
+    author: Author = UNKNOWN_AUTHOR
+    keys: tuple[str, ...] = ()
+    count: int = 0
+
+
 @frozen
 class Root:
     """Name the parts of one version by their digests.
 
-    Replacing the root switches all parts at once. The marks of the last
-    writers settle whether a change whose answer was lost took effect, also
-    when others changed the root since.
+    Replacing the root switches all parts at once. The writers' marks of the
+    last changes settle whether a change whose answer was lost took effect,
+    also when others changed the root since.
     """
 
     version: int = 0
     writer: str = ''
     parts: Mapping[str, str] = Factory(dict)
     caller_shards: int = INITIAL_CALLER_SHARDS
-    writers: tuple[str, ...] = ()
+    changes: tuple[RootChange, ...] = ()
 
     def written_by(self, writer: str) -> bool:
         """Return whether the writer's change is in this version."""
-        return writer in self.writers
+        return any(change.writer == writer for change in self.changes)
 
     def text(self) -> str:
         """Return the root as it stands in the store."""
--- /dev/null
+++ b/src/jasminewheel/_internal/http/operator_keys.py
@@ -0,0 +1,33 @@
+"""Recognise operators by their keys."""
+
+import hmac
+
+from attrs import frozen
+
+from jasminewheel._internal.configuration.snapshot import hash_key
+from jasminewheel.errors import UnauthorizedError
+
+_BEARER = 'Bearer '
+
+
+@frozen
+class OperatorKey:
+    """Hold an operator's name and the SHA-256 of the key in hex."""
+
+    operator: str
+    sha256: str
+
+
+def find_operator(keys: tuple[OperatorKey, ...], authorization: str) -> str:
+    """Return the operator of an authorization header.
+
+    Raise UnauthorizedError for any other.
+    """
+    digest = hash_key(authorization.removeprefix(_BEARER))
+    for key in keys:
+        if hmac.compare_digest(key.sha256, digest):
+            return key.operator
+    raise UnauthorizedError(
+        'no operator has this key',
+        remedy='send a key whose hash is in settings.operator_keys',
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/http/operator_side.py
@@ -0,0 +1,54 @@
+"""Open what a process offers to operators."""
+
+from collections.abc import Mapping
+from typing import Self
+
+from attrs import define
+from quart import Blueprint
+
+from jasminewheel._internal.fleet.fleet import Fleet
+from jasminewheel._internal.http.operator_keys import OperatorKey
+from jasminewheel._internal.http.operators import OperatorsApi
+from jasminewheel._internal.membership.asker import PeerAsker
+from jasminewheel._internal.operations.feed import ChangeFeed
+from jasminewheel._internal.operations.gathering import FleetQuestions
+from jasminewheel._internal.operations.member import MemberOperations
+from jasminewheel._internal.operations.resources import ResourceOperations
+from jasminewheel._internal.peer.server import Handler
+
+
+@define(eq=False)
+class OperatorSide:
+    """Hold the operators' HTTP and what peers ask on their behalf.
+
+    Parts of the process add their status to `member.sources` and their
+    decisions to `member.deciders`; `member.drain` begins a graceful stop.
+    """
+
+    member: MemberOperations
+    api: OperatorsApi
+
+    @classmethod
+    def open(
+        cls,
+        fleet: Fleet,
+        asker: PeerAsker,
+        member: MemberOperations,
+        keys: tuple[OperatorKey, ...],
+    ) -> Self:
+        """Return the operators' side of a process."""
+        api = OperatorsApi(
+            keys,
+            ResourceOperations(fleet),
+            ChangeFeed(fleet.spread.configuration),
+            FleetQuestions(member, asker),
+        )
+        return cls(member, api)
+
+    def handlers(self) -> Mapping[type, Handler]:
+        """Return what peers may ask of this process."""
+        return self.member.handlers()
+
+    def blueprint(self) -> Blueprint:
+        """Return the HTTP routes."""
+        return self.api.blueprint()
--- /dev/null
+++ b/src/jasminewheel/_internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Carry out what operators ask for."""
--- /dev/null
+++ b/src/jasminewheel/_internal/operations/feed.py
@@ -0,0 +1,90 @@
+"""Keep recent changes of resources for watches."""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+
+from attrs import define, field, frozen
+
+from jasminewheel._internal.configuration.configuration import Configuration
+from jasminewheel._internal.configuration.part import Part
+from jasminewheel._internal.configuration.spread import ConfigurationSpread
+from jasminewheel.errors import ExpiredVersionError
+from jasminewheel.models.resource import Resource, ResourceKey
+
+CHANGES_KEPT = 10000
+
+
+@frozen
+class WatchedChange:
+    """Hold a resource that was put, or the key of a deleted one."""
+
+    version: int
+    key: ResourceKey
+    resource: Resource | None
+
+
+@define
+class ChangeFeed:
+    """Compare each version that comes in force with the one before.
+
+    Versions that this process skipped are seen as one change, so that a
+    watch always ends in the state in force.
+    """
+
+    spread: ConfigurationSpread
+    seen: Configuration = field(init=False)
+    first_version: int = field(init=False)
+    changes: deque[WatchedChange] = field(
+        factory=lambda: deque(maxlen=CHANGES_KEPT),
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Start at the version in force."""
+        self.seen = self.spread.current
+        self.first_version = self.seen.version
+
+    async def changed(self, after_version: int) -> list[WatchedChange]:
+        """Return the changes after a version, waiting for the first.
+
+        Raise ExpiredVersionError if they are no longer known.
+        """
+        await self.spread.view.changed(after_version)
+        self.compare()
+        if after_version < self.oldest():
+            raise ExpiredVersionError(
+                f'changes after version {after_version} are no longer known',
+                remedy='list the resources and watch from the list',
+            )
+        return [one for one in self.changes if one.version > after_version]
+
+    def oldest(self) -> int:
+        """Return the oldest version to watch from."""
+        if len(self.changes) < CHANGES_KEPT:
+            return self.first_version
+        return self.changes[0].version
+
+    def compare(self) -> None:
+        """Take in what changed since the last comparison."""
+        current = self.spread.current
+        if current.version != self.seen.version:
+            self.changes.extend(compare(self.seen, current))
+            self.seen = current
+
+
+def compare(
+    earlier: Configuration,
+    later: Configuration,
+) -> Iterator[WatchedChange]:
+    """Iterate over the differences between two versions."""
+    for resource in _resources(later.changed_parts(earlier)):
+        present = earlier.get(resource.key)
+        if present is None or present.version != resource.version:
+            yield WatchedChange(later.version, resource.key, resource)
+    for old in _resources(earlier.changed_parts(later)):
+        if later.get(old.key) is None:
+            yield WatchedChange(later.version, old.key, None)
+
+
+def _resources(parts: Iterable[Part]) -> Iterator[Resource]:
+    for part in parts:
+        yield from part.resources.values()
--- /dev/null
+++ b/src/jasminewheel/_internal/operations/gathering.py
@@ -0,0 +1,107 @@
+"""Ask all members on behalf of an operator."""
+
+from functools import partial
+
+from attrs import define
+
+from jasminewheel._internal.membership.asker import PeerAsker
+from jasminewheel._internal.membership.member import Member
+from jasminewheel._internal.operations.member import MemberOperations
+from jasminewheel._internal.parallel import map_parallel
+from jasminewheel._internal.wire.gen.operations.ttypes import (
+    DrainAnswer,
+    DrainRequest,
+    EventRecord,
+    EventsDocument,
+    EventsRequest,
+    MemberStatus,
+    StatusRequest,
+)
+from jasminewheel.errors import MissingResourceError, PeerError
+
+ANSWER_SECONDS = 3.0
+PARALLEL = 32
+
+
+@define
+class FleetQuestions:
+    """Gather answers of all live members."""
+
+    own: MemberOperations
+    asker: PeerAsker
+
+    async def status(self) -> list[MemberStatus]:
+        """Return the status of each member that answers, by name."""
+        found = await map_parallel(self.status_of, self.members(), PARALLEL)
+        return sorted(found, key=lambda one: one.member)
+
+    async def status_of(self, member: Member) -> MemberStatus:
+        """Return the status of a member; one that is silent has no version."""
+        if member.member == self.own.name:
+            return self.own.status()
+        try:
+            return await self.asker.ask(
+                member.peer_address,
+                StatusRequest(),
+                MemberStatus,
+                timeout_seconds=ANSWER_SECONDS,
+            )
+        except PeerError:
+            return silent_status(member)
+
+    async def events(self, subject: str) -> list[EventRecord]:
+        """Return the events of all members that name a subject, by time."""
+        ask = partial(self.events_of, subject)
+        found = await map_parallel(ask, self.members(), PARALLEL)
+        records = [record for each in found for record in each]
+        return sorted(records, key=lambda record: record.at)
+
+    async def events_of(
+        self,
+        subject: str,
+        member: Member,
+    ) -> list[EventRecord]:
+        """Return events of one member; none if it is silent."""
+        if member.member == self.own.name:
+            return self.own.events(0, subject)
+        try:
+            answer = await self.asker.ask(
+                member.peer_address,
+                EventsRequest(after=0, subject=subject),
+                EventsDocument,
+                timeout_seconds=ANSWER_SECONDS,
+            )
+        except PeerError:
+            return []
+        return answer.events
+
+    async def drain(self, name: str) -> DrainAnswer:
+        """Begin the graceful stop of a member."""
+        named = [one for one in self.members() if one.member == name]
+        if not named:
+            raise MissingResourceError(f'no live member is named {name}')
+        return await self.asker.ask(
+            named[0].peer_address,
+            DrainRequest(),
+            DrainAnswer,
+            timeout_seconds=ANSWER_SECONDS,
+        )
+
+    def members(self) -> list[Member]:
+        """Return the live members."""
+        return self.own.fleet.membership.live()
+
+
+def silent_status(member: Member) -> MemberStatus:
+    """Return the status of a member that does not answer."""
+    return MemberStatus(
+        member=member.member,
+        zone=member.zone,
+        region=member.region,
+        roles=list(member.roles),
+        leaving=member.leaving,
+        configuration_version=0,
+        placement_epoch=0,
+        started_at=0,
+        sections={'problem': '"does not answer"'},
+    )
--- /dev/null
+++ b/src/jasminewheel/commands/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Drive a fleet from the command line."""
--- /dev/null
+++ b/src/jasminewheel/commands/ctl/differences.py
@@ -0,0 +1,68 @@
+"""Compare resources in files with those in force."""
+
+import json
+from collections.abc import Iterator
+from difflib import unified_diff
+from typing import Any
+
+from attrs import frozen
+
+from jasminewheel._internal.configuration.documents import (
+    parse_document,
+    parse_spec,
+    spec_document,
+)
+from jasminewheel.commands.ctl.client import OperatorClient
+from jasminewheel.commands.ctl.errors import CommandError
+from jasminewheel.commands.ctl.exit_codes import ExitCode
+from jasminewheel.commands.ctl.kinds import collection_of
+from jasminewheel.errors import InvalidResourceError
+
+
+@frozen
+class Difference:
+    """Hold how a resource would change, as lines of a unified diff."""
+
+    name: str
+    lines: tuple[str, ...]
+
+
+def differences(
+    client: OperatorClient,
+    documents: list[Any],
+) -> Iterator[Difference]:
+    """Iterate over the resources that apply would change."""
+    for position, raw in enumerate(documents):
+        try:
+            document = parse_document(raw, f'resources[{position}]')
+            wanted = spec_document(parse_spec(document, ''))
+        except InvalidResourceError as error:
+            raise CommandError(str(error), ExitCode.refused) from error
+        kind = document.kind.value
+        present = _present(client, kind, document.name)
+        lines = tuple(
+            unified_diff(
+                _lines(present),
+                _lines(wanted),
+                'in force',
+                'wanted',
+                lineterm='',
+            ),
+        )
+        if lines:
+            yield Difference(f'{kind}/{document.name}', lines)
+
+
+def _present(client: OperatorClient, kind: str, name: str) -> Any:
+    try:
+        return client.get(f'{collection_of(kind)}/{name}')['spec']
+    except CommandError as error:
+        if error.exit_code is ExitCode.missing:
+            return None
+        raise
+
+
+def _lines(spec: Any) -> list[str]:
+    if spec is None:
+        return []
+    return json.dumps(spec, indent=2, sort_keys=True).splitlines()
--- /dev/null
+++ b/src/jasminewheel/commands/ctl/exit_codes.py
@@ -0,0 +1,38 @@
+"""Tell scripts how a command ended."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """Name the exit codes of jasminewheelctl."""
+
+    done = 0
+    failed = 1
+    usage = 2
+    refused = 3
+    stale = 4
+    missing = 5
+    differs = 6
+    unsettled = 7
+    unauthorized = 8
+    unreachable = 9
+
+
+CODES_BY_STATUS = (
+    (401, ExitCode.unauthorized),
+    (404, ExitCode.missing),
+    (409, ExitCode.stale),
+    (410, ExitCode.stale),
+    (422, ExitCode.refused),
+    (400, ExitCode.refused),
+    (413, ExitCode.refused),
+    (504, ExitCode.unsettled),
+)
+
+
+def code_of(status: int) -> ExitCode:
+    """Return the exit code for the HTTP status of a refusal."""
+    for refused, code in CODES_BY_STATUS:
+        if refused == status:
+            return code
+    return ExitCode.failed
--- /dev/null
+++ b/src/jasminewheel/commands/ctl/fleet.py
@@ -0,0 +1,116 @@
+"""Show the fleet and what it did."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from attrs import define
+
+from jasminewheel.commands.ctl.client import OperatorClient
+from jasminewheel.commands.ctl.exit_codes import ExitCode
+from jasminewheel.commands.ctl.tables import (
+    Printer,
+    fields_text,
+    time_text,
+)
+
+_MEMBER_COLUMNS = (
+    'MEMBER',
+    'ZONE',
+    'REGION',
+    'ROLES',
+    'STATE',
+    'CONFIGURATION',
+    'REPLICA SETS',
+    'STARTED',
+)
+
+
+@define
+class FleetCommands:
+    """Run the commands that concern members and events."""
+
+    client: OperatorClient
+    printer: Printer
+
+    def status(self, section: str) -> ExitCode:
+        """Show all members with the versions in force on each."""
+        found = self.client.get('status')
+        if section:
+            self.show_section(found, section)
+            return ExitCode.done
+        rows = [_member_row(one) for one in found['members']]
+        self.printer.show(found, _MEMBER_COLUMNS, rows)
+        return ExitCode.done
+
+    def show_section(self, answer: Any, section: str) -> None:
+        """Print one section of each member's status."""
+        rows = [
+            (one['member'], json.dumps(one['sections'].get(section)))
+            for one in answer['members']
+        ]
+        self.printer.show(answer, ('MEMBER', section.upper()), rows)
+
+    def drain(self, member: str) -> ExitCode:
+        """Begin the graceful stop of a member."""
+        drained = self.client.post(f'members/{member}/drain', {})
+        self.printer.lines(drained, [f'{member} drains and then stops'])
+        return ExitCode.done
+
+    def explain(self, subject: str) -> ExitCode:
+        """Show what all members did about a request and why."""
+        found = self.client.get('events', subject=subject)
+        self.show_events(found, found['events'])
+        return ExitCode.done if found['events'] else ExitCode.missing
+
+    def events(self) -> ExitCode:
+        """Show the last events of all members."""
+        found = self.client.get('events')
+        self.show_events(found, found['events'])
+        return ExitCode.done
+
+    def audit(self) -> ExitCode:
+        """Show who changed the configuration."""
+        found = self.client.get('audit')
+        rows = [
+            (
+                one['version'],
+                time_text(one['at']),
+                one['operator'],
+                one['count'],
+                ' '.join(one['keys']),
+            )
+            for one in found['changes']
+        ]
+        columns = ('VERSION', 'AT', 'OPERATOR', 'RESOURCES', 'NAMES')
+        self.printer.show(found, columns, rows)
+        return ExitCode.done
+
+    def show_events(self, answer: Any, events: Iterable[Any]) -> None:
+        """Print events, one a line."""
+        self.printer.lines(
+            answer,
+            [
+                ' '.join(
+                    (
+                        time_text(one['at']),
+                        one['member'],
+                        f'JW{one["event"]}',
+                        one['text'],
+                        fields_text(one['fields']),
+                    ),
+                )
+                for one in events
+            ],
+        )
+
+
+def _member_row(member: dict[str, Any]) -> list[Any]:
+    state = 'leaving' if member['leaving'] else 'live'
+    if not member['started_at']:
+        state = 'silent'
+    row = [member[name] for name in ('member', 'zone', 'region')]
+    row.extend((','.join(member['roles']), state))
+    row.extend((member['configuration_version'], member['placement_epoch']))
+    row.append(time_text(member['started_at']))
+    return row
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -9,6 +9,7 @@
     """Carry the message a user sees and how to mend the cause."""
 
     code = 'internal'
+    status = 500
 
     def __init__(self, message: str, *, remedy: str = '') -> None:
         """Keep the message and the remedy."""
@@ -130,6 +131,7 @@
     """Report that the key-value service did not answer as needed."""
 
     code = 'store-failed'
+    status = 503
 
 
 class StoreConflictError(StoreError):
@@ -160,6 +162,7 @@
     """Report that a peer could not be reached or broke the protocol."""
 
     code = 'peer-failed'
+    status = 502
 
     def __init__(
         self,
@@ -202,6 +205,7 @@
     """Report the wrong fields of resources; nothing was changed."""
 
     code = 'resource-invalid'
+    status = 422
 
     def __init__(self, problems: Iterable[object]) -> None:
         """Keep the wrong fields, each of which reads `path: problem`."""
@@ -222,15 +226,25 @@
     """Refuse a change to a resource that is at another version."""
 
     code = 'stale-version'
+    status = 409
 
 
 class MissingResourceError(JasminewheelError):
     """Refuse a change to a resource that is not there."""
 
     code = 'resource-missing'
+    status = 404
 
 
 class UnsettledCommitError(JasminewheelError):
     """Report a change whose answer was lost and could not be settled."""
 
     code = 'commit-unsettled'
+    status = 504
+
+
+class ExpiredVersionError(JasminewheelError):
+    """Refuse a watch from a version whose changes are no longer known."""
+
+    code = 'version-expired'
+    status = 410
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,112 @@
+"""Run whole members of a fleet inside a test, with a store's stand-in."""
+
+import logging
+import time
+from contextlib import asynccontextmanager
+
+import trio
+from attrs import define, field
+from members import KEY, until
+from stand_ins import serving
+
+from jasminewheel._internal.configuration.configuration import Configuration
+from jasminewheel._internal.configuration.repository import (
+    ConfigurationRepository,
+)
+from jasminewheel._internal.fakes.store import FakeStore, FakeStoreSettings
+from jasminewheel._internal.fleet.fleet import FleetAddresses
+from jasminewheel._internal.fleet.opening import (
+    identity_of,
+    open_fleet,
+    starting_member,
+)
+from jasminewheel._internal.http.operator_side import OperatorSide
+from jasminewheel._internal.membership.member import ENTRY
+from jasminewheel._internal.observability.event_ring import keep_events
+from jasminewheel._internal.operations.member import MemberOperations
+from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.store.client import HttpStore
+
+# All members of a test log in one process, so they share the ring.
+EVENTS = keep_events()
+logging.getLogger().setLevel('INFO')
+
+
+@define
+class Bench:
+    """Hold a store's stand-in and the members that use it."""
+
+    stand_in: FakeStore
+    url: str
+    nursery: trio.Nursery
+    fleets: dict = field(factory=dict)
+    sides: dict = field(factory=dict)
+    scopes: dict = field(factory=dict)
+    operators: tuple = ()
+
+    async def start(self, name, role=ENTRY, peers=()):
+        """Start a member, told of the addresses of peers."""
+        await self.nursery.start(self.run, name, role, tuple(peers))
+        return self.fleets[name]
+
+    async def run(self, name, role, peers, *, task_status):
+        """Run a member until it is killed."""
+        zone = f'zone-{name}'
+        member = starting_member(name, zone, 'east-mids', (role,))
+        scope = trio.CancelScope()
+        self.scopes[name] = scope
+        addresses = FleetAddresses(peers)
+        opened = open_fleet(member, KEY, self.url, addresses)
+        with scope:
+            async with opened as fleet, trio.open_nursery() as nursery:
+                side = OperatorSide.open(
+                    fleet,
+                    fleet.service.heartbeats.asker,
+                    MemberOperations(fleet, EVENTS, time.time()),
+                    self.operators,
+                )
+                handlers = {**fleet.handlers(), **side.handlers()}
+                server = PeerServer(identity_of(member), KEY, handlers)
+                port = await nursery.start(server.serve, '127.0.0.1', 0)
+                fleet.listens_at(f'127.0.0.1:{port}')
+                self.fleets[name] = fleet
+                self.sides[name] = side
+                await nursery.start(fleet.run)
+                task_status.started()
+
+    def kill(self, name):
+        """Stop a member at once."""
+        self.scopes[name].cancel()
+        self.fleets.pop(name)
+
+    def addresses(self):
+        """Return where the members listen."""
+        return [
+            fleet.membership.own.peer_address for fleet in self.fleets.values()
+        ]
+
+    def versions(self):
+        """Return the versions in force by member."""
+        return {
+            name: fleet.view.current.version
+            for name, fleet in self.fleets.items()
+        }
+
+    async def until_version(self, version):
+        """Wait until a version is in force everywhere."""
+        await until(lambda: set(self.versions().values()) == {version})
+
+    async def commit(self, *changes):
+        """Change the configuration as an operator at another VM does."""
+        async with HttpStore(self.url) as store:
+            repository = ConfigurationRepository(store, 'operator')
+            return await repository.commit(changes, Configuration())
+
+
+@asynccontextmanager
+async def bench(operators=(), **settings):
+    """Run a store's stand-in and what a test starts."""
+    stand_in = FakeStore(FakeStoreSettings(**settings))
+    async with serving(stand_in) as url, trio.open_nursery() as nursery:
+        yield Bench(stand_in, url, nursery, operators=operators)
+        nursery.cancel_scope.cancel()
--- a/tests/functional/test_commit.py
+++ b/tests/functional/test_commit.py
@@ -24,12 +24,12 @@
     UnsettledCommitError,
 )
 from jasminewheel.models.resource import ResourceKey
-from tests.configurations import (
+from configurations import (
     caller_change,
     caller_changes,
     target_change,
 )
-from tests.stand_ins import serving
+from stand_ins import serving
 
 EMPTY = Configuration()
 
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -1,98 +1,12 @@
 """Check that configurations come in force everywhere and never revert."""
 
-from contextlib import asynccontextmanager
-
 import trio
-from attrs import define, field
+from configurations import caller_changes, target_change
+from fleets import bench
+from members import until
 
-from jasminewheel._internal.configuration.configuration import Configuration
-from jasminewheel._internal.configuration.repository import (
-    ConfigurationRepository,
-)
 from jasminewheel._internal.fakes.faults import FaultMode
-from jasminewheel._internal.fakes.store import FakeStore, FakeStoreSettings
-from jasminewheel._internal.fleet.fleet import FleetAddresses
-from jasminewheel._internal.fleet.opening import (
-    identity_of,
-    open_fleet,
-    starting_member,
-)
 from jasminewheel._internal.membership.member import ENTRY, HISTORY
-from jasminewheel._internal.peer.server import PeerServer
-from jasminewheel._internal.store.client import HttpStore
-from tests.configurations import caller_changes, target_change
-from tests.fleet import KEY, until
-from tests.stand_ins import serving
-
-
-@define
-class Bench:
-    """Hold a store's stand-in and the members that use it."""
-
-    stand_in: FakeStore
-    url: str
-    nursery: trio.Nursery
-    fleets: dict = field(factory=dict)
-    scopes: dict = field(factory=dict)
-
-    async def start(self, name, role=ENTRY, peers=()):
-        """Start a member, told of the addresses of peers."""
-        await self.nursery.start(self.run, name, role, tuple(peers))
-        return self.fleets[name]
-
-    async def run(self, name, role, peers, *, task_status):
-        """Run a member until it is killed."""
-        zone = f'zone-{name}'
-        member = starting_member(name, zone, 'east-mids', (role,))
-        scope = trio.CancelScope()
-        self.scopes[name] = scope
-        addresses = FleetAddresses(peers)
-        opened = open_fleet(member, KEY, self.url, addresses)
-        with scope:
-            async with opened as fleet, trio.open_nursery() as nursery:
-                server = PeerServer(identity_of(member), KEY, fleet.handlers())
-                port = await nursery.start(server.serve, '127.0.0.1', 0)
-                fleet.listens_at(f'127.0.0.1:{port}')
-                self.fleets[name] = fleet
-                await nursery.start(fleet.run)
-                task_status.started()
-
-    def kill(self, name):
-        """Stop a member at once."""
-        self.scopes[name].cancel()
-        self.fleets.pop(name)
-
-    def addresses(self):
-        """Return where the members listen."""
-        return [
-            fleet.membership.own.peer_address for fleet in self.fleets.values()
-        ]
-
-    def versions(self):
-        """Return the versions in force by member."""
-        return {
-            name: fleet.view.current.version
-            for name, fleet in self.fleets.items()
-        }
-
-    async def until_version(self, version):
-        """Wait until a version is in force everywhere."""
-        await until(lambda: set(self.versions().values()) == {version})
-
-    async def commit(self, *changes):
-        """Change the configuration as an operator at another VM does."""
-        async with HttpStore(self.url) as store:
-            repository = ConfigurationRepository(store, 'operator')
-            return await repository.commit(changes, Configuration())
-
-
-@asynccontextmanager
-async def bench(**settings):
-    """Run a store's stand-in and what a test starts."""
-    stand_in = FakeStore(FakeStoreSettings(**settings))
-    async with serving(stand_in) as url, trio.open_nursery() as nursery:
-        yield Bench(stand_in, url, nursery)
-        nursery.cancel_scope.cancel()
 
 
 def test_in_force_everywhere():
--- a/tests/functional/test_heartbeats.py
+++ b/tests/functional/test_heartbeats.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from tests.fleet import running_fleet, until, until_joined
+from members import running_fleet, until, until_joined
 
 
 def test_all_members_learn_of_all():
