Count a grant given back whole-spent as given back in the budget model

Cause: the model's holder that gave a grant back with nothing unspent counted as not having given it back, so it asked for the same grant again; the account rightly charged a new grant. Ruled out: a fault of the account; it charged both grants. Conclusion: the model's fault.

--- a/tests/unit/test_budget_model.py
+++ b/tests/unit/test_budget_model.py
@@ -49,6 +49,7 @@
 
     amount: int
     unspent: int = 0
+    is_returned: bool = False
 
 
 @define
@@ -140,7 +141,7 @@
     def is_returned(self, grant):
         """Tell whether the holder gave the grant back."""
         return any(
-            holding.unspent
+            holding.is_returned
             for (name, _), holding in self.holdings.items()
             if name == grant
         )
@@ -158,7 +159,8 @@
         keys = sorted(self.holdings)
         grant, window = keys[choice % len(keys)]
         holding = self.holdings[grant, window]
-        if not holding.unspent:
+        if not holding.is_returned:
+            holding.is_returned = True
             holding.unspent = int(holding.amount * part)
         request = ReturnGrant('yard', grant, holding.unspent)
         service = self.owners[owner].service
