--- a/src/jasminewheel/_internal/events/budget.py
+++ b/src/jasminewheel/_internal/events/budget.py
@@ -9,6 +9,7 @@
     1301,
     logging.WARNING,
     'grants could not be given back; they count as spent',
+    'raise spec.budget if callers are refused; see whether histories answer',
 )
 OVERSPENT = Event(
     1302,
--- a/src/jasminewheel/_internal/events/configuration.py
+++ b/src/jasminewheel/_internal/events/configuration.py
@@ -27,6 +27,7 @@
     1405,
     logging.WARNING,
     'configuration could not be fetched from a peer',
+    'nothing at once: another peer is asked; see the problem if it goes on',
 )
 PLACEMENT_CREATED = Event(1406, logging.INFO, 'replica sets written')
 PLACEMENT_INSTALLED = Event(1407, logging.INFO, 'replica sets in force')
