--- /dev/null
+++ b/src/jasminewheel/_internal/capacity/callers.py
@@ -0,0 +1,109 @@
+"""Measure configurations with many callers."""
+
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.capacity.member_cost import mean_cost
+from jasminewheel._internal.capacity.member_fleet import (
+    MemberFleet,
+    member_fleet,
+    wait_for,
+)
+from jasminewheel._internal.capacity.points import Points
+from jasminewheel._internal.configuration.change import ResourceChange
+from jasminewheel._internal.configuration.configuration import Configuration
+from jasminewheel._internal.configuration.repository import (
+    ConfigurationRepository,
+)
+from jasminewheel._internal.configuration.snapshot import hash_key
+from jasminewheel._internal.store.client import HttpStore
+from jasminewheel.models.caller import Budget, Caller, KeyHash
+from jasminewheel.models.resource import ResourceKey
+from jasminewheel.models.target import Target
+
+MEMBERS = 8
+SETTLE_SECONDS = 5.0
+CHANGE_SECONDS = 5.0
+
+
+@frozen
+class CommitTimes:
+    """Hold the seconds to commit and then to be in force on all."""
+
+    commit: float
+    spread: float
+
+
+def measure_callers(callers: int, points: Points) -> None:
+    """Measure a configuration with so many callers."""
+    with tempfile.TemporaryDirectory() as folder:
+        with member_fleet(Path(folder)) as fleet:
+            fleet.grow(MEMBERS)
+            changes = caller_changes(callers)
+            commit_all = commit_and_wait(fleet, changes)
+            points.add('configuration.commit', callers, commit_all.commit)
+            points.add('configuration.in_force', callers, commit_all.spread)
+            time.sleep(SETTLE_SECONDS)
+            measure_change(fleet, callers, points)
+
+
+def measure_change(fleet: MemberFleet, callers: int, points: Points) -> None:
+    """Measure the change of one caller beside all the others."""
+    earlier = fleet.samples()
+    time.sleep(CHANGE_SECONDS)
+    calm = mean_cost(earlier, fleet.samples())
+    earlier = fleet.samples()
+    commit_one = commit_and_wait(fleet, [caller_change(0, 2)])
+    time.sleep(CHANGE_SECONDS)
+    cost = mean_cost(earlier, fleet.samples())
+    seconds = CHANGE_SECONDS + commit_one.commit + commit_one.spread
+    extra = max(0, cost.byte_rate - calm.byte_rate) * seconds
+    points.add('configuration.change', callers, commit_one.spread)
+    points.add('configuration.change_bytes', callers, extra)
+    points.add('configuration.resident', callers, cost.resident_bytes)
+
+
+def commit_and_wait(
+    fleet: MemberFleet,
+    changes: list[ResourceChange],
+) -> CommitTimes:
+    """Commit changes and wait until they are in force on all members."""
+    begun = time.time()
+    version = trio.run(commit, fleet.store_url, changes)
+    committed = time.time()
+    wait_for(lambda: in_force(fleet, version), 'spread of a version')
+    last = max(one.version_at for one in fleet.samples().values())
+    return CommitTimes(committed - begun, max(0, last - committed))
+
+
+def in_force(fleet: MemberFleet, version: int) -> bool:
+    """Return whether all members have the version in force."""
+    samples = fleet.samples().values()
+    return all(one.version >= version for one in samples)
+
+
+async def commit(store_url: str, changes: list[ResourceChange]) -> int:
+    """Commit changes as an operator does; return the version."""
+    async with HttpStore(store_url) as store:
+        repository = ConfigurationRepository(store, 'operator')
+        committed = await repository.commit(changes, Configuration())
+        return committed.version
+
+
+def caller_changes(count: int) -> list[ResourceChange]:
+    """Return changes that declare callers and the target they call."""
+    target = Target('desk', 'service', ())
+    key = ResourceKey('target', target.name)
+    callers = [caller_change(number, 1) for number in range(count)]
+    return [ResourceChange(key, target), *callers]
+
+
+def caller_change(number: int, tokens: int) -> ResourceChange:
+    """Return a change that declares one caller."""
+    name = f'caller-{number}'
+    spec = Caller(name, (KeyHash(hash_key(name)),), Budget(tokens), ('desk',))
+    return ResourceChange(ResourceKey('caller', name), spec)
--- /dev/null
+++ b/src/jasminewheel/_internal/capacity/member_cost.py
@@ -0,0 +1,51 @@
+"""Work out what members spent between two samples."""
+
+from collections.abc import Mapping
+from statistics import fmean
+
+from attrs import frozen
+
+from jasminewheel._internal.capacity.member_process import MemberSample
+
+
+@frozen
+class Cost:
+    """Hold the mean cost a member and second."""
+
+    messages: float
+    byte_rate: float
+    processor_share: float
+    resident_bytes: float
+
+
+def mean_cost(
+    earlier: Mapping[str, MemberSample],
+    later: Mapping[str, MemberSample],
+) -> Cost:
+    """Return the mean cost of the members between two samples."""
+    costs = [cost_between(earlier[name], later[name]) for name in earlier]
+    return Cost(
+        fmean(cost.messages for cost in costs),
+        fmean(cost.byte_rate for cost in costs),
+        fmean(cost.processor_share for cost in costs),
+        fmean(cost.resident_bytes for cost in costs),
+    )
+
+
+def cost_between(earlier: MemberSample, later: MemberSample) -> Cost:
+    """Return the cost of one member between two samples."""
+    seconds = later.at - earlier.at
+    sent = later.traffic.frames_sent - earlier.traffic.frames_sent
+    spent = later.processor_seconds - earlier.processor_seconds
+    exchanged = total_bytes(later) - total_bytes(earlier)
+    return Cost(
+        sent / seconds,
+        exchanged / seconds,
+        spent / seconds,
+        later.resident_bytes,
+    )
+
+
+def total_bytes(sample: MemberSample) -> int:
+    """Return the bytes of all frames sent and received."""
+    return sample.traffic.bytes_sent + sample.traffic.bytes_received
--- /dev/null
+++ b/src/jasminewheel/_internal/capacity/member_fleet.py
@@ -0,0 +1,157 @@
+"""Run measured members as processes beside a store's stand-in."""
+
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import httpx
+from attrs import define, field
+
+from jasminewheel._internal.capacity.member_process import (
+    MemberProcessSettings,
+    MemberSample,
+)
+from jasminewheel._internal.peer.traffic import Traffic
+
+START_SECONDS = 120.0
+POLL_SECONDS = 0.05
+PEERS_TOLD = 3
+STARTED_AT_ONCE = 16
+_STORE = 'from jasminewheel.cli.fake_store import main; main()'
+_MEMBER = 'jasminewheel._internal.capacity.member_process'
+
+
+class MeasurementError(Exception):
+    """Report that a fleet did not reach the state to measure."""
+
+
+def wait_for(condition: Callable[[], bool], what: str) -> float:
+    """Return the seconds until a condition holds."""
+    begun = time.monotonic()
+    while not condition():
+        if time.monotonic() - begun > START_SECONDS:
+            raise MeasurementError(f'{what} took over {START_SECONDS} s')
+        time.sleep(POLL_SECONDS)
+    return time.monotonic() - begun
+
+
+@define
+class MemberFleet:
+    """Hold the processes of one measurement."""
+
+    folder: Path
+    store_url: str
+    processes: dict[str, subprocess.Popen[bytes]] = field(factory=dict)
+
+    def start(self, names: Iterable[str]) -> None:
+        """Start members, told of a few that run."""
+        samples = self.samples().values()
+        peers = tuple(one.address for one in samples)[:PEERS_TOLD]
+        for name in names:
+            settings = MemberProcessSettings(
+                name,
+                self.store_url,
+                str(self.sample_path(name)),
+                peers,
+            )
+            self.processes[name] = self.spawn(name, settings)
+
+    def spawn(
+        self,
+        name: str,
+        settings: MemberProcessSettings,
+    ) -> subprocess.Popen[bytes]:
+        """Start one process."""
+        path = self.folder / f'{name}.json'
+        body = {
+            'member': settings.member,
+            'store_url': settings.store_url,
+            'sample_file': settings.sample_file,
+            'peers': list(settings.peers),
+        }
+        path.write_text(json.dumps(body), encoding='utf-8')
+        return subprocess.Popen(
+            [sys.executable, '-m', _MEMBER, str(path)],
+            stderr=subprocess.DEVNULL,
+        )
+
+    def grow(self, count: int) -> None:
+        """Start members until there are so many, and wait for them."""
+        names = [f'vm-{number}' for number in range(count)]
+        missing = [name for name in names if name not in self.processes]
+        # The first member has no address to tell the others until it runs.
+        for batch in (missing[:1], *_batches(missing[1:])):
+            self.start(batch)
+            wait_for(self.settled, 'joining')
+
+    def settled(self) -> bool:
+        """Return whether all members know of all."""
+        samples = self.samples()
+        count = len(self.processes)
+        return len(samples) == count and all(
+            one.live == count for one in samples.values()
+        )
+
+    def kill(self, names: Iterable[str]) -> None:
+        """Kill members."""
+        for name in names:
+            process = self.processes.pop(name)
+            process.kill()
+            process.wait()
+            self.sample_path(name).unlink(missing_ok=True)
+
+    def samples(self) -> dict[str, MemberSample]:
+        """Return the last sample of each member that has written one."""
+        found = {}
+        for name in self.processes:
+            path = self.sample_path(name)
+            if path.exists():
+                found[name] = _read_sample(path)
+        return found
+
+    def sample_path(self, name: str) -> Path:
+        """Return where a member writes its samples."""
+        return self.folder / f'{name}.sample'
+
+    def store_counts(self) -> dict[str, Any]:
+        """Return what the store's stand-in counted."""
+        return httpx.get(f'{self.store_url}/control/counts').json()
+
+    def stop(self) -> None:
+        """Kill all members."""
+        self.kill(tuple(self.processes))
+
+
+@contextmanager
+def member_fleet(folder: Path) -> Iterator[MemberFleet]:
+    """Run a store's stand-in for a fleet; stop all at the end."""
+    port_file = folder / 'store.port'
+    port_file.unlink(missing_ok=True)
+    store = subprocess.Popen(
+        [sys.executable, '-c', _STORE, '--port-file', str(port_file)],
+        stderr=subprocess.DEVNULL,
+    )
+    fleet = MemberFleet(folder, '')
+    with ExitStack() as stack:
+        stack.callback(store.wait)
+        stack.callback(store.kill)
+        stack.callback(fleet.stop)
+        wait_for(port_file.exists, 'start of the store')
+        port = int(port_file.read_text(encoding='ascii'))
+        fleet.store_url = f'http://127.0.0.1:{port}'
+        yield fleet
+
+
+def _batches(names: list[str]) -> Iterator[list[str]]:
+    for start in range(0, len(names), STARTED_AT_ONCE):
+        yield names[start : start + STARTED_AT_ONCE]
+
+
+def _read_sample(path: Path) -> MemberSample:
+    body = json.loads(path.read_text(encoding='utf-8'))
+    return MemberSample(**{**body, 'traffic': Traffic(**body['traffic'])})
--- /dev/null
+++ b/src/jasminewheel/_internal/capacity/membership.py
@@ -0,0 +1,79 @@
+"""Measure what membership and configuration cost a member."""
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from jasminewheel._internal.capacity.callers import measure_callers
+from jasminewheel._internal.capacity.member_cost import mean_cost
+from jasminewheel._internal.capacity.member_fleet import (
+    MemberFleet,
+    member_fleet,
+    wait_for,
+)
+from jasminewheel._internal.capacity.points import Points
+from jasminewheel._internal.capacity.slope import Measurement
+from jasminewheel._internal.membership.lease import START_SPREAD_SECONDS
+
+COMMAND = 'scripts/capacity-membership'
+MEMBERS = (8, 16, 32, 64)
+CALLERS = (3500, 7000, 14000, 28000)
+CALM_SECONDS = 20.0
+SETTLE_SECONDS = 5.0
+
+
+def measure(result: Path) -> Measurement:
+    """Measure all slopes and write the result file."""
+    points = Points()
+    with tempfile.TemporaryDirectory() as folder:
+        with member_fleet(Path(folder)) as fleet:
+            measure_members(fleet, points)
+    for callers in CALLERS:
+        measure_callers(callers, points)
+    measurement = Measurement(COMMAND, points.slopes())
+    measurement.write(result)
+    return measurement
+
+
+def measure_members(fleet: MemberFleet, points: Points) -> None:
+    """Measure fleets of growing size, in calm and as a third restarts."""
+    for count in MEMBERS:
+        fleet.grow(count)
+        time.sleep(SETTLE_SECONDS)
+        earlier = fleet.samples()
+        time.sleep(CALM_SECONDS)
+        cost = mean_cost(earlier, fleet.samples())
+        points.add('membership.messages', count, cost.messages)
+        points.add('membership.bytes', count, cost.byte_rate)
+        points.add('membership.processor', count, cost.processor_share)
+        points.add('membership.resident', count, cost.resident_bytes)
+        measure_storm(fleet, points)
+
+
+def measure_storm(fleet: MemberFleet, points: Points) -> None:
+    """Restart a third of the members at once."""
+    count = len(fleet.processes)
+    third = tuple(fleet.processes)[::3]
+    earlier = fleet.store_counts()
+    fleet.kill(third)
+    fleet.start(third)
+    seconds = wait_for(fleet.settled, 'joining again')
+    # The leases are granted within a spread after the start.
+    time.sleep(START_SPREAD_SECONDS)
+    later = fleet.store_counts()
+    points.add('membership.rejoin', count, seconds)
+    for kind in ('reads', 'writes', 'refused'):
+        made = later.get(kind, 0) - earlier.get(kind, 0)
+        points.add(f'membership.storm_{kind}', count, made)
+
+
+def main() -> None:
+    """Measure, write the result file and print the slopes."""
+    measurement = measure(Path(sys.argv[1]))
+    for slope in measurement.slopes:
+        sys.stdout.write(f'{slope.name}: {slope.points}\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/jasminewheel/_internal/peer/frames.py
+++ b/src/jasminewheel/_internal/peer/frames.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define, field
 
+from jasminewheel._internal.peer.traffic import TRAFFIC
 from jasminewheel._internal.wire.codec import decode, encode
 from jasminewheel._internal.wire.gen.frame.ttypes import Envelope
 from jasminewheel.errors import PeerError
@@ -85,6 +86,7 @@
     async def receive(self) -> Envelope:
         """Return the next envelope; raise EOFError at the end."""
         block = await self.reader.take_prefixed(MAX_FRAME_BYTES + MAC_BYTES)
+        TRAFFIC.received(len(block) + _LENGTH.size)
         mac, body = block[:MAC_BYTES], block[MAC_BYTES:]
         if not hmac.compare_digest(mac, self.seal.next_mac(body)):
             raise PeerError('a frame has a wrong MAC')
@@ -156,4 +158,6 @@
         """Return the first queued envelope as a frame."""
         body = self.bodies.popleft()
         self.queued_bytes -= len(body)
-        return prefixed(self.seal.next_mac(body) + body)
+        frame = prefixed(self.seal.next_mac(body) + body)
+        TRAFFIC.sent(len(frame))
+        return frame
