--- a/src/jasminewheel/_internal/scheduling/baselines.py
+++ b/src/jasminewheel/_internal/scheduling/baselines.py
@@ -88,7 +88,7 @@
 ) -> Choice:
     if name is None:
         return Choice(None, (), NONE_REASON)
-    option = view.option(view.fleet.runners[name], request, now)
+    option = view.option(view.fleet.runners[name], view.demand(request), now)
     return Choice(option, (option,), reason)
 
 
@@ -96,7 +96,8 @@
     view: TargetView, request: PlacementRequest, now: float
 ) -> Option | None:
     found = view.fleet.least_loaded(1, partial(view.allows, now=now))
-    options = [view.option(runner, request, now) for runner in found]
+    demand = view.demand(request)
+    options = [view.option(runner, demand, now) for runner in found]
     return min(options, key=_occupied, default=None)
 
 
--- a/src/jasminewheel/_internal/scheduling/cost.py
+++ b/src/jasminewheel/_internal/scheduling/cost.py
@@ -27,10 +27,11 @@
 
 @frozen
 class Demand:
-    """Hold what a call asks of a runner."""
+    """Hold what a call asks of a runner and has to leave free of it."""
 
     prompt_tokens: int
     answer_tokens: float
+    kept_free_share: float = 0
 
 
 @frozen
--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -12,17 +12,30 @@
 from jasminewheel._internal.scheduling.fleet import FleetBook
 from jasminewheel._internal.scheduling.outcomes import OutcomeLedger
 from jasminewheel._internal.scheduling.placement import (
+    FULL_REASON,
     NONE_REASON,
     CheapestRunner,
 )
 from jasminewheel._internal.scheduling.queue import QueuedCall
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.runners import RunnerBook
-from jasminewheel._internal.scheduling.view import Choice, TargetView
-from jasminewheel._internal.scheduling.waiting import TargetBook, TargetState
+from jasminewheel._internal.scheduling.view import (
+    Choice,
+    Option,
+    TargetView,
+    kept_free_share,
+    weights_of,
+)
+from jasminewheel._internal.scheduling.waiting import (
+    TargetBook,
+    TargetState,
+    Waiter,
+)
 
 # Calls behind the first may pass it when it waits for a certain runner.
-LOOK_AHEAD = 16
+LOOK_AHEAD = 8
+# When no runner is free for one call, none is for those behind it.
+ENDING_REASONS = frozenset((FULL_REASON, NONE_REASON))
 
 
 class ConfigurationSource(Protocol):
@@ -54,8 +67,13 @@
         state = self.targets.state(target)
         passed = 0
         while passed < min(LOOK_AHEAD, len(state.queue)):
-            if not self._try_place(state, state.queue.at(passed), now):
-                passed += 1
+            call = state.queue.at(passed)
+            if self._stays_full(state.waiters[call]):
+                return
+            choice = self._try_place(state, call, now)
+            if choice.reason in ENDING_REASONS:
+                return
+            passed += choice.option is None
 
     def pump_runner(self, runner: str, now: float) -> None:
         """Place the waiting calls of the target that a runner serves."""
@@ -76,33 +94,40 @@
             self.targets.state(request.target).rates,
             snapshot.policy,
             self.region,
+            weights_of(snapshot.policy),
         )
         return self.rules[snapshot.policy.rule].choose(view, request, now)
 
+    def _stays_full(self, waiter: Waiter) -> bool:
+        # A call that was weighed before need not be weighed again for this.
+        fleet = self.fleets.fleets.get(waiter.call.request.target)
+        if waiter.choice is None or fleet is None:
+            return False
+        policy = self.configuration.current.policy
+        priority = waiter.call.request.priority
+        return not fleet.has_room(kept_free_share(priority, policy))
+
     def _estimate(self, runner: str, now: float) -> int:
         return self.runners.state(runner).load.estimate(now)
 
     def _try_place(
         self, state: TargetState, call: QueuedCall, now: float
-    ) -> bool:
+    ) -> Choice:
         choice = self.choose(call.request, now)
         waiter = state.waiters[call]
-        if choice.option is None:
-            waiter.choice = choice
-            return False
-        state.remove(waiter)
-        decision = PlacementDecision(
-            call.request, choice.option, choice, now, self.ledger
-        )
+        waiter.choice = choice
+        if choice.option is not None:
+            state.remove(waiter)
+            waiter.place(self._decide(call, choice, choice.option, now))
+        return choice
+
+    def _decide(
+        self, call: QueuedCall, choice: Choice, option: Option, now: float
+    ) -> PlacementDecision:
+        request = call.request
+        decision = PlacementDecision(request, option, choice, now, self.ledger)
         self.ledger.placed(decision, now)
-        self.explanations.record(
-            explain_choice(
-                call.request,
-                choice,
-                now,
-                now - call.queued_at,
-                len(state.queue),
-            )
-        )
-        waiter.place(decision)
-        return True
+        waited = now - call.queued_at
+        explanation = explain_choice(request, choice, now, waited, 0)
+        self.explanations.record(explanation)
+        return decision
--- a/src/jasminewheel/_internal/scheduling/fleet.py
+++ b/src/jasminewheel/_internal/scheduling/fleet.py
@@ -9,6 +9,8 @@
 
 # Runners with open breakers are passed over up to this many.
 MOST_PASSED = 32
+# Every priority may use an idle runner.
+LEAST_SHARE = 0.000001
 
 
 class TargetFleet:
@@ -34,6 +36,13 @@
         self.keys[name] = key
         order.add(key)
 
+    def has_room(self, kept_free_share: float) -> bool:
+        """Return whether any runner is filled less than the share allows."""
+        return any(
+            order and order[0][0] < max(1 - kept_free_share, LEAST_SHARE)
+            for order in self.regions.values()
+        )
+
     def least_loaded(
         self, count: int, allows: Callable[[str], bool]
     ) -> Iterator[Runner]:
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -7,14 +7,18 @@
 
 from attrs import frozen
 
+from jasminewheel._internal.scheduling.prefixes import (
+    NOTHING_HELD,
+    Held,
+)
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.view import Choice, Option, TargetView
 
 WAIT_REASON = 'waits for a runner that costs less than a free one'
 FULL_REASON = 'waits because all runners are full'
 NONE_REASON = 'no runner may be sent calls'
-HOLDERS_WEIGHED = 6
-LEAST_LOADED_WEIGHED = 4
+HOLDERS_WEIGHED = 4
+LEAST_LOADED_WEIGHED = 2
 
 
 class PlacementRule(Protocol):
@@ -57,23 +61,35 @@
 ) -> Iterator[Option]:
     """Yield the runners worth weighing with their costs."""
     allows = partial(view.allows, now=now)
+    demand = view.demand(request)
     known = set()
     for runner, held in islice(_holders(view, request, now), HOLDERS_WEIGHED):
         if allows(runner):
             known.add(runner)
             declared = view.fleet.runners[runner]
-            yield view.option(declared, request, now, held)
+            yield view.option(declared, demand, now, held)
     for declared in view.fleet.least_loaded(LEAST_LOADED_WEIGHED, allows):
         if declared.name not in known:
-            yield view.option(declared, request, now)
+            start = _held_start(view, declared.name, request, now)
+            yield view.option(declared, demand, now, start)
 
 
-def _holders(view: TargetView, request: PlacementRequest, now: float):
+def _holders(
+    view: TargetView, request: PlacementRequest, now: float
+) -> Iterator[tuple[str, Held]]:
     if 'prefix' in view.policy.without:
         return iter(())
     return view.runners.prefixes.holders(request.blocks, now)
 
 
+def _held_start(
+    view: TargetView, runner: str, request: PlacementRequest, now: float
+) -> Held:
+    if 'prefix' in view.policy.without:
+        return NOTHING_HELD
+    return view.runners.prefixes.held_start(runner, request.blocks, now)
+
+
 def _total_seconds(option: Option) -> float:
     return option.cost.total_seconds
 
--- a/src/jasminewheel/_internal/scheduling/prefixes.py
+++ b/src/jasminewheel/_internal/scheduling/prefixes.py
@@ -95,6 +95,7 @@
     index grows with the entry's programs and not with the fleet.
     """
 
+    block_limit: int = BLOCK_LIMIT
     caches: dict[str, CacheState] = field(factory=dict)
     blocks: OrderedDict[str, dict[str, _Sighting]] = field(factory=OrderedDict)
 
@@ -127,7 +128,7 @@
             holders = self.blocks.setdefault(block.block, {})
             holders[runner] = sighting
             self.blocks.move_to_end(block.block)
-        while len(self.blocks) > BLOCK_LIMIT:
+        while len(self.blocks) > self.block_limit:
             self.blocks.popitem(last=False)
 
     def drop(self, blocks: Sequence[PrefixBlock]) -> None:
@@ -149,15 +150,54 @@
         seen: set[str] = set()
         for block in reversed(blocks):
             holders = self.blocks.get(block.block)
-            for runner in holders.keys() - seen if holders else ():
-                sighting = holders[runner]
-                trust = sighting.trust(self.cache(runner), now)
-                if trust:
-                    seen.add(runner)
-                    age = now - sighting.seen_at
-                    yield runner, Held(remaining, trust, age, block.block)
+            if holders:
+                yield from self._new_holders(
+                    holders, seen, _Prefix(block.block, remaining), now
+                )
             remaining -= block.tokens
 
+    def held_start(
+        self, runner: str, blocks: Sequence[PrefixBlock], now: float
+    ) -> Held:
+        """Return what a runner holds of the start that programs share."""
+        tokens = 0
+        held = NOTHING_HELD
+        for block in blocks[:SHARED_BLOCKS]:
+            tokens += block.tokens
+            sighting = self.blocks.get(block.block, {}).get(runner)
+            if sighting:
+                prefix = _Prefix(block.block, tokens)
+                held = self._held(runner, sighting, prefix, now)
+        return held
+
+    def _new_holders(
+        self,
+        holders: dict[str, _Sighting],
+        seen: set[str],
+        prefix: '_Prefix',
+        now: float,
+    ) -> Iterator[tuple[str, Held]]:
+        for runner, sighting in holders.items():
+            if runner in seen:
+                continue
+            held = self._held(runner, sighting, prefix, now)
+            if held.trust:
+                seen.add(runner)
+                yield runner, held
+
+    def _held(
+        self, runner: str, sighting: _Sighting, prefix: '_Prefix', now: float
+    ) -> Held:
+        trust = sighting.trust(self.cache(runner), now)
+        age = now - sighting.seen_at
+        return Held(prefix.tokens, trust, age, prefix.block)
+
+
+@frozen
+class _Prefix:
+    block: str
+    tokens: int
+
 
 def _sight(cache: CacheState, now: float) -> _Sighting:
     return _Sighting(now, cache.stored_tokens, cache.gaps)
--- a/src/jasminewheel/_internal/scheduling/request.py
+++ b/src/jasminewheel/_internal/scheduling/request.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from attrs import frozen
+from attrs import field, frozen
 
 from jasminewheel._internal.targets.prefix import PrefixBlock
 
@@ -22,7 +22,9 @@
     repeatable: bool
     request_id: str
 
-    @property
-    def prompt_tokens(self) -> int:
+    prompt_tokens: int = field(init=False)
+
+    @prompt_tokens.default
+    def sum_tokens(self) -> int:
         """Return the tokens of the whole prompt."""
         return sum(block.tokens for block in self.blocks)
--- a/src/jasminewheel/_internal/scheduling/view.py
+++ b/src/jasminewheel/_internal/scheduling/view.py
@@ -46,6 +46,7 @@
     rates: TargetRates
     policy: Policy
     region: str
+    weights: CostWeights
 
     def allows(self, runner: str, now: float) -> bool:
         """Return whether a runner serves and its breaker is closed."""
@@ -53,35 +54,39 @@
             return False
         return self.runners.state(runner).breaker.allows(now)
 
+    def demand(self, request: PlacementRequest) -> Demand:
+        """Return what a call asks of any runner."""
+        return Demand(
+            request.prompt_tokens,
+            min(self.rates.answer_tokens, request.max_tokens),
+            kept_free_share(request.priority, self.policy),
+        )
+
     def option(
         self,
         runner: Runner,
-        request: PlacementRequest,
+        demand: Demand,
         now: float,
         held: Held = NOTHING_HELD,
     ) -> Option:
         """Return a runner with its situation and cost."""
+        kept_free = round(demand.kept_free_share * runner.max_running)
         situation = Situation(
-            running=self.runners.state(runner.name).load.estimate(now),
-            limit=running_limit(runner, request.priority, self.policy),
-            held=held,
-            same_region=runner.region == self.region,
-        )
-        demand = Demand(
-            request.prompt_tokens,
-            min(self.rates.answer_tokens, request.max_tokens),
+            self.runners.state(runner.name).load.estimate(now),
+            max(1, runner.max_running - kept_free),
+            held,
+            runner.region == self.region,
         )
-        cost = price(situation, demand, self.rates, weights_of(self.policy))
+        cost = price(situation, demand, self.rates, self.weights)
         return Option(runner, situation, cost)
 
 
-def running_limit(runner: Runner, priority: int, policy: Policy) -> int:
-    """Return how many calls a priority may fill a runner up to."""
+def kept_free_share(priority: int, policy: Policy) -> float:
+    """Return the share of a runner that a priority has to leave free."""
     if 'reserve' in policy.without:
-        return runner.max_running
+        return 0
     steps_down = (TOP_PRIORITY - priority) / TOP_PRIORITY
-    kept_free = policy.reserved_share * steps_down * runner.max_running
-    return max(1, round(runner.max_running - kept_free))
+    return policy.reserved_share * steps_down
 
 
 def weights_of(policy: Policy) -> CostWeights:
--- a/src/jasminewheel/cli/load.py
+++ b/src/jasminewheel/cli/load.py
@@ -8,11 +8,13 @@
 from cyclopts import App, Parameter
 
 from jasminewheel._internal.load.arrivals import Bounds
+from jasminewheel.commands.decisions import DecisionOptions, measure
 from jasminewheel.commands.load import LoadOptions, drive_workload
 from jasminewheel.errors import SettingsError
 
 _EXIT_USAGE = 2
 DEFAULT_BOUNDS = Bounds()
+DEFAULT_DECISIONS = DecisionOptions()
 _Urls = Annotated[tuple[str, ...], Parameter(consume_multiple=True)]
 
 app = App(
@@ -62,6 +64,23 @@
         return _EXIT_USAGE
 
 
+@app.command
+def decisions(
+    *,
+    options: Annotated[DecisionOptions, Parameter(name='*')] = (
+        DEFAULT_DECISIONS
+    ),
+) -> int:
+    """Measure how long placement decisions take as the fleet grows.
+
+    Parameters
+    ----------
+    options:
+        How much is measured and where the result goes.
+    """
+    return measure(options)
+
+
 def main() -> None:
     """Run the tool and exit with its code."""
     sys.exit(app())
--- a/tests/unit/test_scheduling_rules.py
+++ b/tests/unit/test_scheduling_rules.py
@@ -1,7 +1,15 @@
 """Check the pure rules of scheduling: queue, load, belief, breaker, pauses."""
 
+from random import Random
+
+from jasminewheel._internal.load.decision_cost import (
+    DecisionBench,
+    FleetSize,
+    make_target,
+)
 from jasminewheel._internal.scheduling.admission import Throughput, judge
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
+from jasminewheel._internal.scheduling.fleet import TargetFleet
 from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.pause import (
     PAUSE_BOUNDS_SECONDS,
@@ -21,8 +29,10 @@
     QueuedCall,
 )
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.view import kept_free_share
 from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
 from jasminewheel._internal.targets.prefix import PrefixBlock
+from jasminewheel.models.policy import Policy
 
 
 def make_request(program: str = 'p', priority: int = 0, attained: int = 0):
@@ -175,3 +185,18 @@
     assert endless.retention is Retention.drop
     idle = decide_retention(learner, pause_situation('lookup', 0.3))
     assert idle.retention is Retention.demote
+
+
+def test_few_runners_are_weighed_however_many_there_are():
+    bench = DecisionBench(FleetSize(600, 200, 10), Random(1))
+    weighed = bench.dispatcher.choose(bench.request(9), 0).weighed
+    regions = {option.runner.region for option in weighed}
+    assert len(regions) == 3
+    assert len(weighed) <= 10
+    assert bench.decide_once() > 0
+
+
+def test_an_idle_runner_has_room_for_every_priority():
+    fleet = TargetFleet(make_target(1), 'salt')
+    fleet.update('runner-0', 0)
+    assert fleet.has_room(kept_free_share(0, Policy(reserved_share=1)))
