--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -173,6 +173,18 @@
         self.sent = sent
 
 
+class DiskFullError(JasminewheelError):
+    """Report that a disk takes no more records; those it has are kept."""
+
+    code = 'disk-full'
+
+
+class DamagedError(JasminewheelError):
+    """Report stored bytes that fail their checksum."""
+
+    code = 'damaged'
+
+
 class HistoryError(JasminewheelError):
     """Report a program log that cannot be replayed."""
 
@@ -198,3 +210,27 @@
             '; '.join(str(problem) for problem in self.problems),
             remedy='correct the fields named and apply again',
         )
+
+
+class ConfigurationError(JasminewheelError):
+    """Report a configuration that cannot be read whole."""
+
+    code = 'configuration-broken'
+
+
+class StaleVersionError(JasminewheelError):
+    """Refuse a change to a resource that is at another version."""
+
+    code = 'stale-version'
+
+
+class MissingResourceError(JasminewheelError):
+    """Refuse a change to a resource that is not there."""
+
+    code = 'resource-missing'
+
+
+class UnsettledCommitError(JasminewheelError):
+    """Report a change whose answer was lost and could not be settled."""
+
+    code = 'commit-unsettled'
