Measure memory by callers, programs and turns, and time an exchange

Cause: the capacity page needs slopes of its own machine-measured points. Ruled out: tracemalloc, which leaves out what the allocator keeps. Change: jasminewheel-load capacity measures resident memory and processor time over four or five sizes and writes docs/capacity/entry.json.

--- /dev/null
+++ b/src/jasminewheel/_internal/capacity/exchanges.py
@@ -0,0 +1,47 @@
+"""Measure the processor time of exchanges between peers."""
+
+from time import process_time
+from typing import Any
+
+import trio
+
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import Exchange, PeerServer
+from jasminewheel._internal.wire.gen.frame.ttypes import Hello
+
+EXCHANGE_SIZES = (500, 1000, 2000, 4000)
+TIMEOUT_SECONDS = 10
+_KEY = b'capacity' * 4
+_NONCE_BYTES = 140
+_HELLO = Hello(member='m', incarnation='i', nonce=bytes(_NONCE_BYTES))
+
+
+async def answer(exchange: Exchange, message: Any) -> Any:
+    """Return the message."""
+    return message
+
+
+async def exchange_points() -> list[tuple[float, float]]:
+    """Return processor seconds of both sides by number of exchanges."""
+    server = PeerServer(PeerIdentity('a', '1', 'z'), _KEY, {Hello: answer})
+    points: list[tuple[float, float]] = []
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(server.serve, '127.0.0.1', 0)
+        async with PeerPool(PeerIdentity('b', '1', 'z'), _KEY) as pool:
+            while len(points) < len(EXCHANGE_SIZES):
+                size = EXCHANGE_SIZES[len(points)]
+                spent = await measure(pool, f'127.0.0.1:{port}', size)
+                points.append((size, spent))
+        nursery.cancel_scope.cancel()
+    return points
+
+
+async def measure(pool: PeerPool, address: str, count: int) -> float:
+    """Return the processor seconds of that many exchanges."""
+    before = process_time()
+    left = count
+    while left:
+        await pool.ask(address, _HELLO, Hello, timeout_seconds=TIMEOUT_SECONDS)
+        left -= 1
+    return process_time() - before
--- a/src/jasminewheel/_internal/capacity/slope.py
+++ b/src/jasminewheel/_internal/capacity/slope.py
@@ -25,6 +25,13 @@
         """Return the line's value at a size, in the slope's unit."""
         return self.intercept + self.slope * size
 
+    def describe(self) -> str:
+        """Return the slope with its units and its residual."""
+        rate = format(self.slope, '.3g')
+        residual = format(self.residual, '.1%')
+        words = (self.name, rate, self.unit, 'per', self.per, 'off', residual)
+        return ' '.join(words)
+
 
 @frozen
 class Measurement:
--- a/src/jasminewheel/cli/load.py
+++ b/src/jasminewheel/cli/load.py
@@ -8,6 +8,7 @@
 from cyclopts import App, Parameter
 
 from jasminewheel._internal.load.arrivals import Bounds
+from jasminewheel.commands.capacity import measure_capacity
 from jasminewheel.commands.decisions import DecisionOptions, measure
 from jasminewheel.commands.load import LoadOptions, drive_workload
 from jasminewheel.errors import SettingsError
@@ -15,6 +16,7 @@
 _EXIT_USAGE = 2
 DEFAULT_BOUNDS = Bounds()
 DEFAULT_DECISIONS = DecisionOptions()
+CAPACITY_FOLDER = Path('docs/capacity')
 _Urls = Annotated[tuple[str, ...], Parameter(consume_multiple=True)]
 
 app = App(
@@ -81,6 +83,18 @@
     return measure(options)
 
 
+@app.command
+def capacity(*, folder: Path = CAPACITY_FOLDER) -> int:
+    """Measure the slopes behind the capacity page.
+
+    Parameters
+    ----------
+    folder:
+        Folder that receives the result file.
+    """
+    return measure_capacity(folder)
+
+
 def main() -> None:
     """Run the tool and exit with its code."""
     sys.exit(app())
--- /dev/null
+++ b/src/jasminewheel/commands/capacity.py
@@ -0,0 +1,31 @@
+"""Measure the slopes behind the capacity page and rewrite its tables."""
+
+import sys
+from pathlib import Path
+
+import trio
+
+from jasminewheel._internal.capacity.exchanges import exchange_points
+from jasminewheel._internal.capacity.memory import (
+    caller_points,
+    program_points,
+    turn_points,
+)
+from jasminewheel._internal.capacity.slope import Measurement, fit
+
+_COMMAND = 'jasminewheel-load capacity'
+_RESULT_FILE = 'entry.json'
+
+
+def measure_capacity(folder: Path) -> int:
+    """Measure this machine's slopes; write the result file into the folder."""
+    slopes = (
+        fit('caller-memory', 'MB', 'caller', caller_points()),
+        fit('program-memory', 'MB', 'program of 4 turns', program_points()),
+        fit('turn-memory', 'MB', 'turn of 1,000 programs', turn_points()),
+        fit('exchange-cpu', 's', 'exchange', trio.run(exchange_points)),
+    )
+    Measurement(_COMMAND, slopes).write(folder / _RESULT_FILE)
+    for slope in slopes:
+        sys.stdout.write(f'{slope.describe()}\n')
+    return 0
