--- a/src/jasminewheel/_internal/budget/wallet.py
+++ b/src/jasminewheel/_internal/budget/wallet.py
@@ -70,11 +70,12 @@
         return self
 
     async def __aexit__(self, *exception: object) -> bool | None:
-        """Give back what is unspent."""
+        """Give back what is unspent, unless the process fails."""
         self.nursery.cancel_scope.cancel()
-        with trio.CancelScope(shield=True) as scope:
-            scope.deadline = trio.current_time() + _STOP_SECONDS
-            await self.give_back_all()
+        if exception[0] is None:
+            with trio.CancelScope(shield=True) as scope:
+                scope.deadline = trio.current_time() + _STOP_SECONDS
+                await self.give_back_all()
         return await self.stack.__aexit__(*exception)
 
     @asynccontextmanager
--- /dev/null
+++ b/tests/functional/test_budget_owners.py
@@ -0,0 +1,232 @@
+"""Check budgets over real sockets and histories, through deaths of owners."""
+
+from contextlib import AsyncExitStack, suppress
+from functools import partial
+
+import pytest
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.budget.account import BudgetLimit
+from jasminewheel._internal.budget.asker import GrantAsker
+from jasminewheel._internal.budget.owner import AccountOwners, TakenSlots
+from jasminewheel._internal.budget.service import BudgetService
+from jasminewheel._internal.budget.wallet import Wallet
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.replication.ownership import Ownership
+from jasminewheel._internal.replication.placement import PlacementView
+from jasminewheel.errors import BudgetError, UnavailableError
+from tests.histories import KEY, fleet, placement_of
+
+HISTORIES = ('h1', 'h2', 'h3')
+LIMIT = BudgetLimit(10_000, 3600)
+NOW = 1_000_000.0
+
+
+@define
+class Address:
+    """Name an entry and where it listens."""
+
+    member: str
+    peer_address: str = ''
+
+
+@define
+class Ranking:
+    """Prefer the entries in a fixed order, but for the dead."""
+
+    own: Address
+    entries: list[Address]
+
+    def preferred(self, _subject):
+        """Return the live entries."""
+        return list(self.entries)
+
+
+@define
+class Taker:
+    """Seal a slot when asked to."""
+
+    ownership: Ownership
+
+    async def take(self, slot, _unreachable):
+        """Own the slot."""
+        await self.ownership.own(slot)
+
+
+@define
+class Entry:
+    """Run the budget's parts of one entry."""
+
+    address: Address
+    owners: AccountOwners
+    wallet: Wallet
+    scope: trio.CancelScope = field(factory=trio.CancelScope)
+    stopping: trio.Event = field(factory=trio.Event)
+    spent: int = 0
+
+    async def spend(self, tokens):
+        """Reserve and spend."""
+        async with self.wallet.reserve('yard', tokens, NOW) as reservation:
+            reservation.settle(tokens)
+        self.spent += tokens
+
+    async def spend_all(self, tokens):
+        """Spend until the budget is exhausted."""
+        with suppress(BudgetError):
+            while True:
+                await self.spend(tokens)
+
+
+@define
+class Entries:
+    """Start entries on one fleet of histories."""
+
+    histories: object
+    nursery: trio.Nursery
+    addresses: list[Address] = field(factory=list)
+
+    async def start(self, name):
+        """Start an entry, less preferred than those before it."""
+        address = Address(name)
+        self.addresses.append(address)
+        return await self.nursery.start(self.run, address)
+
+    async def run(self, address, task_status):
+        """Run an entry until it is killed."""
+        identity = PeerIdentity(address.member, 'i', 'teku')
+        async with AsyncExitStack() as stack:
+            scope = stack.enter_context(trio.CancelScope())
+            pool = await stack.enter_async_context(PeerPool(identity, KEY))
+            entry = self.make(address, identity, pool)
+            entry.scope = scope
+            server = PeerServer(identity, KEY, entry.owners.service.handlers())
+            serving = await stack.enter_async_context(trio.open_nursery())
+            port = await serving.start(server.serve, '127.0.0.1', 0)
+            address.peer_address = f'127.0.0.1:{port}'
+            async with entry.wallet:
+                task_status.started(entry)
+                await entry.stopping.wait()
+
+    def make(self, address, identity, pool):
+        """Wire the parts."""
+        placement = placement_of(*self.histories.replicas())
+        ownership = Ownership(
+            pool,
+            identity,
+            PlacementView(placement),
+            self.histories.addresses.__getitem__,
+        )
+        slots = TakenSlots(ownership, Taker(ownership), placement.slot_of)
+        service = BudgetService(slots, lambda _: LIMIT, lambda: NOW)
+        ranking = Ranking(address, self.addresses)
+        owners = AccountOwners(service, slots, ranking, pool)
+        asker = GrantAsker(owners, address.member, lambda: NOW)
+        return Entry(address, owners, Wallet(asker, lambda: NOW))
+
+    def kill(self, entry):
+        """Kill an entry; the others notice."""
+        entry.scope.cancel()
+        self.addresses.remove(entry.address)
+
+
+def run(check, folder):
+    """Run check with entries on three histories."""
+
+    async def bounded():
+        async with AsyncExitStack() as stack:
+            stack.enter_context(trio.fail_after(60))
+            running = await stack.enter_async_context(
+                fleet(folder, *HISTORIES),
+            )
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            await check(Entries(running, nursery))
+            nursery.cancel_scope.cancel()
+
+    trio.run(bounded)
+
+
+async def check_shared(entries):
+    """Spend at three entries at once."""
+    first = await entries.start('a')
+    second = await entries.start('b')
+    third = await entries.start('c')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.spend_all, 50)
+        nursery.start_soon(second.spend_all, 50)
+        nursery.start_soon(third.spend_all, 50)
+    spent = first.spent + second.spent + third.spent
+    # What is left is smaller than a call at each entry.
+    assert spent <= LIMIT.tokens
+    assert spent > LIMIT.tokens - 3 * 50
+
+
+def test_shared(tmp_path):
+    """Three entries spend one budget, whole and not more."""
+    run(check_shared, tmp_path)
+
+
+async def check_owner_dies(entries, when):
+    """Kill the account's owner while two others spend."""
+    owner = await entries.start('a')
+    second = await entries.start('b')
+    third = await entries.start('c')
+    await owner.spend(100)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(second.spend_all, 50)
+        nursery.start_soon(third.spend_all, 50)
+        while second.spent + third.spent < when:
+            await trio.sleep(0)
+        held = owner.wallet.account('yard').purse.left(NOW)
+        entries.kill(owner)
+    spent = owner.spent + second.spent + third.spent
+    assert spent <= LIMIT.tokens
+    # A grant of the dead owner in the making may count as spent as well.
+    assert spent + held > LIMIT.tokens - LIMIT.tokens // 4 - 2 * 50
+
+
+@pytest.mark.parametrize('when', [50, 500, 2000, 4000])
+def test_owner_dies(tmp_path, when):
+    """The account goes on at another entry; nothing is granted twice."""
+    run(partial(check_owner_dies, when=when), tmp_path)
+
+
+async def check_graceful_stop(entries):
+    """Stop an entry that holds a grant."""
+    stopped = await entries.start('a')
+    other = await entries.start('b')
+    await stopped.spend(100)
+    stopped.stopping.set()
+    while other.spent < LIMIT.tokens - 100:
+        with suppress(BudgetError):
+            await other.spend(100)
+        await trio.sleep(0.01)
+    assert other.spent + stopped.spent == LIMIT.tokens
+
+
+def test_graceful_stop(tmp_path):
+    """An entry that stops gives back what it did not spend."""
+    run(check_graceful_stop, tmp_path)
+
+
+async def check_histories_down(entries):
+    """Lose the majority of the replicas, then get it back."""
+    entry = await entries.start('a')
+    await entry.spend(100)
+    left = entry.wallet.account('yard').purse.left(NOW)
+    assert left > 0
+    entries.histories.stop('h1', 'h2')
+    await entry.spend(left)
+    with pytest.raises(UnavailableError):
+        await entry.spend(1000)
+    await entries.histories.start_all('h1', 'h2')
+    await entry.spend_all(100)
+    assert entry.spent <= LIMIT.tokens
+    assert entry.spent > LIMIT.tokens - 100
+
+
+def test_histories_down(tmp_path):
+    """Without a majority the grants in hand are all there is."""
+    run(check_histories_down, tmp_path)
