--- /dev/null
+++ b/src/jasminewheel/_internal/events/program.py
@@ -0,0 +1,24 @@
+"""Events 1200 to 1299: programs and their calls."""
+
+import logging
+
+from jasminewheel._internal.events.event import Event
+
+SLOT_LOST = Event(1200, logging.WARNING, 'slot lost to another entry')
+SLOT_TAKEN = Event(1201, logging.INFO, 'slot taken over')
+SLOT_RELEASED = Event(1202, logging.INFO, 'slot released')
+CALL_UNCERTAIN = Event(
+    1203,
+    logging.WARNING,
+    'call of a lost owner may have run',
+    'check the effect at the target before sending anew',
+)
+CALL_TAKEN_UP = Event(1204, logging.INFO, 'call of a lost owner taken up')
+CALL_FAULT = Event(
+    1205, logging.ERROR, 'call failed unexpectedly', 'report the traceback'
+)
+RUNNER_FAILED = Event(1206, logging.WARNING, 'runner failed a call')
+PROGRAM_EXPIRED = Event(1207, logging.INFO, 'program ended by its deadline')
+PROGRAM_DROPPED = Event(1208, logging.DEBUG, 'log of an ended program dropped')
+OWNER_LOST = Event(1209, logging.WARNING, 'owner lost during an operation')
+DRAINED = Event(1210, logging.INFO, 'all slots released')
--- a/src/jasminewheel/_internal/program/call.py
+++ b/src/jasminewheel/_internal/program/call.py
@@ -30,6 +30,11 @@
             return Verdict.may_have_run
         return self.outcome.verdict
 
+    @property
+    def may_start_again(self) -> bool:
+        """Tell whether another start may follow: nothing has run for good."""
+        return self.outcome is None or self.verdict is Verdict.not_run
+
     def finish(self, record: CallFinished) -> None:
         """Keep the outcome that was recorded."""
         self.outcome = CallOutcome(
--- /dev/null
+++ b/src/jasminewheel/_internal/program/flow.py
@@ -0,0 +1,246 @@
+"""Run the calls of hosted programs, one at a time a program."""
+
+import logging
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+from attrs import define
+
+from jasminewheel._internal.configuration.snapshot import Snapshot
+from jasminewheel._internal.events import program as events
+from jasminewheel._internal.observability.tracing import hop
+from jasminewheel._internal.program.answer import Answer
+from jasminewheel._internal.program.call import (
+    Call,
+    failed_outcome,
+    finish_record,
+)
+from jasminewheel._internal.program.hosted import HostedProgram, Turn
+from jasminewheel._internal.program.job import CallJob, Clock
+from jasminewheel._internal.program.plan import make_plan
+from jasminewheel._internal.program.ports import Wallet
+from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
+from jasminewheel.errors import (
+    CallError,
+    DeadlineError,
+    MovedError,
+    UnavailableError,
+)
+from jasminewheel.models.call import CallOutcome, CallRequest
+from jasminewheel.models.verdict import Verdict
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class TargetCalls(Protocol):
+    """Run calls of one kind of target."""
+
+    async def run(self, job: CallJob) -> CallOutcome:
+        """Return the outcome; raise the error of the last runner tried."""
+
+    async def take_up(
+        self, job: CallJob, start: CallStarted
+    ) -> CallOutcome | None:
+        """Return the outcome of an attempt that is already under way."""
+
+    async def abandon(self, job: CallJob) -> None:
+        """Stop a call that nobody waits for any more."""
+
+
+@define(eq=False)
+class CallFlow:
+    """Take each call from its place in the order to its recorded outcome."""
+
+    snapshot: Callable[[], Snapshot]
+    wallet: Wallet
+    models: TargetCalls
+    services: TargetCalls
+    clock: Clock
+
+    def begin(
+        self,
+        hosted: HostedProgram,
+        request: CallRequest,
+        nursery: trio.Nursery,
+        traceparent: str,
+    ) -> Answer:
+        """Queue a new call and return the answer to come."""
+        answer = Answer(request.digest)
+        turn = hosted.enqueue(request.request_id, answer)
+        nursery.start_soon(self.run, turn, request, None, traceparent)
+        return answer
+
+    def take_up(
+        self,
+        hosted: HostedProgram,
+        call: Call,
+        nursery: trio.Nursery,
+    ) -> Answer:
+        """Go on with a repeatable call that an earlier owner started."""
+        start = call.start
+        answer = Answer(call.digest, start.generation)
+        answer.add(start.text)
+        request = CallRequest(
+            request_id=call.request_id,
+            digest=call.digest,
+            target=start.target,
+            operation=start.operation,
+            content=start.content,
+            deadline_at=start.deadline_at,
+        )
+        turn = hosted.enqueue(request.request_id, answer)
+        nursery.start_soon(self.run, turn, request, start, '')
+        return answer
+
+    async def run(
+        self,
+        turn: Turn,
+        request: CallRequest,
+        start: CallStarted | None,
+        traceparent: str,
+    ) -> None:
+        """Run a call to its end; its readers get the outcome or the error."""
+        async with turn:
+            with hop('call', traceparent, request=request.request_id):
+                try:
+                    outcome = await self.run_in_turn(turn, request, start)
+                except CallError as error:
+                    turn.answer.fail(error)
+                except Exception:
+                    events.CALL_FAULT.log(_LOGGER, request=request.request_id)
+                    _LOGGER.exception('call %s', request.request_id)
+                    turn.answer.fail(_unexpected())
+                else:
+                    turn.answer.finish(outcome)
+            turn.leave()
+
+    async def run_in_turn(
+        self, turn: Turn, request: CallRequest, start: CallStarted | None
+    ) -> CallOutcome:
+        """Wait for the turn, then return the recorded outcome."""
+        await self.wait_for_turn(turn, request)
+        if start is None:
+            job = self.make_job(turn, request)
+            return await self.run_reserved(job)
+        try:
+            job = self.make_job(turn, request)
+        except CallError as error:
+            # The target or the caller is gone, but the call is on record.
+            outcome = failed_outcome(_weakened(error), start.generation)
+            await record(turn.hosted, request, outcome, self.clock())
+            return outcome
+        return await self.run_on(job, start)
+
+    async def run_on(self, job: CallJob, start: CallStarted) -> CallOutcome:
+        """Resume the attempt under way, or start another."""
+        job.attempt = start.attempt
+        job.has_started = True
+        job.may_have_run = True
+        with job.limited():
+            outcome = await self.calls_of(job).take_up(job, start)
+        if outcome:
+            # The tokens are those that the earlier owner reserved.
+            await record(job.hosted, job.request, outcome, self.clock())
+            return outcome
+        job.attempt += 1
+        job.answer.restart(job.answer.generation + 1)
+        return await self.run_reserved(job)
+
+    async def run_reserved(self, job: CallJob) -> CallOutcome:
+        """Run a call within the caller's budget and record its outcome."""
+        reserved = job.reserved_tokens()
+        caller = job.plan.caller.name
+        async with self.wallet.reserve(
+            caller, reserved, self.clock()
+        ) as reservation:
+            try:
+                outcome = await self.outcome_of(job)
+                await record(job.hosted, job.request, outcome, self.clock())
+            except MovedError:
+                reservation.settle(reserved if job.has_started else 0)
+                raise
+            reservation.settle(spent_tokens(job, outcome))
+        return outcome
+
+    async def wait_for_turn(self, turn: Turn, request: CallRequest) -> None:
+        """Wait for the calls before; raise DeadlineError if that is long."""
+        deadline_at = turn.hosted.program.deadline_of(request)
+        patience = max(0, deadline_at - self.clock()) if deadline_at else math.inf
+        try:
+            with trio.fail_after(patience):
+                await turn.wait()
+        except trio.TooSlowError as late:
+            raise DeadlineError('the deadline passed in the queue') from late
+
+    def make_job(self, turn: Turn, request: CallRequest) -> CallJob:
+        """Return the call with its plan; raise the refusal of a new one."""
+        hosted = turn.hosted
+        opened = hosted.program.opened
+        plan = make_plan(self.snapshot(), opened.caller, request)
+        earlier = hosted.program.calls.get(request.request_id)
+        if earlier is None or earlier.outcome:
+            hosted.program.check_may_call(
+                request, plan.caller.max_turns, self.clock()
+            )
+        job = CallJob(hosted, request, plan, turn.answer, self.clock)
+        if earlier:
+            job.attempt = earlier.start.attempt + 1
+        return job
+
+    async def outcome_of(self, job: CallJob) -> CallOutcome:
+        """Return the outcome; raise an error only if nothing was started."""
+        try:
+            with job.limited():
+                return await self.calls_of(job).run(job)
+        except MovedError:
+            raise
+        except CallError as error:
+            if not job.has_started:
+                raise
+            if isinstance(error, DeadlineError):
+                await self.calls_of(job).abandon(job)
+            if job.may_have_run:
+                error = _weakened(error)
+            return failed_outcome(error, job.answer.generation)
+
+    def calls_of(self, job: CallJob) -> TargetCalls:
+        """Return what runs calls of the job's kind of target."""
+        return self.models if job.plan.model_input else self.services
+
+
+async def record(
+    hosted: HostedProgram,
+    request: CallRequest,
+    outcome: CallOutcome,
+    now: float,
+) -> None:
+    """Append the outcome, so that any later owner answers the same."""
+    await hosted.append(finish_record(request.request_id, outcome, now))
+
+
+def spent_tokens(job: CallJob, outcome: CallOutcome) -> int:
+    """Return the tokens to charge; all that were reserved if unknown."""
+    if outcome.succeeded:
+        return outcome.prompt_tokens + outcome.completion_tokens
+    if outcome.verdict is Verdict.not_run:
+        return 0
+    return job.reserved_tokens()
+
+
+def _weakened(error: CallError) -> CallError:
+    """Return the error with the verdict that something may have run."""
+    if error.verdict is not Verdict.not_run:
+        return error
+    return type(error)(
+        error.message, verdict=Verdict.may_have_run, remedy=error.remedy
+    )
+
+
+def _unexpected() -> UnavailableError:
+    return UnavailableError(
+        'the call failed unexpectedly',
+        verdict=Verdict.may_have_run,
+        remedy='ask for the status of the request',
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/program/hosted.py
@@ -0,0 +1,193 @@
+"""Hold a program in the memory of its owner, together with its log."""
+
+from collections.abc import Callable
+from typing import TypeAlias
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.program.answer import Answer
+from jasminewheel._internal.program.order import check_order
+from jasminewheel._internal.program.ports import SlotLog
+from jasminewheel._internal.program.program import Program
+from jasminewheel._internal.program.records import (
+    Record,
+    decode_record,
+    encode_record,
+    kind_of,
+)
+from jasminewheel._internal.targets.prefix import PrefixBlock, chain
+from jasminewheel.errors import (
+    ConflictError,
+    FencedError,
+    MovedError,
+    OverloadedError,
+    QuorumError,
+)
+from jasminewheel.models.verdict import Verdict
+
+Decide: TypeAlias = Callable[[Program], Record | None]
+MAX_QUEUED_CALLS = 64
+APPEND_SECONDS = 20.0
+_FIRST_PAUSE_SECONDS = 0.05
+_LONGEST_PAUSE_SECONDS = 1.0
+
+
+@define(eq=False)
+class Holding:
+    """Say whether a slot's programs in memory may still be used."""
+
+    is_lost: bool = False
+
+
+@define(eq=False)
+class HostedProgram:
+    """Append what the program decides and keep its running calls."""
+
+    program: Program
+    log: SlotLog
+    holding: Holding
+    used_at: float
+    answers: dict[str, Answer] = field(factory=dict)
+    writing: trio.Lock = field(factory=trio.Lock)
+    last_turn: trio.Event | None = None
+    blocks: list[PrefixBlock] = field(factory=list)
+    is_ending: bool = False
+
+    @classmethod
+    async def load(
+        cls, log: SlotLog, holding: Holding, program_id: str, now: float
+    ) -> 'HostedProgram':
+        """Return the program as its log tells it."""
+        stored = await log.read(program_id)
+        program = Program.replay(program_id, map(decode_record, stored))
+        return cls(program, log, holding, now)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no call is queued or running and none recorded."""
+        return not self.answers and not self.writing.locked()
+
+    def prefix(self) -> list[PrefixBlock]:
+        """Return the cache blocks of the conversation so far."""
+        known = len(self.blocks)
+        previous = self.blocks[-1].block if self.blocks else ''
+        added = [
+            {'role': message.role, 'content': message.content}
+            for message in self.program.messages[known:]
+        ]
+        self.blocks.extend(chain(added, previous))
+        return self.blocks
+
+    def enqueue(self, request_id: str, answer: Answer) -> 'Turn':
+        """Keep a place in the program's order of calls."""
+        if self.is_ending:
+            raise ConflictError(
+                'the program is being ended', remedy='open another program'
+            )
+        if len(self.answers) >= MAX_QUEUED_CALLS:
+            raise OverloadedError(
+                f'{MAX_QUEUED_CALLS} calls of the program are waiting',
+                remedy='wait for their answers',
+                retry_after_seconds=_LONGEST_PAUSE_SECONDS,
+            )
+        self.answers[request_id] = answer
+        turn = Turn(self, request_id, answer, self.last_turn)
+        self.last_turn = turn.ended
+        return turn
+
+    async def quiet(self) -> None:
+        """Wait until no call is queued or running."""
+        while self.last_turn and not self.last_turn.is_set():
+            await self.last_turn.wait()
+
+    async def append(self, record: Record) -> None:
+        """Return when a majority holds the record; raise MovedError if lost."""
+        await self.append_decided(lambda program: record)
+
+    async def append_decided(self, decide: Decide) -> None:
+        """Append what the program decides now, if anything.
+
+        An append is not broken off with the request that asked for it: its
+        outcome would be unknown, and this copy of no use any more.
+        """
+        with trio.CancelScope(shield=True):
+            async with self.writing:
+                self.check_held()
+                record = decide(self.program)
+                if record is None:
+                    return
+                check_order(self.program, record)
+                await self.append_next(record)
+                self.program.apply(record)
+
+    def check_held(self) -> None:
+        """Raise MovedError once another entry may own the program."""
+        if self.holding.is_lost:
+            raise MovedError(
+                'the program has moved to another entry',
+                verdict=Verdict.may_have_run,
+            )
+
+    async def append_next(self, record: Record) -> None:
+        """Try until a majority holds the record or the slot is lost."""
+        pause = _FIRST_PAUSE_SECONDS
+        with trio.move_on_after(APPEND_SECONDS):
+            while not await self.try_append(record):
+                await trio.sleep(pause)
+                pause = min(2 * pause, _LONGEST_PAUSE_SECONDS)
+            return
+        self.lose()
+
+    async def try_append(self, record: Record) -> bool:
+        """Return whether a majority took the record."""
+        try:
+            await self.log.append(
+                self.program.program_id,
+                self.program.length,
+                kind_of(record),
+                encode_record(record),
+            )
+        except FencedError:
+            self.lose()
+        except QuorumError:
+            return False
+        return True
+
+    def lose(self) -> None:
+        """Stop using this copy, since the log may differ from it."""
+        self.holding.is_lost = True
+        self.check_held()
+
+
+@define(eq=False)
+class Turn:
+    """Keep a call's place behind the calls before it."""
+
+    hosted: HostedProgram
+    request_id: str
+    answer: Answer
+    previous: trio.Event | None
+    ended: trio.Event = field(factory=trio.Event)
+
+    async def __aenter__(self) -> 'Turn':
+        """Hold the place."""
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Let the next call go, once the ones before have ended."""
+        self.leave()
+        await self.wait()
+        self.ended.set()
+
+    async def wait(self) -> None:
+        """Wait until all earlier calls have ended."""
+        if self.previous:
+            await self.previous.wait()
+        # Drops the chain of turns behind this one.
+        self.previous = None
+
+    def leave(self) -> None:
+        """Forget the answer; a retry of the request starts anew."""
+        if self.hosted.answers.get(self.request_id) is self.answer:
+            self.hosted.answers.pop(self.request_id)
--- a/src/jasminewheel/_internal/program/program.py
+++ b/src/jasminewheel/_internal/program/program.py
@@ -41,6 +41,7 @@
     unfinished: Call | None = None
     messages: list[Message] = Factory(list)
     length: int = 0
+    attained_tokens: int = 0
 
     @classmethod
     def replay(cls, program_id: str, records: Iterable[Record]) -> 'Program':
@@ -72,9 +73,10 @@
         if call is None:
             call = Call(record.request_id, record.digest, record)
             self.calls[record.request_id] = call
-        elif call.outcome:
+        elif not call.may_start_again:
             raise wrong_order(self, record)
         call.start = record
+        call.outcome = None
         self.unfinished = call
 
     def apply_finish(self, record: CallFinished) -> None:
@@ -82,6 +84,8 @@
         call = self.calls[record.request_id]
         call.finish(record)
         self.unfinished = None
+        self.attained_tokens += record.prompt_tokens
+        self.attained_tokens += record.completion_tokens
         self.messages.extend(call.messages_for_history())
 
     def require_caller(self, caller: str) -> ProgramOpened:
--- a/src/jasminewheel/_internal/program/records.py
+++ b/src/jasminewheel/_internal/program/records.py
@@ -18,18 +18,18 @@
     ProgramOpened | CallStarted | CallFinished | ChildOpened | ProgramEnded
 )
 
-# The numbers are on disk: never reuse one.
-_KIND_BY_NUMBER: Mapping[int, type[Record]] = MappingProxyType(
+# The names are on disk: never reuse one.
+_TYPE_BY_KIND: Mapping[str, type[Record]] = MappingProxyType(
     {
-        1: ProgramOpened,
-        2: CallStarted,
-        3: CallFinished,
-        4: ChildOpened,
-        5: ProgramEnded,
+        'opened': ProgramOpened,
+        'started': CallStarted,
+        'finished': CallFinished,
+        'child': ChildOpened,
+        'ended': ProgramEnded,
     }
 )
-_NUMBER_BY_KIND = MappingProxyType(
-    {kind: number for number, kind in _KIND_BY_NUMBER.items()}
+_KIND_BY_TYPE = MappingProxyType(
+    {type_: kind for kind, type_ in _TYPE_BY_KIND.items()}
 )
 
 
@@ -37,13 +37,13 @@
     """Describe what a log returns for each index."""
 
     index: int
-    kind: int
+    kind: str
     payload: bytes
 
 
-def kind_of(record: Record) -> int:
-    """Return the number under which a record stands in the log."""
-    return _NUMBER_BY_KIND[type(record)]
+def kind_of(record: Record) -> str:
+    """Return the kind under which a record stands in the log."""
+    return _KIND_BY_TYPE[type(record)]
 
 
 def encode_record(record: Record) -> bytes:
@@ -53,10 +53,10 @@
 
 def decode_record(stored: StoredRecord) -> Record:
     """Return the record; raise HistoryError for an unknown kind."""
-    kind = _KIND_BY_NUMBER.get(stored.kind)
-    if kind is None:
+    record_type = _TYPE_BY_KIND.get(stored.kind)
+    if record_type is None:
         raise HistoryError(
             f'record {stored.index} has unknown kind {stored.kind}',
             remedy='run the version of the product that wrote it',
         )
-    return decode(kind, stored.payload)
+    return decode(record_type, stored.payload)
--- /dev/null
+++ b/src/jasminewheel/_internal/program/service_calls.py
@@ -0,0 +1,74 @@
+"""Run calls of plain services at their owner."""
+
+import json
+
+from attrs import define
+
+from jasminewheel._internal.program.job import CallJob
+from jasminewheel._internal.program.ports import (
+    Decision,
+    Placer,
+    TargetClients,
+)
+from jasminewheel._internal.targets.service import ServiceAnswer
+from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
+from jasminewheel.errors import TargetFailedError
+from jasminewheel.models.call import CallOutcome
+from jasminewheel.models.verdict import Verdict
+
+_OK = 200
+
+
+@define(eq=False)
+class ServiceCalls:
+    """Send calls to services, again only where that is safe."""
+
+    placer: Placer
+    targets: TargetClients
+
+    async def run(self, job: CallJob) -> CallOutcome:
+        """Return the outcome; raise the error of the last runner tried."""
+        while True:
+            try:
+                return await self.attempt(job)
+            except TargetFailedError as error:
+                job.count_failure(error)
+
+    async def attempt(self, job: CallJob) -> CallOutcome:
+        """Place the call, record its start, then send it."""
+        now = job.clock()
+        async with self.placer.place(job.placement(now), now) as decision:
+            await job.record_start(decision.runner)
+            with job.reported(decision):
+                answer = await self.send(job, decision)
+            decision.finished(None, job.clock())
+            return make_outcome(answer)
+
+    async def abandon(self, job: CallJob) -> None:
+        """Leave the call to the service, which cannot stop it."""
+
+    async def take_up(
+        self, job: CallJob, start: CallStarted
+    ) -> CallOutcome | None:
+        """Return None: a service does not keep answers to resume."""
+        return None
+
+    async def send(self, job: CallJob, decision: Decision) -> ServiceAnswer:
+        """Return the runner's answer."""
+        service = self.targets.service(decision.url)
+        return await service.call(
+            job.request.operation,
+            job.request.content,
+            job.target_request_id,
+            job.plan.timeout_seconds,
+        )
+
+
+def make_outcome(answer: ServiceAnswer) -> CallOutcome:
+    """Return the outcome that holds a service's answer, whatever its status."""
+    try:
+        content = json.loads(answer.body or b'null')
+    except ValueError:
+        content = answer.body.decode(errors='replace')
+    body = {'status': answer.status, 'output': content}
+    return CallOutcome(Verdict.ran, _OK, json.dumps(body).encode())
--- /dev/null
+++ b/src/jasminewheel/_internal/program/takeover.py
@@ -0,0 +1,117 @@
+"""Take over slots whose owners are gone or have given them up."""
+
+import logging
+from collections.abc import Collection, Sequence
+from typing import Protocol
+
+import trio
+
+from jasminewheel._internal.events import program as events
+from jasminewheel._internal.membership.member import Member
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.program.host import ProgramHost
+from jasminewheel._internal.wire.gen.program.ttypes import (
+    SlotAnswer,
+    SlotQuestion,
+)
+from jasminewheel.errors import (
+    FencedError,
+    MovedError,
+    PeerError,
+    QuorumError,
+)
+
+_LOGGER = logging.getLogger(__name__)
+ASK_SECONDS = 1.0
+
+
+class MemberList(Protocol):
+    """Tell which members live."""
+
+    own: Member
+
+    def live(self, role: str = '') -> Sequence[Member]:
+        """Return the live members of a role, or of any."""
+
+
+class LastOwners(Protocol):
+    """Tell who sealed a slot last."""
+
+    async def last_owner(self, slot: int) -> str:
+        """Return the member, empty if the slot was never sealed."""
+
+
+class SlotTaker:
+    """Seal slots, one task a slot, unless their owner still serves them."""
+
+    def __init__(
+        self,
+        host: ProgramHost,
+        members: MemberList,
+        owners: LastOwners,
+        pool: PeerPool,
+    ) -> None:
+        """Start with no slot being taken."""
+        self.host = host
+        self.members = members
+        self.owners = owners
+        self.pool = pool
+        self.locks: dict[int, trio.Lock] = {}
+        self.is_draining = False
+
+    async def take(
+        self, slot: int, unreachable: Collection[str]
+    ) -> Member | None:
+        """Own the slot and return None, or return its serving owner."""
+        if self.is_draining:
+            raise MovedError('the entry is shutting down')
+        lock = self.locks.setdefault(slot, trio.Lock())
+        async with lock:
+            if self.host.slot(slot):
+                return None
+            try:
+                return await self.take_alone(slot, unreachable)
+            except (FencedError, QuorumError) as error:
+                raise MovedError('the slot cannot be sealed now') from error
+
+    async def take_alone(
+        self, slot: int, unreachable: Collection[str]
+    ) -> Member | None:
+        """Seal the slot unless its owner answers that it serves it."""
+        owner = await self.serving_owner(slot, unreachable)
+        if owner:
+            return owner
+        await self.host.ownership.own(slot)
+        events.SLOT_TAKEN.log(_LOGGER, slot=slot)
+        return None
+
+    async def serving_owner(
+        self, slot: int, unreachable: Collection[str]
+    ) -> Member | None:
+        """Return the last owner if it lives and has not given the slot up."""
+        name = await self.owners.last_owner(slot)
+        if name in unreachable or name == self.members.own.member:
+            return None
+        for member in self.members.live():
+            if member.member == name and await self.serves(member, slot):
+                return member
+        return None
+
+    async def serves(self, member: Member, slot: int) -> bool:
+        """Ask a member whether it owns the slot; no process, no owner.
+
+        One that is reached but does not answer may be slow; only the
+        membership decides that it is dead.
+        """
+        try:
+            answer = await self.pool.ask(
+                member.peer_address,
+                SlotQuestion(slot=slot),
+                SlotAnswer,
+                timeout_seconds=ASK_SECONDS,
+            )
+        except PeerError as error:
+            if error.sent:
+                raise MovedError('the owner does not answer') from error
+            return False
+        return answer.owned
--- a/src/jasminewheel/models/call.py
+++ b/src/jasminewheel/models/call.py
@@ -26,7 +26,7 @@
     target: str
     operation: str = ''
     content: bytes = b'{}'
-    repeatable: bool = True
+    repeatable: bool | None = None
     deadline_at: float = 0
 
 
--- a/tests/unit/test_program.py
+++ b/tests/unit/test_program.py
@@ -99,7 +99,7 @@
 def test_an_unknown_record_is_refused():
     """A log of a newer version is not misread."""
     stored = Stored(OPENED, 0)
-    stored.kind = 99
+    stored.kind = 'later'
     with pytest.raises(HistoryError, match='unknown kind'):
         decode_record(stored)
 
