--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -1,5 +1,7 @@
 """Define the errors a user may see, with how to mend each."""
 
+from collections.abc import Iterable
+
 from jasminewheel.models.verdict import Verdict
 
 
@@ -124,6 +126,13 @@
     status = 504
 
 
+class MovedError(CallError):
+    """Send an operation to the entry that now owns the program."""
+
+    code = 'moved'
+    status = 503
+
+
 class StoreError(JasminewheelError):
     """Report that the key-value service did not answer as needed."""
 
@@ -154,20 +163,27 @@
     code = 'no-quorum'
 
 
+class HistoryError(JasminewheelError):
+    """Report a program log that cannot be replayed."""
+
+    code = 'history-invalid'
+
+
 class PeerError(JasminewheelError):
     """Report that a peer could not be reached or broke the protocol."""
 
     code = 'peer-failed'
 
 
-class HistoryError(JasminewheelError):
-    """Report a program log that cannot be replayed."""
-
-    code = 'history-invalid'
+class InvalidResourceError(JasminewheelError):
+    """Report the wrong fields of resources; nothing was changed."""
 
+    code = 'resource-invalid'
 
-class MovedError(CallError):
-    """Send an operation to the entry that now owns the program."""
-
-    code = 'moved'
-    status = 503
+    def __init__(self, problems: Iterable[object]) -> None:
+        """Keep the wrong fields, each of which reads `path: problem`."""
+        self.problems = tuple(problems)
+        super().__init__(
+            '; '.join(str(problem) for problem in self.problems),
+            remedy='correct the fields named and apply again',
+        )
