--- a/src/jasminewheel/_internal/program/model_calls.py
+++ b/src/jasminewheel/_internal/program/model_calls.py
@@ -21,7 +21,7 @@
     EngineUsage,
 )
 from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
-from jasminewheel.errors import TargetFailedError
+from jasminewheel.errors import NotFoundError, TargetFailedError
 from jasminewheel.models.call import CallOutcome
 from jasminewheel.models.verdict import Verdict
 
@@ -67,7 +67,7 @@
             return
         with trio.move_on_after(_CANCEL_SECONDS):
             engine = self.targets.engine(job.runner_url)
-            with suppress(TargetFailedError):
+            with suppress(TargetFailedError, NotFoundError):
                 await engine.cancel(job.engine_request_id)
 
     async def take_up(
@@ -81,7 +81,7 @@
         engine = self.targets.engine(url)
         try:
             usage = await self.resume(job, engine)
-        except TargetFailedError:
+        except (TargetFailedError, NotFoundError):
             return None
         return make_outcome(job, usage)
 
--- a/src/jasminewheel/_internal/program/ports.py
+++ b/src/jasminewheel/_internal/program/ports.py
@@ -111,7 +111,7 @@
     async def call(
         self,
         operation: str,
-        body: bytes,
+        body: Any,
         request_id: str,
         timeout_seconds: float,
     ) -> ServiceAnswer:
--- a/src/jasminewheel/_internal/program/requests.py
+++ b/src/jasminewheel/_internal/program/requests.py
@@ -6,10 +6,8 @@
 
 from attrs import Factory, field, frozen, validators
 
-from jasminewheel._internal.settings.loader import (
-    describe_problems,
-    make_converter,
-)
+from jasminewheel._internal.settings.loader import make_converter
+from jasminewheel._internal.settings.problems import list_problems
 from jasminewheel._internal.wire.gen.program.ttypes import Operation
 from jasminewheel.errors import BadRequestError
 from jasminewheel.models.call import CallRequest
@@ -91,7 +89,7 @@
     try:
         return _CONVERTER.structure(raw, kind)
     except Exception as error:
-        problems = '; '.join(describe_problems(error, '', 'body'))
+        problems = '; '.join(map(str, list_problems(error)))
         raise BadRequestError(
             problems, remedy='correct the fields named'
         ) from error
--- a/src/jasminewheel/_internal/program/service_calls.py
+++ b/src/jasminewheel/_internal/program/service_calls.py
@@ -2,6 +2,7 @@
 
 import json
 
+import trio
 from attrs import define
 
 from jasminewheel._internal.program.job import CallJob
@@ -54,21 +55,25 @@
         return None
 
     async def send(self, job: CallJob, decision: Decision) -> ServiceAnswer:
-        """Return the runner's answer."""
+        """Return the runner's answer, if it is whole in time."""
         service = self.targets.service(decision.url)
-        return await service.call(
-            job.request.operation,
-            job.request.content,
-            job.target_request_id,
-            job.plan.timeout_seconds,
-        )
+        seconds = job.plan.timeout_seconds
+        try:
+            with trio.fail_after(seconds):
+                return await service.call(
+                    job.request.operation,
+                    json.loads(job.request.content),
+                    job.target_request_id,
+                    seconds,
+                )
+        except trio.TooSlowError as late:
+            raise TargetFailedError(
+                f'{decision.runner} did not answer in {seconds} s',
+                verdict=Verdict.may_have_run,
+            ) from late
 
 
 def make_outcome(answer: ServiceAnswer) -> CallOutcome:
     """Return the outcome that holds a service's answer, whatever its status."""
-    try:
-        content = json.loads(answer.body or b'null')
-    except ValueError:
-        content = answer.body.decode(errors='replace')
-    body = {'status': answer.status, 'output': content}
+    body = {'status': answer.status, 'output': answer.body}
     return CallOutcome(Verdict.ran, _OK, json.dumps(body).encode())
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -174,6 +174,17 @@
 
     code = 'peer-failed'
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        remedy: str = '',
+        sent: bool = True,
+    ) -> None:
+        """Keep whether the request may have reached the peer."""
+        super().__init__(message, remedy=remedy)
+        self.sent = sent
+
 
 class InvalidResourceError(JasminewheelError):
     """Report the wrong fields of resources; nothing was changed."""
