--- /dev/null
+++ b/src/jasminewheel/_internal/http/answers.py
@@ -0,0 +1,90 @@
+"""Turn an operation's events into HTTP responses."""
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+from quart import Response
+
+from jasminewheel._internal.http.event_pipe import EventPipe
+from jasminewheel._internal.http.sse import CONTENT_TYPE, format_event
+from jasminewheel._internal.wire.gen.program.ttypes import (
+    OperationEvent,
+    OperationEventKind,
+)
+from jasminewheel.errors import JasminewheelError
+from jasminewheel.models.problem import PROBLEM_MEDIA_TYPE, Problem
+
+KEEP_ALIVE_SECONDS = 10.0
+# Errors that come this early still get a status of their own.
+FIRST_EVENT_SECONDS = 5.0
+_KEEP_ALIVE = b': keep-alive\n\n'
+_FIRST_ERROR_STATUS = 400
+_JSON = 'application/json'
+
+
+def whole_response(event: OperationEvent) -> Response:
+    """Return the response with a whole answer or a recorded problem."""
+    failed = event.status >= _FIRST_ERROR_STATUS
+    content_type = PROBLEM_MEDIA_TYPE if failed else _JSON
+    return Response(
+        event.body,
+        status=event.status,
+        content_type=content_type,
+        headers={'Jasminewheel-Verdict': event.verdict},
+    )
+
+
+async def collected(pipe: EventPipe) -> Response:
+    """Return the response once the operation is done."""
+    try:
+        event = await pipe.next_event()
+        while event and event.kind != OperationEventKind.DONE:
+            event = await pipe.next_event()
+    finally:
+        await pipe.close()
+    return whole_response(event)
+
+
+async def streamed(pipe: EventPipe) -> Response:
+    """Return a stream of server-sent events, or an early problem."""
+    first = await pipe.next_event(FIRST_EVENT_SECONDS)
+    response = Response(
+        event_stream(pipe, first),
+        content_type=CONTENT_TYPE,
+        headers={'Cache-Control': 'no-store', 'X-Accel-Buffering': 'no'},
+    )
+    # The stream ends with the call, however long that takes.
+    response.timeout = None
+    return response
+
+
+async def event_stream(
+    pipe: EventPipe, first: OperationEvent | None
+) -> AsyncIterator[bytes]:
+    """Yield events until the call is done; comments while nothing comes."""
+    event = first
+    try:
+        while event is None or event.kind != OperationEventKind.DONE:
+            yield format_operation_event(event) if event else _KEEP_ALIVE
+            event = await pipe.next_event(KEEP_ALIVE_SECONDS)
+        yield format_operation_event(event)
+    except JasminewheelError as error:
+        yield format_event('problem', json.loads(Problem.of(error).encode()))
+    finally:
+        await pipe.close()
+
+
+def format_operation_event(event: OperationEvent) -> bytes:
+    """Return an event as its caller reads it."""
+    generation = event.generation or 0
+    if event.kind == OperationEventKind.TOKEN:
+        end = event.offset + len(event.text)
+        fields = {'offset': event.offset, 'text': event.text}
+        return format_event('token', fields, f'{generation}:{end}')
+    if event.kind == OperationEventKind.RESTART:
+        return format_event('restart', {}, f'{generation}:0')
+    body: dict[str, Any] = json.loads(event.body)
+    if event.status >= _FIRST_ERROR_STATUS:
+        return format_event('problem', body)
+    return format_event('done', body)
--- /dev/null
+++ b/src/jasminewheel/_internal/http/callers.py
@@ -0,0 +1,247 @@
+"""Serve callers: programs, calls, streams."""
+
+import re
+from collections.abc import Callable
+from http import HTTPStatus
+
+import trio
+from attrs import define
+from quart import Blueprint, Response, request
+from werkzeug.exceptions import HTTPException
+
+from jasminewheel._internal.configuration.snapshot import Snapshot
+from jasminewheel._internal.http.answers import collected, streamed
+from jasminewheel._internal.http.credentials import (
+    authenticate,
+    check_program_id,
+    check_request_id,
+    new_program_id,
+    request_id_of,
+)
+from jasminewheel._internal.http.event_pipe import EventPipe
+from jasminewheel._internal.http.problem import http_error, problem_response
+from jasminewheel._internal.program.plan import deadline_for, make_plan
+from jasminewheel._internal.program.requests import (
+    CallBody,
+    OpenBody,
+    call_request,
+    parse_body,
+)
+from jasminewheel._internal.program.routing import Router
+from jasminewheel._internal.wire.gen.program.ttypes import (
+    Operation,
+    OperationKind,
+)
+from jasminewheel.errors import BadRequestError, JasminewheelError
+from jasminewheel.models.caller import Caller
+
+MAX_BODY_BYTES = 8_388_608
+_PROGRAMS = '/v1/programs'
+_PROGRAM = '/v1/programs/<program_id>'
+_CALL = '/v1/programs/<program_id>/calls/<request_id>'
+_EVENT_ID = re.compile('([0-9]{1,9}):([0-9]{1,12})')
+_OFFSET = re.compile('[0-9]{1,12}')
+
+
+@define(eq=False)
+class CallersApi:
+    """Check what callers send, then route it to the owner."""
+
+    snapshot: Callable[[], Snapshot]
+    router: Router
+    nursery: trio.Nursery
+    clock: Callable[[], float]
+
+    def blueprint(self) -> Blueprint:
+        """Return the routes."""
+        routes = Blueprint('callers', __name__)
+        add = routes.add_url_rule
+        add(_PROGRAMS, 'open', self.open, methods=['POST'])
+        add(f'{_PROGRAM}/children', 'child', self.child, methods=['POST'])
+        add(f'{_PROGRAM}/calls', 'call', self.call, methods=['POST'])
+        add('/v1/calls', 'plain', self.plain, methods=['POST'])
+        add(_CALL, 'status', self.status)
+        add(f'{_CALL}/stream', 'resume', self.resume)
+        add(_PROGRAM, 'view', self.view)
+        add(f'{_PROGRAM}/history', 'history', self.history)
+        add(_PROGRAM, 'end', self.end, methods=['DELETE'])
+        routes.register_error_handler(JasminewheelError, problem_response)
+        routes.register_error_handler(HTTPException, refused_by_library)
+        return routes
+
+    async def open(self) -> Response:
+        """Open a program."""
+        caller = self.caller()
+        request_id = request_id_of(request.headers)
+        body = await read_body()
+        program_id = new_program_id(caller.name, 'program', request_id)
+        return await self.opened(
+            caller, OperationKind.OPEN, program_id, request_id, body
+        )
+
+    async def child(self, program_id: str) -> Response:
+        """Open a child of a program."""
+        caller = self.caller()
+        check_program_id(program_id)
+        request_id = request_id_of(request.headers)
+        body = await read_body()
+        return await self.opened(
+            caller, OperationKind.OPEN_CHILD, program_id, request_id, body
+        )
+
+    async def opened(
+        self,
+        caller: Caller,
+        kind: int,
+        program_id: str,
+        request_id: str,
+        body: bytes,
+    ) -> Response:
+        """Open what the body describes."""
+        asked = parse_body(body, OpenBody).deadline_seconds
+        operation = Operation(
+            kind=kind,
+            caller=caller.name,
+            program=program_id,
+            request_id=request_id,
+            body=body,
+            deadline_at=deadline_for(caller, asked, self.clock()),
+        )
+        return await collected(self.start(operation))
+
+    async def call(self, program_id: str) -> Response:
+        """Make a call within a program."""
+        caller = self.caller()
+        check_program_id(program_id)
+        operation = await self.call_operation(caller, program_id)
+        return await self.answer_call(caller, operation)
+
+    async def plain(self) -> Response:
+        """Make a call outside any program."""
+        caller = self.caller()
+        request_id = request_id_of(request.headers)
+        program_id = new_program_id(caller.name, 'plain', request_id)
+        operation = await self.call_operation(caller, program_id)
+        operation.plain = True
+        operation.deadline_at = deadline_for(caller, None, self.clock())
+        return await self.answer_call(caller, operation)
+
+    async def call_operation(
+        self, caller: Caller, program_id: str
+    ) -> Operation:
+        """Return the operation for a call."""
+        return Operation(
+            kind=OperationKind.CALL,
+            caller=caller.name,
+            program=program_id,
+            request_id=request_id_of(request.headers),
+            body=await read_body(),
+            deadline_at=0,
+        )
+
+    async def answer_call(
+        self, caller: Caller, operation: Operation
+    ) -> Response:
+        """Refuse a wrong call here; send a right one to the owner."""
+        make_plan(
+            self.snapshot(), caller.name, call_request(operation, self.clock())
+        )
+        pipe = self.start(operation)
+        if parse_body(operation.body, CallBody).stream:
+            return await streamed(pipe)
+        return await collected(pipe)
+
+    async def status(self, program_id: str, request_id: str) -> Response:
+        """Say what became of a request."""
+        check_request_id(request_id)
+        return await self.ask(OperationKind.STATUS, program_id, request_id)
+
+    async def resume(self, program_id: str, request_id: str) -> Response:
+        """Stream the rest of an answer."""
+        caller = self.caller()
+        check_program_id(program_id)
+        check_request_id(request_id)
+        generation, offset = read_position()
+        operation = Operation(
+            kind=OperationKind.RESUME,
+            caller=caller.name,
+            program=program_id,
+            request_id=request_id,
+            body=b'',
+            deadline_at=0,
+            offset=offset,
+            generation=generation,
+        )
+        return await streamed(self.start(operation))
+
+    async def view(self, program_id: str) -> Response:
+        """Show a program."""
+        return await self.ask(OperationKind.VIEW, program_id)
+
+    async def history(self, program_id: str) -> Response:
+        """Show the conversation of a program."""
+        return await self.ask(OperationKind.HISTORY, program_id)
+
+    async def end(self, program_id: str) -> Response:
+        """End a program."""
+        return await self.ask(OperationKind.END, program_id)
+
+    async def ask(
+        self, kind: int, program_id: str, request_id: str = ''
+    ) -> Response:
+        """Perform an operation that has no body."""
+        caller = self.caller()
+        check_program_id(program_id)
+        operation = Operation(
+            kind=kind,
+            caller=caller.name,
+            program=program_id,
+            request_id=request_id,
+            body=b'',
+            deadline_at=0,
+        )
+        return await collected(self.start(operation))
+
+    def caller(self) -> Caller:
+        """Return who sent the request."""
+        return authenticate(request.headers, self.snapshot(), self.clock())
+
+    def start(self, operation: Operation) -> EventPipe:
+        """Start to perform an operation."""
+        operation.offset = operation.offset or 0
+        operation.generation = operation.generation or 0
+        operation.hops = 0
+        operation.configuration = self.snapshot().version
+        operation.plain = bool(operation.plain)
+        traceparent = request.headers.get('traceparent', '')
+        pipe = EventPipe.open(self.router, operation, traceparent)
+        self.nursery.start_soon(pipe.run)
+        return pipe
+
+
+async def read_body() -> bytes:
+    """Return the body; the library refuses one that is too large."""
+    request.max_content_length = MAX_BODY_BYTES
+    return await request.get_data(cache=False)
+
+
+def read_position() -> tuple[int, int]:
+    """Return generation and offset that a reader names; 0, 0 for none."""
+    named = request.args.get('offset') or request.headers.get('Last-Event-ID')
+    if not named:
+        return 0, 0
+    if _OFFSET.fullmatch(named):
+        return 0, int(named)
+    match = _EVENT_ID.fullmatch(named)
+    if match is None:
+        raise BadRequestError(
+            'the offset is malformed',
+            remedy='send the id of the last event received',
+        )
+    return int(match[1]), int(match[2])
+
+
+async def refused_by_library(error: HTTPException) -> Response:
+    """Return the problem document of what the HTTP library refused."""
+    status = error.code or HTTPStatus.INTERNAL_SERVER_ERROR
+    return problem_response(http_error(status, error.description or ''))
--- /dev/null
+++ b/src/jasminewheel/_internal/http/event_pipe.py
@@ -0,0 +1,74 @@
+"""Carry the events of a running operation to an HTTP response."""
+
+import math
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.observability.tracing import hop
+from jasminewheel._internal.program.routing import Router
+from jasminewheel._internal.wire.gen.program.ttypes import (
+    Operation,
+    OperationEvent,
+)
+from jasminewheel.errors import JasminewheelError, UnavailableError
+from jasminewheel.models.verdict import Verdict
+
+# Events in memory for one slow reader; the operation waits for it then.
+PIPE_EVENTS = 4
+
+
+@define(eq=False)
+class EventPipe:
+    """Run an operation in the background and hand over its events."""
+
+    router: Router
+    operation: Operation
+    traceparent: str
+    sender: trio.MemorySendChannel[OperationEvent]
+    receiver: trio.MemoryReceiveChannel[OperationEvent]
+    error: JasminewheelError | None = None
+    finished: trio.Event = field(factory=trio.Event)
+
+    @classmethod
+    def open(
+        cls, router: Router, operation: Operation, traceparent: str
+    ) -> 'EventPipe':
+        """Return a pipe that does not run yet."""
+        sender, receiver = trio.open_memory_channel[OperationEvent](PIPE_EVENTS)
+        return cls(router, operation, traceparent, sender, receiver)
+
+    async def run(self) -> None:
+        """Perform the operation until it ends or its reader is gone."""
+        with hop('operation', self.traceparent):
+            async with self.sender:
+                await self.perform()
+
+    async def perform(self) -> None:
+        """Keep the error for the reader."""
+        try:
+            await self.router.perform(self.operation, self.sender.send)
+        except JasminewheelError as error:
+            self.error = error
+        except trio.BrokenResourceError:
+            self.error = None
+
+    async def next_event(
+        self, patience_seconds: float = math.inf
+    ) -> OperationEvent | None:
+        """Return the next event; None if there is none in time.
+
+        Raise the error of an operation that failed.
+        """
+        with trio.move_on_after(patience_seconds):
+            try:
+                return await self.receiver.receive()
+            except trio.EndOfChannel:
+                raise self.error or UnavailableError(
+                    'the answer ended early', verdict=Verdict.may_have_run
+                ) from None
+        return None
+
+    async def close(self) -> None:
+        """Let the operation end; the call itself goes on at its owner."""
+        await self.receiver.aclose()
--- a/src/jasminewheel/_internal/program/answer.py
+++ b/src/jasminewheel/_internal/program/answer.py
@@ -1,6 +1,8 @@
 """Keep the text of a call's answer for its readers."""
 
+import json
 from bisect import bisect_right
+from typing import Any
 
 import trio
 from attrs import define, field
@@ -12,9 +14,10 @@
 )
 from jasminewheel.errors import JasminewheelError
 from jasminewheel.models.call import CallOutcome
+from jasminewheel.models.verdict import Verdict
 
 # A reader that lags gets the text in pieces of at most this many characters.
-_PIECE_CHARACTERS = 64 * 1024
+_PIECE_CHARACTERS = 65_536
 
 
 @define(eq=False)
@@ -159,3 +162,9 @@
         verdict=outcome.verdict.value,
         generation=outcome.generation,
     )
+
+
+def done(status: int, body: dict[str, Any]) -> OperationEvent:
+    """Return the last event of an operation that runs nothing at a target."""
+    outcome = CallOutcome(Verdict.ran, status, json.dumps(body).encode())
+    return done_event(outcome)
--- a/src/jasminewheel/_internal/program/flow.py
+++ b/src/jasminewheel/_internal/program/flow.py
@@ -136,6 +136,7 @@
     async def run_on(self, job: CallJob, start: CallStarted) -> CallOutcome:
         """Resume the attempt under way, or start another."""
         job.attempt = start.attempt
+        job.answer.generation = start.generation
         job.has_started = True
         job.may_have_run = True
         with job.limited():
@@ -167,7 +168,9 @@
     async def wait_for_turn(self, turn: Turn, request: CallRequest) -> None:
         """Wait for the calls before; raise DeadlineError if that is long."""
         deadline_at = turn.hosted.program.deadline_of(request)
-        patience = max(0, deadline_at - self.clock()) if deadline_at else math.inf
+        patience = (
+            max(0, deadline_at - self.clock()) if deadline_at else math.inf
+        )
         try:
             with trio.fail_after(patience):
                 await turn.wait()
@@ -187,6 +190,7 @@
         job = CallJob(hosted, request, plan, turn.answer, self.clock)
         if earlier:
             job.attempt = earlier.start.attempt + 1
+            job.answer.generation = earlier.start.generation + 1
         return job
 
     async def outcome_of(self, job: CallJob) -> CallOutcome:
--- a/src/jasminewheel/_internal/program/hosted.py
+++ b/src/jasminewheel/_internal/program/hosted.py
@@ -6,6 +6,7 @@
 import trio
 from attrs import define, field
 
+from jasminewheel._internal.program.admission import check_digest
 from jasminewheel._internal.program.answer import Answer
 from jasminewheel._internal.program.order import check_order
 from jasminewheel._internal.program.ports import SlotLog
@@ -24,6 +25,7 @@
     OverloadedError,
     QuorumError,
 )
+from jasminewheel.models.call import CallRequest
 from jasminewheel.models.verdict import Verdict
 
 Decide: TypeAlias = Callable[[Program], Record | None]
@@ -79,6 +81,26 @@
         self.blocks.extend(chain(added, previous))
         return self.blocks
 
+    def answer_of(self, request: CallRequest) -> Answer | None:
+        """Return the answer of a request sent before, if it may have run."""
+        running = self.answers.get(request.request_id)
+        if running:
+            check_digest(request.request_id, running.digest, request.digest)
+            return running
+        if self.program.recorded_call(request) is None:
+            return None
+        return self.recorded_answer(request.request_id)
+
+    def recorded_answer(self, request_id: str) -> Answer | None:
+        """Return the answer that is coming or recorded, unless not run."""
+        running = self.answers.get(request_id)
+        if running:
+            return running
+        call = self.program.calls.get(request_id)
+        if call is None or call.may_start_again:
+            return None
+        return Answer.of(call.digest, call.outcome)
+
     def enqueue(self, request_id: str, answer: Answer) -> 'Turn':
         """Keep a place in the program's order of calls."""
         if self.is_ending:
@@ -98,7 +120,7 @@
 
     async def quiet(self) -> None:
         """Wait until no call is queued or running."""
-        while self.last_turn and not self.last_turn.is_set():
+        while self.last_turn is not None and not self.last_turn.is_set():
             await self.last_turn.wait()
 
     async def append(self, record: Record) -> None:
@@ -182,7 +204,7 @@
 
     async def wait(self) -> None:
         """Wait until all earlier calls have ended."""
-        if self.previous:
+        if self.previous is not None:
             await self.previous.wait()
         # Drops the chain of turns behind this one.
         self.previous = None
--- a/src/jasminewheel/_internal/program/job.py
+++ b/src/jasminewheel/_internal/program/job.py
@@ -45,7 +45,7 @@
     def target_request_id(self) -> str:
         """Return the identifier under which targets deduplicate the call."""
         program_id = self.hosted.program.program_id
-        return f'{program_id}:{self.request.request_id}'
+        return ':'.join((program_id, self.request.request_id))
 
     @property
     def engine_request_id(self) -> str:
@@ -85,7 +85,8 @@
             target=self.plan.target.name,
             blocks=self.blocks(),
             max_tokens=self.plan.max_tokens,
-            deadline=self.deadline_at or now + self.plan.caller.deadline_seconds,
+            deadline=self.deadline_at
+            or now + self.plan.caller.deadline_seconds,
             attained_tokens=program.attained_tokens,
             repeatable=self.plan.repeatable,
             request_id=self.request.request_id,
--- a/src/jasminewheel/_internal/program/requests.py
+++ b/src/jasminewheel/_internal/program/requests.py
@@ -16,7 +16,7 @@
 MAX_LABELS = 32
 MAX_LABEL_CHARACTERS = 256
 MAX_COMPLETION_TOKENS = 131_072
-LONGEST_SECONDS = 30 * 86_400
+LONGEST_SECONDS = 2_592_000
 _ROLES = ('system', 'user', 'assistant', 'tool')
 _CONVERTER = make_converter()
 # How the answer is sent does not change what is asked.
--- a/src/jasminewheel/_internal/program/route.py
+++ b/src/jasminewheel/_internal/program/route.py
@@ -53,8 +53,7 @@
         if hops > MAX_HOPS:
             raise MovedError('the entries disagree about the owner')
         fields = {
-            name: getattr(self.operation, name)
-            for name in Operation.__slots__
+            name: getattr(self.operation, name) for name in Operation.__slots__
         }
         return Operation(**{**fields, 'hops': hops})
 
--- a/src/jasminewheel/_internal/program/service_calls.py
+++ b/src/jasminewheel/_internal/program/service_calls.py
@@ -52,25 +52,22 @@
         self, job: CallJob, start: CallStarted
     ) -> CallOutcome | None:
         """Return None: a service does not keep answers to resume."""
-        return None
 
     async def send(self, job: CallJob, decision: Decision) -> ServiceAnswer:
         """Return the runner's answer, if it is whole in time."""
         service = self.targets.service(decision.url)
         seconds = job.plan.timeout_seconds
-        try:
-            with trio.fail_after(seconds):
-                return await service.call(
-                    job.request.operation,
-                    json.loads(job.request.content),
-                    job.target_request_id,
-                    seconds,
-                )
-        except trio.TooSlowError as late:
-            raise TargetFailedError(
-                f'{decision.runner} did not answer in {seconds} s',
-                verdict=Verdict.may_have_run,
-            ) from late
+        with trio.move_on_after(seconds):
+            return await service.call(
+                job.request.operation,
+                json.loads(job.request.content),
+                job.target_request_id,
+                seconds,
+            )
+        raise TargetFailedError(
+            f'{decision.runner} did not answer in {seconds} s',
+            verdict=Verdict.may_have_run,
+        )
 
 
 def make_outcome(answer: ServiceAnswer) -> CallOutcome:
--- a/src/jasminewheel/_internal/program/takeover.py
+++ b/src/jasminewheel/_internal/program/takeover.py
@@ -92,9 +92,10 @@
         name = await self.owners.last_owner(slot)
         if name in unreachable or name == self.members.own.member:
             return None
-        for member in self.members.live():
-            if member.member == name and await self.serves(member, slot):
-                return member
+        live = {member.member: member for member in self.members.live()}
+        owner = live.get(name)
+        if owner and await self.serves(owner, slot):
+            return owner
         return None
 
     async def serves(self, member: Member, slot: int) -> bool:
--- /dev/null
+++ b/tests/program_parts.py
@@ -0,0 +1,295 @@
+"""Stand in, in memory, for what the program's flow needs."""
+
+import time
+from contextlib import asynccontextmanager, contextmanager
+
+import trio
+from attrs import define, field
+
+from jasminewheel import errors
+from jasminewheel._internal.configuration.snapshot import Snapshot, hash_key
+from jasminewheel._internal.program.ending import ProgramEnding
+from jasminewheel._internal.program.flow import CallFlow
+from jasminewheel._internal.program.host import ProgramHost
+from jasminewheel._internal.program.model_calls import ModelCalls
+from jasminewheel._internal.program.opening import ProgramOpening
+from jasminewheel._internal.program.operations import ProgramOperations
+from jasminewheel._internal.program.service_calls import ServiceCalls
+from jasminewheel._internal.program.wallet import UnlimitedWallet
+from jasminewheel._internal.replication.record import LogRecord
+from jasminewheel._internal.targets.engine import EngineToken, EngineUsage
+from jasminewheel._internal.targets.service import ServiceAnswer
+from jasminewheel.models.caller import Budget, Caller, KeyHash
+from jasminewheel.models.target import Operation, Runner, Target
+from jasminewheel.models.verdict import Verdict
+
+KEY = 'cafe-key'
+TEXT = 'replace the fuse and check the lamp'
+
+
+def make_runner(name):
+    """Return a runner whose address is its name."""
+    return Runner(name=name, url=f'http://{name}', region='r', zone='z')
+
+
+def make_snapshot(**fields):
+    """Return a configuration with a caller, a model and a service."""
+    callers = {
+        name: Caller(
+            name=name,
+            key_hashes=(KeyHash(hash_key(key)),),
+            budget=Budget(tokens=1_000_000),
+            targets=('helper-models', 'ticket-desk'),
+            **fields,
+        )
+        for name, key in (('cafe', KEY), ('yard', 'yard-key'))
+    }
+    targets = {
+        'helper-models': Target(
+            name='helper-models',
+            kind='model',
+            model='guide',
+            runners=(make_runner('engine-1'), make_runner('engine-2')),
+        ),
+        'ticket-desk': Target(
+            name='ticket-desk',
+            kind='service',
+            runners=(make_runner('desk-1'), make_runner('desk-2')),
+            operations={
+                'lookup': Operation(repeatable=True, timeout_seconds=1),
+                'text': Operation(repeatable=False, timeout_seconds=1),
+            },
+        ),
+    }
+    return Snapshot(version=1, callers=callers, targets=targets)
+
+
+@define(eq=False)
+class MemoryLogs:
+    """Hold the records of all logs, whoever owns them."""
+
+    records: dict[str, list[LogRecord]] = field(factory=dict)
+    fence: int = 0
+    failures: int = 0
+
+
+@define(eq=False)
+class MemorySlot:
+    """Keep logs under one fence."""
+
+    logs: MemoryLogs
+    fence: int
+
+    @property
+    def log_ids(self):
+        """Return the logs known."""
+        return frozenset(self.logs.records)
+
+    def check(self):
+        """Refuse an old fence."""
+        if self.fence < self.logs.fence:
+            raise errors.FencedError('old fence')
+
+    async def read(self, log_id):
+        """Return a log."""
+        await trio.lowlevel.checkpoint()
+        self.check()
+        return list(self.logs.records.get(log_id, ()))
+
+    async def append(self, log_id, index, kind, payload):
+        """Append to a log."""
+        await trio.lowlevel.checkpoint()
+        self.check()
+        if self.logs.failures:
+            self.logs.failures -= 1
+            raise errors.QuorumError('one replica')
+        records = self.logs.records.setdefault(log_id, [])
+        assert index == len(records)
+        records.append(LogRecord(index, kind, payload))
+
+    async def drop(self, log_id):
+        """Remove a log."""
+        self.logs.records.pop(log_id, None)
+
+
+class MemoryOwnership:
+    """Own every slot that was sealed."""
+
+    def __init__(self, logs):
+        """Start with no slot."""
+        self.logs = logs
+        self.slots = {}
+
+    async def own(self, slot):
+        """Seal a slot with a higher fence."""
+        if slot not in self.slots:
+            self.logs.fence += 1
+            self.slots[slot] = MemorySlot(self.logs, self.logs.fence)
+        return self.slots[slot]
+
+    def owned(self, slot):
+        """Return a slot that was sealed here."""
+        return self.slots.get(slot)
+
+    def release(self, slot):
+        """Forget a slot."""
+        self.slots.pop(slot, None)
+
+
+@define(eq=False)
+class Placed:
+    """Hold a decision and what was reported."""
+
+    runner: str
+    url: str
+    reports: list = field(factory=list)
+
+    def first_token(self, now):
+        """Note the first token."""
+
+    def finished(self, usage, now):
+        """Note the end."""
+        self.reports.append('finished')
+
+    def failed(self, now):
+        """Note a failure."""
+        self.reports.append('failed')
+
+
+class DirectPlacer:
+    """Give the runners of each target in turn."""
+
+    def __init__(self, snapshot):
+        """Start with the first runner."""
+        self.snapshot = snapshot
+        self.decisions = []
+
+    @asynccontextmanager
+    async def place(self, request, now):
+        """Give the next runner."""
+        runners = self.snapshot.targets[request.target].runners
+        runner = runners[len(self.decisions) % len(runners)]
+        decision = Placed(runner.name, runner.url)
+        self.decisions.append(decision)
+        await trio.lowlevel.checkpoint()
+        yield decision
+
+
+@define(eq=False)
+class MemoryTargets:
+    """Run model and service calls in memory, with faults on demand."""
+
+    runs: list = field(factory=list)
+    streams: dict = field(factory=dict)
+    break_after: list = field(factory=list)
+    service_faults: list = field(factory=list)
+    gate: trio.Event = field(factory=trio.Event)
+
+    def __attrs_post_init__(self):
+        """Let calls through until a test closes the gate."""
+        self.gate.set()
+
+    def engine(self, url):
+        """Return the engine, the same for all addresses."""
+        return self
+
+    def service(self, url):
+        """Return the service, the same for all addresses."""
+        return self
+
+    @asynccontextmanager
+    async def generate(self, request):
+        """Stream the rest of the text, perhaps only some of it."""
+        self.runs.append(request.request_id)
+        breaks = self.break_after.pop(0) if self.break_after else None
+        if breaks == 'refuse':
+            raise errors.TargetFailedError('no connection')
+        self.streams[request.request_id] = request
+        yield self.tokens(len(request.continue_text), breaks)
+
+    @asynccontextmanager
+    async def resume(self, request_id, offset):
+        """Stream a known answer again."""
+        if request_id not in self.streams:
+            raise errors.NotFoundError('no stream')
+        self.runs.append(f'resume {request_id}')
+        yield self.tokens(offset, None)
+
+    async def cancel(self, request_id):
+        """Note the cancel."""
+        self.runs.append(f'cancel {request_id}')
+
+    async def tokens(self, offset, breaks):
+        """Yield one character a token."""
+        stop = len(TEXT) if breaks is None else offset + breaks
+        for index in range(offset, stop):
+            # Tokens come one after the other.
+            await self.pass_gate(index - offset)  # noqa: WPS476
+            yield EngineToken(index, TEXT[index])
+        if breaks is not None:
+            raise errors.TargetFailedError('gone', verdict=Verdict.may_have_run)
+        yield EngineUsage(10, 4, len(TEXT), 'stop')
+
+    async def pass_gate(self, count):
+        """Wait at the gate after three tokens."""
+        if count == 3:
+            await self.gate.wait()
+        await trio.lowlevel.checkpoint()
+
+    async def call(self, operation, body, request_id, timeout_seconds):
+        """Run a service call."""
+        fault = self.service_faults.pop(0) if self.service_faults else None
+        if fault == 'refuse':
+            raise errors.TargetFailedError('no connection')
+        self.runs.append(f'{operation} {request_id}')
+        await self.gate.wait()
+        if fault == 'drop':
+            raise errors.TargetFailedError('gone', verdict=Verdict.may_have_run)
+        return ServiceAnswer(200, {'done': len(self.runs)})
+
+
+@define(eq=False)
+class Owner:
+    """Hold one entry's parts."""
+
+    host: ProgramHost
+    operations: ProgramOperations
+    placer: DirectPlacer
+    ownership: MemoryOwnership
+
+
+@asynccontextmanager
+async def owning(logs, targets, snapshot=None, clock=time.time):
+    """Run an owner of all slots over the logs until the test leaves."""
+    snapshot = snapshot or make_snapshot()
+    placer = DirectPlacer(snapshot)
+    flow = CallFlow(
+        snapshot=lambda: snapshot,
+        wallet=UnlimitedWallet(),
+        models=ModelCalls(placer, targets),
+        services=ServiceCalls(placer, targets),
+        clock=clock,
+    )
+    ownership = MemoryOwnership(logs)
+    await ownership.own(0)
+    async with trio.open_nursery() as nursery:
+        host = ProgramHost(ownership, lambda _: 0, flow, nursery, clock)
+        operations = ProgramOperations(
+            host,
+            flow,
+            ProgramOpening(host, clock),
+            ProgramEnding(host, clock),
+            nursery,
+        )
+        yield Owner(host, operations, placer, ownership)
+        nursery.cancel_scope.cancel()
+
+
+@contextmanager
+def closed(targets):
+    """Hold calls at the target until the test leaves."""
+    targets.gate = trio.Event()
+    try:
+        yield
+    finally:
+        targets.gate.set()
--- /dev/null
+++ b/tests/unit/test_call_flow.py
@@ -0,0 +1,489 @@
+"""Check how the owner runs calls, with faults at its interfaces."""
+
+import json
+from itertools import repeat
+from types import MappingProxyType
+
+import pytest
+import trio
+from program_parts import (
+    TEXT,
+    MemoryLogs,
+    MemoryTargets,
+    closed,
+    make_snapshot,
+    owning,
+)
+from trio.testing import MockClock, wait_all_tasks_blocked
+
+from jasminewheel._internal.wire.gen.program.ttypes import (
+    Operation,
+    OperationEventKind,
+    OperationKind,
+)
+from jasminewheel.errors import (
+    ConflictError,
+    DeadlineError,
+    ForbiddenError,
+    MovedError,
+    NotFoundError,
+    OverloadedError,
+)
+from jasminewheel.models.verdict import Verdict
+
+ASK = MappingProxyType(
+    {
+        'target': 'helper-models',
+        'input': {
+            'messages': [{'role': 'user', 'content': 'the kettle hums'}],
+            'max_tokens': 100,
+        },
+    }
+)
+SEND_TEXT = MappingProxyType(
+    {
+        'target': 'ticket-desk',
+        'operation': 'text',
+        'input': {'to': 'owner'},
+    }
+)
+LOOKUP = MappingProxyType({**SEND_TEXT, 'operation': 'lookup'})
+
+
+def operation(kind, request_id='', body=None, program='p', **fields):
+    """Return an operation of the cafe."""
+    return Operation(
+        kind=kind,
+        caller=fields.pop('caller', 'cafe'),
+        program=program,
+        request_id=request_id,
+        body=json.dumps(dict(body or {})).encode(),
+        **fields,
+    )
+
+
+class Received:
+    """Assemble what a reader gets."""
+
+    def __init__(self, text=''):
+        """Start with the text received before."""
+        self.text = text
+        self.restarts = 0
+        self.done = None
+
+    async def __call__(self, event):
+        """Take an event the way a caller does."""
+        if event.kind == OperationEventKind.RESTART:
+            self.text = ''
+            self.restarts += 1
+        elif event.kind == OperationEventKind.TOKEN:
+            assert event.offset == len(self.text)
+            self.text += event.text
+        else:
+            self.done = event
+
+    @property
+    def body(self):
+        """Return the body of the last event."""
+        return json.loads(self.done.body)
+
+
+async def perform(owner, kind, request_id='', body=None, **fields):
+    """Perform an operation and return what was received."""
+    received = Received(TEXT[: fields.get('offset', 0)])
+    await owner.operations.perform(
+        operation(kind, request_id, body, **fields), received
+    )
+    return received
+
+
+async def start_in_order(owner, nursery, names):
+    """Send texts one after the other, without waiting for answers."""
+    for name in names:
+        nursery.start_soon(perform, owner, OperationKind.CALL, name, SEND_TEXT)
+        # The order of arrival is what the test is about.
+        await wait_all_tasks_blocked()  # noqa: WPS476
+
+
+async def opened(owner):
+    """Open the program."""
+    received = await perform(owner, OperationKind.OPEN, 'open-1')
+    assert received.body == {'program': 'p'}
+
+
+def run(test):
+    """Run an asynchronous test."""
+    trio.run(test)
+
+
+def test_model_call_is_streamed_and_kept():
+    """The text is whole, recorded, and given again to a retry."""
+
+    async def check():
+        targets = MemoryTargets()
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            first = await perform(owner, OperationKind.CALL, 'a', ASK)
+            again = await perform(owner, OperationKind.CALL, 'a', ASK)
+            rest = await perform(owner, OperationKind.RESUME, 'a', offset=8)
+        assert first.text == TEXT
+        assert first.body['text'] == TEXT
+        assert first.body['usage']['cached_tokens'] == 4
+        assert again.body == first.body
+        assert rest.text == TEXT
+        assert targets.runs == ['p:a:0']
+
+    run(check)
+
+
+def test_history_is_model_input():
+    """The next call gets the conversation before its own messages."""
+
+    async def check():
+        targets = MemoryTargets()
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            await perform(owner, OperationKind.CALL, 'a', ASK)
+            await perform(owner, OperationKind.CALL, 'b', ASK)
+            history = await perform(owner, OperationKind.HISTORY)
+        sent = targets.streams['p:b:0'].messages
+        assert [each['role'] for each in sent] == ['user', 'assistant', 'user']
+        assert sent[1]['content'] == TEXT
+        assert len(history.body['messages']) == 4
+
+    run(check)
+
+
+def test_calls_run_in_the_order_of_arrival():
+    """Calls of one program never overlap and keep their order."""
+
+    async def check():
+        targets = MemoryTargets()
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            async with trio.open_nursery() as nursery:
+                with closed(targets):
+                    await start_in_order(owner, nursery, 'abcdefgh')
+                    assert targets.runs == ['text p:a']
+        assert targets.runs == [f'text p:{name}' for name in 'abcdefgh']
+
+    run(check)
+
+
+def test_runner_lost_in_mid_stream_leaves_no_gap():
+    """Another runner goes on with the text, and nothing repeats."""
+
+    async def check():
+        targets = MemoryTargets(break_after=[5, 'refuse', 7])
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            received = await perform(owner, OperationKind.CALL, 'a', ASK)
+            reports = [each.reports for each in owner.placer.decisions]
+        assert received.text == TEXT
+        assert received.restarts == 0
+        assert targets.runs == ['p:a:0', 'p:a:1', 'p:a:2', 'p:a:3']
+        assert targets.streams['p:a:2'].continue_text == TEXT[:5]
+        assert reports == [['failed'], ['failed'], ['failed'], ['finished']]
+
+    run(check)
+
+
+@pytest.mark.parametrize('faults', [['refuse'], ['refuse', 'refuse']])
+def test_unsent_service_call_tries_another_runner(faults):
+    """A refused connection has not run, so the call is sent elsewhere."""
+
+    async def check():
+        targets = MemoryTargets(service_faults=list(faults))
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            received = await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+        assert received.done.verdict == Verdict.ran.value
+        assert targets.runs == ['text p:a']
+
+    run(check)
+
+
+def test_call_that_did_not_run_anywhere_may_be_sent_again():
+    """A verdict of not run is true, and the same request may run later."""
+
+    async def check():
+        targets = MemoryTargets(service_faults=list(repeat('refuse', 4)))
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            first = await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+            assert targets.runs == []
+            again = await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+        assert first.done.verdict == Verdict.not_run.value
+        assert again.done.verdict == Verdict.ran.value
+        assert targets.runs == ['text p:a']
+
+    run(check)
+
+
+def test_lost_answer_of_a_text_is_not_sent_again():
+    """A call that may not be repeated ends as may have run, for good."""
+
+    async def check():
+        targets = MemoryTargets(service_faults=['drop'])
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            first = await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+            again = await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+        assert first.done.verdict == Verdict.may_have_run.value
+        assert again.body == first.body
+        assert targets.runs == ['text p:a']
+
+    run(check)
+
+
+def test_lost_answer_of_a_lookup_is_asked_again():
+    """A repeatable call goes to the next runner."""
+
+    async def check():
+        targets = MemoryTargets(service_faults=['drop'])
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            received = await perform(owner, OperationKind.CALL, 'a', LOOKUP)
+        assert received.done.verdict == Verdict.ran.value
+        assert targets.runs == ['lookup p:a', 'lookup p:a']
+
+    run(check)
+
+
+def test_hung_tool_is_bounded_by_its_timeout(autojump_clock):
+    """A tool without an answer gives the weak verdict and frees the turn."""
+
+    async def check():
+        targets = MemoryTargets()
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            with closed(targets):
+                received = await perform(
+                    owner, OperationKind.CALL, 'a', SEND_TEXT
+                )
+            after = await perform(owner, OperationKind.CALL, 'b', SEND_TEXT)
+        assert received.done.verdict == Verdict.may_have_run.value
+        assert after.done.verdict == Verdict.ran.value
+
+    trio.run(check, clock=autojump_clock)
+
+
+@pytest.fixture
+def autojump_clock():
+    """Let time pass as fast as nothing happens."""
+    return MockClock(autojump_threshold=0)
+
+
+async def cut_off(logs, targets, body):
+    """Lose an owner while a call is at its target."""
+    async with owning(logs, targets) as owner:
+        await opened(owner)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(perform, owner, OperationKind.CALL, 'a', body)
+            await wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+
+
+def test_take_over_never_repeats_a_text():
+    """The next owner gives the weak verdict and goes on with the program."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        with closed(targets):
+            await cut_off(logs, targets, SEND_TEXT)
+        async with owning(logs, targets) as owner:
+            retried = await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+            after = await perform(owner, OperationKind.CALL, 'b', SEND_TEXT)
+        assert retried.done.verdict == Verdict.may_have_run.value
+        assert after.done.verdict == Verdict.ran.value
+        assert targets.runs == ['text p:a', 'text p:b']
+
+    run(check)
+
+
+def test_take_over_resumes_the_stream():
+    """The next owner reads the same stream, so the caller sees no gap."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        with closed(targets):
+            await cut_off(logs, targets, ASK)
+        async with owning(logs, targets) as owner:
+            rest = await perform(owner, OperationKind.CALL, 'a', ASK, offset=3)
+        assert rest.text == TEXT
+        assert rest.restarts == 0
+        assert targets.runs == ['p:a:0', 'resume p:a:0']
+
+    run(check)
+
+
+def test_take_over_without_the_stream_restarts_the_text():
+    """A caller that had a part is told to drop it."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        with closed(targets):
+            await cut_off(logs, targets, ASK)
+        targets.streams.clear()
+        async with owning(logs, targets) as owner:
+            received = await perform(
+                owner, OperationKind.CALL, 'a', ASK, offset=3
+            )
+        assert received.text == TEXT
+        assert received.restarts == 1
+        assert targets.runs == ['p:a:0', 'p:a:1']
+
+    run(check)
+
+
+def test_fenced_owner_drops_its_programs():
+    """An owner that lost its slot cannot start a call."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as owner:
+            await opened(owner)
+            logs.fence += 1
+            with pytest.raises(MovedError):
+                await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+            assert owner.host.slot(0) is None
+        assert targets.runs == []
+
+    run(check)
+
+
+def test_append_is_tried_until_a_majority_answers(autojump_clock):
+    """A history that comes back late costs time only."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as owner:
+            await opened(owner)
+            logs.failures = 5
+            received = await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+        assert received.done.verdict == Verdict.ran.value
+        assert targets.runs == ['text p:a']
+
+    trio.run(check, clock=autojump_clock)
+
+
+def test_refusals_change_nothing():
+    """What is refused leaves no record."""
+
+    async def check():
+        logs = MemoryLogs()
+        async with owning(
+            logs, MemoryTargets(), make_snapshot(max_turns=1)
+        ) as owner:
+            await opened(owner)
+            call = OperationKind.CALL
+            with pytest.raises(NotFoundError):
+                await perform(owner, call, 'a', SEND_TEXT, caller='yard')
+            with pytest.raises(NotFoundError):
+                await perform(owner, call, 'a', SEND_TEXT, program='q')
+            with pytest.raises(NotFoundError):
+                await perform(owner, call, 'a', {'target': 'nobody'})
+            with pytest.raises(DeadlineError):
+                await perform(owner, call, 'a', SEND_TEXT, deadline_at=1)
+            assert len(logs.records['p']) == 1
+            await perform(owner, call, 'a', SEND_TEXT)
+            with pytest.raises(OverloadedError):
+                await perform(owner, call, 'b', SEND_TEXT)
+            with pytest.raises(ConflictError):
+                await perform(owner, call, 'a', LOOKUP)
+        assert list(logs.records) == ['p']
+
+    run(check)
+
+
+def test_target_not_allowed_is_forbidden():
+    """A caller reaches only the targets that it may use."""
+
+    async def check():
+        snapshot = make_snapshot()
+        allowed = snapshot.callers['cafe'].targets
+        assert 'ticket-desk' in allowed
+        object.__setattr__(snapshot.callers['cafe'], 'targets', ())
+        async with owning(MemoryLogs(), MemoryTargets(), snapshot) as owner:
+            await opened(owner)
+            with pytest.raises(ForbiddenError):
+                await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+
+    run(check)
+
+
+def test_children_end_with_their_parent():
+    """A child is opened once and takes no call after its parent's end."""
+
+    async def check():
+        logs = MemoryLogs()
+        async with owning(logs, MemoryTargets()) as owner:
+            await opened(owner)
+            kind = OperationKind.OPEN_CHILD
+            child = await perform(owner, kind, 'child-1')
+            again = await perform(owner, kind, 'child-1')
+            assert child.body == again.body == {'program': 'p.1'}
+            await perform(
+                owner, OperationKind.CALL, 'a', SEND_TEXT, program='p.1'
+            )
+            ended = await perform(owner, OperationKind.END)
+            assert ended.body['ended'] == 'ended by its caller'
+            with pytest.raises(ConflictError):
+                await perform(
+                    owner, OperationKind.CALL, 'b', SEND_TEXT, program='p.1'
+                )
+
+    run(check)
+
+
+def test_plain_call_is_a_program_of_its_own():
+    """A plain call is answered once and its program ends."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as owner:
+            call = OperationKind.CALL
+            first = await perform(owner, call, 'a', SEND_TEXT, plain=True)
+            await wait_all_tasks_blocked()
+            again = await perform(owner, call, 'a', SEND_TEXT, plain=True)
+            view = await perform(owner, OperationKind.VIEW)
+        assert again.body == first.body
+        assert view.body['ended']
+        assert targets.runs == ['text p:a']
+
+    run(check)
+
+
+def test_status_follows_the_call():
+    """A caller can ask what became of each request."""
+
+    async def check():
+        targets = MemoryTargets()
+        async with owning(MemoryLogs(), targets) as owner:
+            await opened(owner)
+            async with trio.open_nursery() as nursery:
+                with closed(targets):
+                    await start_in_order(owner, nursery, 'ab')
+                    running = await perform(owner, OperationKind.STATUS, 'a')
+                    queued = await perform(owner, OperationKind.STATUS, 'b')
+                    unknown = await perform(owner, OperationKind.STATUS, 'c')
+            last = await perform(owner, OperationKind.STATUS, 'a')
+        assert (running.body['phase'], running.body['verdict']) == (
+            'running',
+            'may-have-run',
+        )
+        assert (queued.body['phase'], queued.body['verdict']) == (
+            'queued',
+            'not-run',
+        )
+        assert unknown.body['phase'] == 'unknown'
+        assert last.body['phase'] == 'finished'
+        assert last.body['verdict'] == 'ran'
+
+    run(check)
