--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -126,13 +126,6 @@
     status = 504
 
 
-class MovedError(CallError):
-    """Send an operation to the entry that now owns the program."""
-
-    code = 'moved'
-    status = 503
-
-
 class StoreError(JasminewheelError):
     """Report that the key-value service did not answer as needed."""
 
@@ -163,12 +156,6 @@
     code = 'no-quorum'
 
 
-class HistoryError(JasminewheelError):
-    """Report a program log that cannot be replayed."""
-
-    code = 'history-invalid'
-
-
 class PeerError(JasminewheelError):
     """Report that a peer could not be reached or broke the protocol."""
 
@@ -185,6 +172,17 @@
         super().__init__(message, remedy=remedy)
         self.sent = sent
 
+class HistoryError(JasminewheelError):
+    """Report a program log that cannot be replayed."""
+
+    code = 'history-invalid'
+
+
+class MovedError(CallError):
+    """Send an operation to the entry that now owns the program."""
+
+    code = 'moved'
+    status = 503
 
 class InvalidResourceError(JasminewheelError):
     """Report the wrong fields of resources; nothing was changed."""
