--- a/idl/program.thrift
+++ b/idl/program.thrift
@@ -104,5 +104,4 @@
 
 struct SlotAnswer {
   1: bool owned,
-  2: i64 fence,
 }
--- /dev/null
+++ b/src/jasminewheel/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Wire the parts of an entry process together."""
--- /dev/null
+++ b/src/jasminewheel/_internal/entry/calls.py
@@ -0,0 +1,23 @@
+"""Wire the parts that run the calls of hosted programs."""
+
+import time
+
+from jasminewheel._internal.entry.surroundings import Surroundings
+from jasminewheel._internal.program.flow import CallFlow
+from jasminewheel._internal.program.model_calls import ModelCalls
+from jasminewheel._internal.program.service_calls import ServiceCalls
+from jasminewheel._internal.program.wallet import UnlimitedWallet
+from jasminewheel._internal.scheduling.scheduler import Scheduler
+
+
+def open_flow(around: Surroundings) -> CallFlow:
+    """Return what runs calls on the targets of the configuration."""
+    view = around.fleet.view
+    scheduler = Scheduler(view, around.region)
+    return CallFlow(
+        snapshot=lambda: view.current,
+        wallet=UnlimitedWallet(),
+        models=ModelCalls(scheduler, around.clients),
+        services=ServiceCalls(scheduler, around.clients),
+        clock=time.time,
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -0,0 +1,110 @@
+"""Run an entry process from its start to its graceful shutdown."""
+
+import logging
+import time
+from functools import partial
+from pathlib import Path
+
+import trio
+from attrs import define
+from quart_trio import QuartTrio
+
+from jasminewheel._internal.entry.programs import Programs, open_programs
+from jasminewheel._internal.entry.settings import EntrySettings
+from jasminewheel._internal.entry.surroundings import (
+    Surroundings,
+    open_surroundings,
+)
+from jasminewheel._internal.events import frame
+from jasminewheel._internal.http.callers import CallersApi
+from jasminewheel._internal.http.dispatch import OperationDispatch
+from jasminewheel._internal.http.health import health_blueprint
+from jasminewheel._internal.http.serving import serve_app, write_port
+from jasminewheel._internal.peer.server import PeerServer
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@define(eq=False)
+class EntryProcess:
+    """Hold the parts of one entry while it runs."""
+
+    settings: EntrySettings
+    around: Surroundings
+    programs: Programs
+    is_ready: bool = False
+
+    def app(self) -> QuartTrio:
+        """Return the HTTP application of callers and operators."""
+        app = QuartTrio('jasminewheel')
+        dispatch = OperationDispatch(
+            lambda: self.around.fleet.view.current,
+            self.programs.router,
+            self.around.nursery,
+            time.time,
+        )
+        app.register_blueprint(CallersApi(dispatch).blueprint())
+        app.register_blueprint(health_blueprint(lambda: self.is_ready))
+        return app
+
+    async def start(self) -> None:
+        """Serve peers, then join the fleet."""
+        settings = self.settings
+        fleet = self.around.fleet
+        handlers = {**fleet.handlers(), **self.programs.handlers()}
+        server = PeerServer(self.around.identity, self.around.key, handlers)
+        port = await self.around.nursery.start(
+            server.serve, settings.peer_host, settings.peer_port
+        )
+        fleet.listens_at(f'{settings.peer_host}:{port}')
+        write_port_to(settings.peer_port_file, port)
+        self.around.nursery.start_soon(self.programs.watch.run)
+        self.around.nursery.start_soon(self.programs.keeper.run)
+        await self.around.nursery.start(fleet.run)
+
+    async def serve(self, stop: trio.Event) -> None:
+        """Serve callers until stop and the end of what is in progress."""
+        closing = trio.Event()
+        async with trio.open_nursery() as serving:
+            port = await serving.start(
+                partial(
+                    serve_app,
+                    self.app(),
+                    self.settings.http_host,
+                    self.settings.http_port,
+                    shutdown=closing,
+                    grace_seconds=self.settings.grace_seconds,
+                ),
+            )
+            self.is_ready = True
+            write_port_to(self.settings.http_port_file, port)
+            frame.STARTED.log(_LOGGER, host=self.settings.http_host, port=port)
+            await stop.wait()
+            await self.hand_over()
+            closing.set()
+
+    async def hand_over(self) -> None:
+        """Stop taking programs, then release each when its calls are done."""
+        self.is_ready = False
+        self.programs.taker.is_draining = True
+        await self.around.fleet.leave()
+        await trio.sleep(self.settings.unready_seconds)
+        with trio.move_on_after(self.settings.grace_seconds):
+            await self.programs.keeper.drain()
+            await self.programs.router.quiet()
+
+
+async def run_entry(settings: EntrySettings, stop: trio.Event) -> None:
+    """Run an entry until stop."""
+    async with open_surroundings(settings) as around:
+        programs = open_programs(around)
+        entry = EntryProcess(settings, around, programs)
+        await entry.start()
+        await entry.serve(stop)
+        await around.fleet.depart()
+
+
+def write_port_to(path: str, port: int) -> None:
+    """Write the port to a file if one is named."""
+    if path:
+        write_port(Path(path), port)
--- /dev/null
+++ b/src/jasminewheel/_internal/entry/surroundings.py
@@ -0,0 +1,72 @@
+"""Open what the programs of an entry depend on."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.entry.settings import EntrySettings
+from jasminewheel._internal.fleet.fleet import Fleet, FleetAddresses
+from jasminewheel._internal.membership.member import ENTRY, Member
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.peer.key import load_key
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.client import HttpStore
+from jasminewheel._internal.targets.clients import ClientPool
+
+_MILLISECONDS = 1000
+
+
+@frozen
+class Surroundings:
+    """Hold what the programs of this process depend on."""
+
+    identity: PeerIdentity
+    key: bytes
+    region: str
+    pool: PeerPool
+    fleet: Fleet
+    clients: ClientPool
+    nursery: trio.Nursery
+
+
+@asynccontextmanager
+async def open_surroundings(
+    settings: EntrySettings,
+) -> AsyncIterator[Surroundings]:
+    """Open connections; at the end cancel background tasks and close."""
+    identity = make_identity(settings)
+    key = load_key(Path(settings.key_file))
+    async with AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        store = await enter(HttpStore(settings.store_url))
+        clients = await enter(ClientPool())
+        pool = await enter(PeerPool(identity, key))
+        nursery = await enter(trio.open_nursery())
+        member = make_member(settings, identity)
+        fleet = Fleet(member, pool, store, FleetAddresses(settings.peers))
+        yield Surroundings(
+            identity, key, settings.region, pool, fleet, clients, nursery
+        )
+        nursery.cancel_scope.cancel()
+
+
+def make_identity(settings: EntrySettings) -> PeerIdentity:
+    """Return the identity of this process; it differs after a restart."""
+    started = int(time.time() * _MILLISECONDS)
+    return PeerIdentity(settings.member, str(started), settings.zone)
+
+
+def make_member(settings: EntrySettings, identity: PeerIdentity) -> Member:
+    """Return this process as a member of the fleet."""
+    return Member(
+        member=settings.member,
+        incarnation=int(identity.incarnation),
+        zone=settings.zone,
+        region=settings.region,
+        peer_address='',
+        roles=(ENTRY,),
+    )
--- a/src/jasminewheel/_internal/http/answers.py
+++ b/src/jasminewheel/_internal/http/answers.py
@@ -37,12 +37,10 @@
 
 async def collected(pipe: EventPipe) -> Response:
     """Return the response once the operation is done."""
-    try:
+    async with pipe:
         event = await pipe.next_event()
         while event and event.kind != OperationEventKind.DONE:
             event = await pipe.next_event()
-    finally:
-        await pipe.close()
     return whole_response(event)
 
 
--- a/src/jasminewheel/_internal/http/callers.py
+++ b/src/jasminewheel/_internal/http/callers.py
@@ -1,24 +1,20 @@
 """Serve callers: programs, calls, streams."""
 
 import re
-from collections.abc import Callable
 from http import HTTPStatus
 
-import trio
 from attrs import define
 from quart import Blueprint, Response, request
 from werkzeug.exceptions import HTTPException
 
-from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.http.answers import collected, streamed
 from jasminewheel._internal.http.credentials import (
-    authenticate,
     check_program_id,
     check_request_id,
     new_program_id,
     request_id_of,
 )
-from jasminewheel._internal.http.event_pipe import EventPipe
+from jasminewheel._internal.http.dispatch import OperationDispatch
 from jasminewheel._internal.http.problem import http_error, problem_response
 from jasminewheel._internal.program.plan import deadline_for, make_plan
 from jasminewheel._internal.program.requests import (
@@ -27,7 +23,6 @@
     call_request,
     parse_body,
 )
-from jasminewheel._internal.program.routing import Router
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
     OperationKind,
@@ -47,10 +42,7 @@
 class CallersApi:
     """Check what callers send, then route it to the owner."""
 
-    snapshot: Callable[[], Snapshot]
-    router: Router
-    nursery: trio.Nursery
-    clock: Callable[[], float]
+    dispatch: OperationDispatch
 
     def blueprint(self) -> Blueprint:
         """Return the routes."""
@@ -71,7 +63,7 @@
 
     async def open(self) -> Response:
         """Open a program."""
-        caller = self.caller()
+        caller = self.dispatch.caller()
         request_id = request_id_of(request.headers)
         body = await read_body()
         program_id = new_program_id(caller.name, 'program', request_id)
@@ -81,7 +73,7 @@
 
     async def child(self, program_id: str) -> Response:
         """Open a child of a program."""
-        caller = self.caller()
+        caller = self.dispatch.caller()
         check_program_id(program_id)
         request_id = request_id_of(request.headers)
         body = await read_body()
@@ -105,25 +97,27 @@
             program=program_id,
             request_id=request_id,
             body=body,
-            deadline_at=deadline_for(caller, asked, self.clock()),
+            deadline_at=deadline_for(caller, asked, self.dispatch.clock()),
         )
-        return await collected(self.start(operation))
+        return await collected(self.dispatch.start(operation))
 
     async def call(self, program_id: str) -> Response:
         """Make a call within a program."""
-        caller = self.caller()
+        caller = self.dispatch.caller()
         check_program_id(program_id)
         operation = await self.call_operation(caller, program_id)
         return await self.answer_call(caller, operation)
 
     async def plain(self) -> Response:
         """Make a call outside any program."""
-        caller = self.caller()
+        caller = self.dispatch.caller()
         request_id = request_id_of(request.headers)
         program_id = new_program_id(caller.name, 'plain', request_id)
         operation = await self.call_operation(caller, program_id)
         operation.plain = True
-        operation.deadline_at = deadline_for(caller, None, self.clock())
+        operation.deadline_at = deadline_for(
+            caller, None, self.dispatch.clock()
+        )
         return await self.answer_call(caller, operation)
 
     async def call_operation(
@@ -144,9 +138,11 @@
     ) -> Response:
         """Refuse a wrong call here; send a right one to the owner."""
         make_plan(
-            self.snapshot(), caller.name, call_request(operation, self.clock())
+            self.dispatch.snapshot(),
+            caller.name,
+            call_request(operation, self.dispatch.clock()),
         )
-        pipe = self.start(operation)
+        pipe = self.dispatch.start(operation)
         if parse_body(operation.body, CallBody).stream:
             return await streamed(pipe)
         return await collected(pipe)
@@ -154,11 +150,13 @@
     async def status(self, program_id: str, request_id: str) -> Response:
         """Say what became of a request."""
         check_request_id(request_id)
-        return await self.ask(OperationKind.STATUS, program_id, request_id)
+        return await self.dispatch.ask(
+            OperationKind.STATUS, program_id, request_id
+        )
 
     async def resume(self, program_id: str, request_id: str) -> Response:
         """Stream the rest of an answer."""
-        caller = self.caller()
+        caller = self.dispatch.caller()
         check_program_id(program_id)
         check_request_id(request_id)
         generation, offset = read_position()
@@ -172,51 +170,19 @@
             offset=offset,
             generation=generation,
         )
-        return await streamed(self.start(operation))
+        return await streamed(self.dispatch.start(operation))
 
     async def view(self, program_id: str) -> Response:
         """Show a program."""
-        return await self.ask(OperationKind.VIEW, program_id)
+        return await self.dispatch.ask(OperationKind.VIEW, program_id)
 
     async def history(self, program_id: str) -> Response:
         """Show the conversation of a program."""
-        return await self.ask(OperationKind.HISTORY, program_id)
+        return await self.dispatch.ask(OperationKind.HISTORY, program_id)
 
     async def end(self, program_id: str) -> Response:
         """End a program."""
-        return await self.ask(OperationKind.END, program_id)
-
-    async def ask(
-        self, kind: int, program_id: str, request_id: str = ''
-    ) -> Response:
-        """Perform an operation that has no body."""
-        caller = self.caller()
-        check_program_id(program_id)
-        operation = Operation(
-            kind=kind,
-            caller=caller.name,
-            program=program_id,
-            request_id=request_id,
-            body=b'',
-            deadline_at=0,
-        )
-        return await collected(self.start(operation))
-
-    def caller(self) -> Caller:
-        """Return who sent the request."""
-        return authenticate(request.headers, self.snapshot(), self.clock())
-
-    def start(self, operation: Operation) -> EventPipe:
-        """Start to perform an operation."""
-        operation.offset = operation.offset or 0
-        operation.generation = operation.generation or 0
-        operation.hops = 0
-        operation.configuration = self.snapshot().version
-        operation.plain = bool(operation.plain)
-        traceparent = request.headers.get('traceparent', '')
-        pipe = EventPipe.open(self.router, operation, traceparent)
-        self.nursery.start_soon(pipe.run)
-        return pipe
+        return await self.dispatch.ask(OperationKind.END, program_id)
 
 
 async def read_body() -> bytes:
--- a/src/jasminewheel/_internal/http/credentials.py
+++ b/src/jasminewheel/_internal/http/credentials.py
@@ -54,7 +54,7 @@
 def check_program_id(program_id: str) -> None:
     """Raise NotFoundError for what cannot be a program's identifier."""
     if not _PROGRAM_ID.fullmatch(program_id):
-        raise NotFoundError(f'no program {program_id[:64]}')
+        raise NotFoundError('no such program')
 
 
 def new_program_id(caller: str, kind: str, request_id: str) -> str:
--- a/src/jasminewheel/_internal/http/event_pipe.py
+++ b/src/jasminewheel/_internal/http/event_pipe.py
@@ -1,9 +1,10 @@
 """Carry the events of a running operation to an HTTP response."""
 
 import math
+from typing import Self
 
 import trio
-from attrs import define, field
+from attrs import define
 
 from jasminewheel._internal.observability.tracing import hop
 from jasminewheel._internal.program.routing import Router
@@ -28,12 +29,11 @@
     sender: trio.MemorySendChannel[OperationEvent]
     receiver: trio.MemoryReceiveChannel[OperationEvent]
     error: JasminewheelError | None = None
-    finished: trio.Event = field(factory=trio.Event)
 
     @classmethod
     def open(
         cls, router: Router, operation: Operation, traceparent: str
-    ) -> 'EventPipe':
+    ) -> Self:
         """Return a pipe that does not run yet."""
         sender, receiver = trio.open_memory_channel[OperationEvent](PIPE_EVENTS)
         return cls(router, operation, traceparent, sender, receiver)
@@ -69,6 +69,14 @@
                 ) from None
         return None
 
+    async def __aenter__(self) -> Self:
+        """Read from the pipe."""
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Stop reading."""
+        await self.close()
+
     async def close(self) -> None:
         """Let the operation end; the call itself goes on at its owner."""
         await self.receiver.aclose()
--- /dev/null
+++ b/src/jasminewheel/_internal/program/handover.py
@@ -0,0 +1,78 @@
+"""Give slots up: to entries that should own them, and on a planned stop."""
+
+import logging
+from collections.abc import Sequence
+from typing import Protocol
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.events import program as events
+from jasminewheel._internal.membership.member import Member
+from jasminewheel._internal.program.host import HostedSlot, ProgramHost
+from jasminewheel._internal.program.job import Clock
+
+_LOGGER = logging.getLogger(__name__)
+CHECK_SECONDS = 1.0
+# Another entry has to be preferred for this long before a slot moves.
+STABLE_SECONDS = 3.0
+_DRAIN_PAUSE_SECONDS = 0.01
+
+
+class OwnerRanking(Protocol):
+    """Rank the live entries for each slot."""
+
+    own: Member
+
+    def preferred(self, subject: str) -> Sequence[Member]:
+        """Return the live entries by preference for a subject."""
+
+
+@define(eq=False)
+class SlotKeeper:
+    """Evict idle programs, move slots to where they belong, drain."""
+
+    host: ProgramHost
+    ranking: OwnerRanking
+    clock: Clock
+    misplaced_since: dict[int, float] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Tidy up until cancelled."""
+        while True:
+            await trio.sleep(CHECK_SECONDS)
+            self.tidy(self.clock())
+
+    def tidy(self, now: float) -> None:
+        """Evict idle programs and release idle slots of other entries."""
+        for hosted_slot in self.host.owned_slots():
+            hosted_slot.evict_idle(now)
+            if self.is_misplaced(hosted_slot, now) and hosted_slot.is_idle:
+                self.host.release(hosted_slot)
+
+    def is_misplaced(self, hosted_slot: HostedSlot, now: float) -> bool:
+        """Return whether another entry has been preferred for a while."""
+        slot = hosted_slot.slot
+        ranked = self.ranking.preferred(f'slot-{slot}')
+        if not ranked or ranked[0].member == self.ranking.own.member:
+            self.misplaced_since.pop(slot, None)
+            return False
+        since = self.misplaced_since.setdefault(slot, now)
+        return now - since >= STABLE_SECONDS
+
+    async def drain(self) -> None:
+        """Release each slot once its running calls have ended."""
+        while self.release_idle():
+            await trio.sleep(_DRAIN_PAUSE_SECONDS)
+        events.DRAINED.log(_LOGGER)
+
+    def release_idle(self) -> bool:
+        """Release the idle slots; return whether busy ones are left."""
+        busy = False
+        for hosted_slot in self.host.owned_slots():
+            hosted_slot.is_closing = True
+            if hosted_slot.is_idle:
+                self.host.release(hosted_slot)
+            else:
+                busy = True
+        return busy
--- a/src/jasminewheel/_internal/program/routing.py
+++ b/src/jasminewheel/_internal/program/routing.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Sequence
+from contextlib import ExitStack
 from typing import Protocol
 
 import trio
@@ -31,6 +32,7 @@
 )
 
 _LOGGER = logging.getLogger(__name__)
+_QUIET_PAUSE_SECONDS = 0.01
 
 
 class OwnerRanking(Protocol):
@@ -53,10 +55,23 @@
     taker: SlotTaker
     watch: LivenessWatch
     clock: Clock
+    running: int = 0
 
     async def handle(self, exchange: Exchange, operation: Operation) -> None:
         """Perform an operation that another entry forwarded."""
-        await self.perform(operation, exchange.reply)
+        self.running += 1
+        with ExitStack() as cleanup:
+            cleanup.callback(self.note_end)
+            await self.perform(operation, exchange.reply)
+
+    def note_end(self) -> None:
+        """Count an operation of another entry as done."""
+        self.running -= 1
+
+    async def quiet(self) -> None:
+        """Wait until no operation of another entry is in progress."""
+        while self.running:
+            await trio.sleep(_QUIET_PAUSE_SECONDS)
 
     async def perform(self, operation: Operation, sink: EventSink) -> None:
         """Send the operation's events to the sink, over losses of owners.
--- a/src/jasminewheel/_internal/program/takeover.py
+++ b/src/jasminewheel/_internal/program/takeover.py
@@ -9,6 +9,7 @@
 from jasminewheel._internal.events import program as events
 from jasminewheel._internal.membership.member import Member
 from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.program.host import ProgramHost
 from jasminewheel._internal.wire.gen.program.ttypes import (
     SlotAnswer,
@@ -116,3 +117,9 @@
                 raise MovedError('the owner does not answer') from error
             return False
         return answer.owned
+
+    async def answer(
+        self, exchange: Exchange, question: SlotQuestion
+    ) -> SlotAnswer:
+        """Tell another entry whether this one serves a slot."""
+        return SlotAnswer(owned=self.host.slot(question.slot) is not None)
--- a/src/jasminewheel/_internal/wire/gen/program/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/program/ttypes.py
@@ -1179,19 +1179,16 @@
     """
     Attributes:
      - owned
-     - fence
 
     """
 
     __slots__ = (
         'owned',
-        'fence',
     )
 
 
-    def __init__(self, owned=None, fence=None,):
+    def __init__(self, owned=None,):
         self.owned = owned
-        self.fence = fence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1207,11 +1204,6 @@
                     self.owned = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.fence = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1226,10 +1218,6 @@
             oprot.writeFieldBegin('owned', TType.BOOL, 1)
             oprot.writeBool(self.owned)
             oprot.writeFieldEnd()
-        if self.fence is not None:
-            oprot.writeFieldBegin('fence', TType.I64, 2)
-            oprot.writeI64(self.fence)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1344,7 +1332,6 @@
 SlotAnswer.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'owned', None, None, ),  # 1
-    (2, TType.I64, 'fence', None, None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -172,6 +172,7 @@
         super().__init__(message, remedy=remedy)
         self.sent = sent
 
+
 class HistoryError(JasminewheelError):
     """Report a program log that cannot be replayed."""
 
@@ -184,6 +185,7 @@
     code = 'moved'
     status = 503
 
+
 class InvalidResourceError(JasminewheelError):
     """Report the wrong fields of resources; nothing was changed."""
 
