--- a/src/jasminewheel/_internal/entry/surroundings.py
+++ b/src/jasminewheel/_internal/entry/surroundings.py
@@ -14,7 +14,7 @@
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.key import load_key
 from jasminewheel._internal.peer.pool import PeerPool
-from jasminewheel._internal.store.client import HttpStore
+from jasminewheel._internal.store.client import HttpStore, Store
 from jasminewheel._internal.targets.clients import ClientPool
 
 _MILLISECONDS = 1000
@@ -43,15 +43,29 @@
     async with AsyncExitStack() as stack:
         enter = stack.enter_async_context
         store = await enter(HttpStore(settings.store_url))
-        clients = await enter(ClientPool())
         pool = await enter(PeerPool(identity, key))
-        nursery = await enter(trio.open_nursery())
-        member = make_member(settings, identity)
-        fleet = Fleet(member, pool, store, FleetAddresses(settings.peers))
-        yield Surroundings(
-            identity, key, settings.region, pool, fleet, clients, nursery
+        around = Surroundings(
+            identity,
+            key,
+            settings.region,
+            pool,
+            make_fleet(settings, identity, pool, store),
+            await enter(ClientPool()),
+            await enter(trio.open_nursery()),
         )
-        nursery.cancel_scope.cancel()
+        yield around
+        around.nursery.cancel_scope.cancel()
+
+
+def make_fleet(
+    settings: EntrySettings,
+    identity: PeerIdentity,
+    pool: PeerPool,
+    store: Store,
+) -> Fleet:
+    """Return this process's part in the fleet."""
+    member = make_member(settings, identity)
+    return Fleet(member, pool, store, FleetAddresses(settings.peers))
 
 
 def make_identity(settings: EntrySettings) -> PeerIdentity:
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,143 @@
+"""Call the entries of a test fleet as its callers do."""
+
+import json
+from contextlib import contextmanager
+
+import httpx
+from attrs import define, field
+
+
+@define
+class Stream:
+    """Assemble what an answer's stream brings."""
+
+    text: str = ''
+    restarts: int = 0
+    last_id: str = ''
+    name: str = ''
+    end: str = ''
+    fields: dict = field(factory=dict)
+
+    def read(self, lines, until=None):
+        """Take events up to the end, or until the text is long enough."""
+        wanted = until or float('inf')
+        for line in lines:
+            self.take_line(line)
+            if self.end or len(self.text) >= wanted:
+                break
+        return self
+
+    def take_line(self, line):
+        """Take one line of an event."""
+        kind, _, content = line.partition(': ')
+        if kind == 'id':
+            self.last_id = content
+        elif kind == 'event':
+            self.name = content
+        elif kind == 'data':
+            self.take(self.name, json.loads(content))
+
+    def take(self, name, fields):
+        """Take one event."""
+        if name == 'token':
+            assert fields['offset'] == len(self.text), 'a gap or a repeat'
+            self.text += fields['text']
+        elif name == 'restart':
+            self.text = ''
+            self.restarts += 1
+        else:
+            self.end = name
+            self.fields = fields
+
+
+@define
+class CallerClient:
+    """Send requests with one caller's key."""
+
+    url: str
+    key: str = 'cafe-key'
+    timeout: float = 60
+
+    def request(self, method, path, request_id='', body=None, **options):
+        """Return the response."""
+        headers = {
+            'Authorization': f'Bearer {self.key}',
+            **options.pop('headers', {}),
+        }
+        if request_id:
+            headers['Idempotency-Key'] = request_id
+        return httpx.request(
+            method,
+            f'{self.url}{path}',
+            json=body,
+            headers=headers,
+            timeout=self.timeout,
+            **options,
+        )
+
+    def open(self, request_id, **body):
+        """Open a program; return its identifier."""
+        answer = self.request('POST', '/v1/programs', request_id, body)
+        assert answer.status_code == httpx.codes.CREATED, answer.text
+        return answer.json()['program']
+
+    def call(self, program, request_id, body):
+        """Make a call; return the response."""
+        path = f'/v1/programs/{program}/calls'
+        return self.request('POST', path, request_id, body)
+
+    @contextmanager
+    def stream(self, program, request_id, body):
+        """Make a call whose answer is streamed; give its lines."""
+        with httpx.stream(
+            'POST',
+            f'{self.url}/v1/programs/{program}/calls',
+            json={**body, 'stream': True},
+            headers={
+                'Authorization': f'Bearer {self.key}',
+                'Idempotency-Key': request_id,
+            },
+            timeout=self.timeout,
+        ) as answer:
+            assert answer.status_code == httpx.codes.OK, answer.read()
+            yield answer.iter_lines()
+
+    def streamed(self, program, request_id, body):
+        """Return a whole streamed answer."""
+        with self.stream(program, request_id, body) as lines:
+            return Stream().read(lines)
+
+    def resumed(self, program, request_id, received):
+        """Read the rest of an answer after what was received."""
+        path = f'/v1/programs/{program}/calls/{request_id}/stream'
+        with httpx.stream(
+            'GET',
+            f'{self.url}{path}',
+            headers={
+                'Authorization': f'Bearer {self.key}',
+                'Last-Event-ID': received.last_id,
+            },
+            timeout=self.timeout,
+        ) as answer:
+            assert answer.status_code == httpx.codes.OK, answer.read()
+            return received.read(answer.iter_lines())
+
+
+def ask(content, max_tokens=200):
+    """Return the body of a model call."""
+    return {
+        'target': 'helper-models',
+        'input': {
+            'messages': [{'role': 'user', 'content': content}],
+            'max_tokens': max_tokens,
+        },
+    }
+
+
+def service(operation, **content):
+    """Return the body of a service call."""
+    return {
+        'target': 'ticket-desk',
+        'operation': operation,
+        'input': content,
+    }
