--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define
 from quart_trio import QuartTrio
+from werkzeug.exceptions import HTTPException
 
 from jasminewheel._internal.entry.programs import Programs, open_programs
 from jasminewheel._internal.entry.settings import EntrySettings
@@ -16,7 +17,7 @@
     open_surroundings,
 )
 from jasminewheel._internal.events import frame
-from jasminewheel._internal.http.callers import CallersApi
+from jasminewheel._internal.http.callers import CallersApi, refused_by_library
 from jasminewheel._internal.http.dispatch import OperationDispatch
 from jasminewheel._internal.http.health import health_blueprint
 from jasminewheel._internal.http.serving import serve_app, write_port
@@ -44,9 +45,16 @@
             time.time,
         )
         app.register_blueprint(CallersApi(dispatch).blueprint())
-        app.register_blueprint(health_blueprint(lambda: self.is_ready))
+        app.register_blueprint(health_blueprint(self.can_serve))
+        app.register_error_handler(HTTPException, refused_by_library)
         return app
 
+    def can_serve(self) -> bool:
+        """Return whether the balancer may send requests here."""
+        fleet = self.around.fleet
+        knows = fleet.view.current.version and fleet.placements.placement
+        return self.is_ready and bool(knows)
+
     async def start(self) -> None:
         """Serve peers, then join the fleet."""
         settings = self.settings
--- a/src/jasminewheel/_internal/program/job.py
+++ b/src/jasminewheel/_internal/program/job.py
@@ -1,11 +1,13 @@
 """Hold one call while its owner runs it."""
 
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 
 import trio
 from attrs import define
+from opentelemetry.trace import Span
 
+from jasminewheel._internal.observability.tracing import hop
 from jasminewheel._internal.program.answer import Answer
 from jasminewheel._internal.program.hosted import HostedProgram
 from jasminewheel._internal.program.plan import CallPlan
@@ -144,6 +146,15 @@
                 'the deadline passed during the call', verdict=verdict
             ) from late
 
+    def dispatch_hop(self, decision: Decision) -> AbstractContextManager[Span]:
+        """Open the span of one attempt at a runner."""
+        return hop(
+            'dispatch',
+            target=self.plan.target.name,
+            runner=decision.runner,
+            attempt=self.attempt,
+        )
+
     @contextmanager
     def reported(self, decision: Decision) -> Iterator[None]:
         """Tell the scheduler when the runner fails."""
--- a/src/jasminewheel/_internal/program/model_calls.py
+++ b/src/jasminewheel/_internal/program/model_calls.py
@@ -49,7 +49,7 @@
         now = job.clock()
         async with self.placer.place(job.placement(now), now) as decision:
             await job.record_start(decision.runner)
-            with job.reported(decision):
+            with job.reported(decision), job.dispatch_hop(decision):
                 usage = await self.generate(job, decision)
             decision.finished(usage, job.clock())
             return make_outcome(job, usage)
--- a/src/jasminewheel/_internal/program/service_calls.py
+++ b/src/jasminewheel/_internal/program/service_calls.py
@@ -40,7 +40,7 @@
         now = job.clock()
         async with self.placer.place(job.placement(now), now) as decision:
             await job.record_start(decision.runner)
-            with job.reported(decision):
+            with job.reported(decision), job.dispatch_hop(decision):
                 answer = await self.send(job, decision)
             decision.finished(None, job.clock())
             return make_outcome(answer)
--- /dev/null
+++ b/tests/functional/conftest.py
@@ -0,0 +1,11 @@
+"""Run fleets of processes for the functional tests."""
+
+import pytest
+from process_fleet import running_fleet
+
+
+@pytest.fixture(scope='session')
+def shared_fleet(tmp_path_factory):
+    """Run one fleet for the tests that leave it as it was."""
+    with running_fleet(tmp_path_factory.mktemp('fleet')) as running:
+        yield running
--- /dev/null
+++ b/tests/functional/test_fault_matrix.py
@@ -0,0 +1,140 @@
+"""Check the promises for every fault at every step, by real processes.
+
+Each cell asserts by what the tools and engines counted and by what the
+caller received. To add a column, write a step in fault_steps.py and list it;
+to add a row, write a fault in faults.py and list it.
+"""
+
+from types import MappingProxyType
+
+import fault_steps as steps
+import faults
+import pytest
+from attrs import frozen
+from callers import CallerClient, service
+from process_fleet import running_fleet
+
+from jasminewheel._internal.fakes.answers import make_answer
+
+ENTRIES = 3
+
+
+@frozen
+class Column:
+    """Name a step with the request that is brought there."""
+
+    step: object
+    streams: bool = False
+
+
+COLUMNS = MappingProxyType(
+    {
+        'forwarded': Column(steps.forwarded),
+        'queued': Column(steps.queued),
+        'starting': Column(steps.starting),
+        'started': Column(steps.started),
+        'dispatched': Column(steps.dispatched),
+        'streaming': Column(steps.streaming, streams=True),
+        'finishing': Column(steps.finishing),
+        'answered': Column(steps.answered),
+    }
+)
+ROWS = MappingProxyType(
+    {
+        'kill-owner': faults.kill_owner,
+        'kill-entry': faults.kill_entry,
+        'kill-owner-store-down': faults.kill_owner_without_store,
+        'kill-all-entries': faults.kill_all_entries,
+        'kill-history': faults.kill_history,
+        'freeze-owner': faults.freeze_owner,
+        'stop-owner': faults.stop_owner,
+    }
+)
+# Where the fate of a text at its tool cannot be known for sure.
+WEAK_COLUMNS = frozenset(('starting', 'started', 'dispatched', 'finishing'))
+# These rows cut nothing off, so each verdict is the strong one, unless the
+# tool itself is what hangs.
+GENTLE_ROWS = frozenset(('kill-entry', 'kill-history', 'stop-owner'))
+HUNG_COLUMNS = frozenset(('started', 'dispatched'))
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    """Run a fleet that the cells strike and heal."""
+    with running_fleet(
+        tmp_path_factory.mktemp('matrix'),
+        entries=ENTRIES,
+        engine_settings={'speed': {'step_seconds': 0.03}},
+    ) as running:
+        yield running
+
+
+def make_cell(fleet, column, name):
+    """Open a program whose owner is not the entry that the caller uses."""
+    program = CallerClient(fleet['entry-0'].url).open(f'open-{name}')
+    owner = steps.owner_of(fleet, program)
+    entry = 'entry-0' if owner != 'entry-0' else 'entry-1'
+    body = steps.STREAM_BODY if column.streams else steps.TEXT_BODY
+    return steps.Cell(fleet, program, owner, entry, body, column.streams)
+
+
+def living_client(fleet):
+    """Return a client of an entry that runs."""
+    server = next(
+        server
+        for server in fleet.named('entry-')
+        if server.popen.poll() is None
+    )
+    return CallerClient(server.url)
+
+
+def check_fate(cell, request, may_be_weak):
+    """Compare what the caller was told with what the tools counted."""
+    assert request.answers, f'{request.request_id} got no answer'
+    if cell.streams:
+        expected = make_answer(
+            'guide', cell.body['input']['messages'], 100
+        ).text
+        assert request.verdict == 'ran', request.answers
+        assert request.received.text == expected
+        return
+    runs = cell.runs(request.request_id)
+    assert runs <= 1, 'a text was sent twice'
+    if request.verdict == 'ran':
+        assert runs == 1
+    else:
+        assert may_be_weak, request.answers
+
+
+def check_order(cell, follow_up):
+    """Check that the program holds its calls in their order."""
+    client = living_client(cell.fleet)
+    path = f'/v1/programs/{cell.program}/history'
+    calls = client.request('GET', path).json()['calls']
+    sent = [request.request_id for request in cell.requests]
+    assert [call['request'] for call in calls] == [*sent, follow_up]
+
+
+@pytest.mark.parametrize('row', ROWS)
+@pytest.mark.parametrize('column', COLUMNS)
+def test_promises_hold(fleet, column, row):
+    """Nothing runs twice, nothing is lost, and the program goes on."""
+    cell = make_cell(fleet, COLUMNS[column], f'{column}-{row}')
+    try:
+        with COLUMNS[column].step(cell):
+            ROWS[row](cell)
+        for request in cell.requests:
+            request.join()
+        after = living_client(fleet).call(
+            cell.program, 'after', service('text', to='owner')
+        )
+        assert after.status_code == 200, after.text
+        assert cell.runs('after') == 1
+        weak = column in WEAK_COLUMNS and (
+            row not in GENTLE_ROWS or column in HUNG_COLUMNS
+        )
+        for request in cell.requests:
+            check_fate(cell, request, weak or request.request_id == 'zero')
+        check_order(cell, 'after')
+    finally:
+        faults.heal(fleet)
