--- a/src/jasminewheel/_internal/configuration/part.py
+++ b/src/jasminewheel/_internal/configuration/part.py
@@ -73,6 +73,10 @@
             },
         )
 
+    def decode(self) -> int:
+        """Decode now; return the number of resources and keys."""
+        return len(self.resources) + len(self.names_by_key)
+
     def text(self) -> bytes:
         """Return the text that the digest names."""
         return zstandard.decompress(self.packed)
--- a/src/jasminewheel/_internal/configuration/spread.py
+++ b/src/jasminewheel/_internal/configuration/spread.py
@@ -98,7 +98,8 @@
         root = read_root(answer.text) if answer.text else Root()
         if root.version <= self.current.version:
             return False
-        return self.install(await self.complete(root, address))
+        found = await self.complete(root, address)
+        return await self.put_in_force(found)
 
     async def complete(self, root: Root, address: str) -> Configuration:
         """Return the configuration of a root with parts from a peer."""
@@ -115,6 +116,14 @@
             {one: known[root.parts[one]] for one in root.parts},
         )
 
+    async def put_in_force(self, configuration: Configuration) -> bool:
+        """Decode new parts, letting other tasks run between; then install."""
+        added = list(configuration.changed_parts(self.current))
+        while added:
+            added.pop().decode()
+            await trio.lowlevel.checkpoint()
+        return self.install(configuration)
+
     def install(self, configuration: Configuration) -> bool:
         """Put a newer configuration in force; refuse any other."""
         version = configuration.version
--- a/src/jasminewheel/_internal/events/program.py
+++ b/src/jasminewheel/_internal/events/program.py
@@ -4,7 +4,12 @@
 
 from jasminewheel._internal.events.event import Event
 
-SLOT_LOST = Event(1200, logging.WARNING, 'slot lost to another entry')
+SLOT_LOST = Event(
+    1200,
+    logging.WARNING,
+    'slot lost to another entry',
+    'nothing if this entry was paused or cut off; else see why by explain',
+)
 SLOT_TAKEN = Event(1201, logging.INFO, 'slot taken over')
 SLOT_RELEASED = Event(1202, logging.INFO, 'slot released')
 CALL_UNCERTAIN = Event(
@@ -17,8 +22,18 @@
 CALL_FAULT = Event(
     1205, logging.ERROR, 'call failed unexpectedly', 'report the traceback'
 )
-RUNNER_FAILED = Event(1206, logging.WARNING, 'runner failed a call')
+RUNNER_FAILED = Event(
+    1206,
+    logging.WARNING,
+    'runner failed a call',
+    'look at the runner; its breaker opens after some in a row',
+)
 PROGRAM_EXPIRED = Event(1207, logging.INFO, 'program ended by its deadline')
 PROGRAM_DROPPED = Event(1208, logging.DEBUG, 'log of an ended program dropped')
-OWNER_LOST = Event(1209, logging.WARNING, 'owner lost during an operation')
+OWNER_LOST = Event(
+    1209,
+    logging.WARNING,
+    'owner lost during an operation',
+    'see whether the VM of the owner runs; another entry takes over',
+)
 DRAINED = Event(1210, logging.INFO, 'all slots released')
--- a/src/jasminewheel/_internal/fleet/fleet.py
+++ b/src/jasminewheel/_internal/fleet/fleet.py
@@ -136,7 +136,9 @@
         stored = await self.repository.read()
         version = stored.configuration.version
         if version != self.view.current.version:
-            self.spread.configuration.install(stored.configuration)
+            await self.spread.configuration.put_in_force(
+                stored.configuration,
+            )
 
     async def follow_configuration(self) -> None:
         """Follow the configuration in the store while chosen for it."""
--- a/src/jasminewheel/_internal/operations/resources.py
+++ b/src/jasminewheel/_internal/operations/resources.py
@@ -88,7 +88,7 @@
             earlier,
             author,
         )
-        self.fleet.spread.configuration.install(committed)
+        await self.fleet.spread.configuration.put_in_force(committed)
         return Applied(committed.version, _differing(changes, committed))
 
     def preview(self, changes: Sequence[ResourceChange]) -> Applied:
--- a/src/jasminewheel/commands/history.py
+++ b/src/jasminewheel/commands/history.py
@@ -8,11 +8,7 @@
 
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.fleet.fleet import FleetAddresses
-from jasminewheel._internal.fleet.opening import (
-    identity_of,
-    open_fleet,
-    starting_member,
-)
+from jasminewheel._internal.fleet.opening import starting_member
 from jasminewheel._internal.history.disk import DiskLog
 from jasminewheel._internal.history.gate import Gate
 from jasminewheel._internal.history.journal import Compactor, Journal
@@ -22,8 +18,8 @@
 from jasminewheel._internal.membership.member import HISTORY
 from jasminewheel._internal.observability.logs import start_logging
 from jasminewheel._internal.observability.tracing import start_tracing
+from jasminewheel._internal.operations.joined import open_member
 from jasminewheel._internal.peer.key import load_key
-from jasminewheel._internal.peer.server import PeerServer
 from jasminewheel._internal.process import run_process
 from jasminewheel._internal.settings.loader import load_settings
 
@@ -70,25 +66,25 @@
         settings.region,
         (HISTORY,),
     )
-    key = load_key(Path(settings.key_file))
-    addresses = FleetAddresses(settings.peers)
-    opened = open_fleet(member, key, settings.store_url, addresses)
-    async with opened as fleet, trio.open_nursery() as nursery:
-        handlers = {
-            **history_handlers(gate, settings.zone),
-            **fleet.handlers(),
-        }
-        server = PeerServer(identity_of(member), key, handlers)
+    opened = open_member(
+        member,
+        load_key(Path(settings.key_file)),
+        settings.store_url,
+        FleetAddresses(settings.peers),
+        stop,
+    )
+    async with opened as joined, trio.open_nursery() as nursery:
+        server = joined.server(history_handlers(gate, settings.zone))
         port = await nursery.start(
             server.serve, settings.peer_host, settings.peer_port
         )
-        fleet.listens_at(f'{settings.peer_host}:{port}')
-        nursery.start_soon(fleet.run)
+        joined.fleet.listens_at(f'{settings.peer_host}:{port}')
+        nursery.start_soon(joined.fleet.run)
         if settings.port_file:
             write_port(Path(settings.port_file), port)
         frame.STARTED.log(_LOGGER, port=port, replica=gate.replica)
         await stop.wait()
-        await fleet.depart()
+        await joined.fleet.depart()
         nursery.cancel_scope.cancel()
 
 
