--- /dev/null
+++ b/src/jasminewheel/_internal/fleet/gauges.py
@@ -0,0 +1,44 @@
+"""Send what this member knows of the fleet as metrics."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+import trio
+from attrs import define
+
+from jasminewheel._internal.fleet.fleet import Fleet
+from jasminewheel._internal.membership.member import MemberState
+from jasminewheel._internal.observability.metrics import Metrics
+from jasminewheel._internal.peer.traffic import TRAFFIC
+
+PERIOD_SECONDS = 10.0
+
+
+@define
+class FleetGauges:
+    """Set gauges of members, versions and traffic at each period."""
+
+    fleet: Fleet
+    metrics: Metrics
+
+    async def run(self) -> None:
+        """Send gauges until cancelled."""
+        while True:
+            gauges = self.read()
+            for name in gauges:
+                self.metrics.gauge(name, gauges[name])
+            await trio.sleep(PERIOD_SECONDS)
+
+    def read(self) -> Mapping[str, float]:
+        """Return the gauges by name."""
+        live = self.fleet.membership.live()
+        states = Counter(member.state for member in live)
+        return {
+            'members.live': len(live),
+            'members.suspect': states[MemberState.suspect],
+            'members.leaving': sum(member.leaving for member in live),
+            'configuration.version': self.fleet.view.current.version,
+            'placement.epoch': self.fleet.placements.epoch,
+            'peers.bytes_sent': TRAFFIC.bytes_sent,
+            'peers.bytes_received': TRAFFIC.bytes_received,
+        }
--- /dev/null
+++ b/src/jasminewheel/_internal/membership/vm_list.py
@@ -0,0 +1,58 @@
+"""Read the platform's list of VMs, which lags."""
+
+from contextlib import AbstractAsyncContextManager
+from typing import Any
+
+import httpx
+from attrs import define, field, frozen
+
+from jasminewheel.errors import UnavailableError
+
+TIMEOUT_SECONDS = 5.0
+_LEAVING = 'leaving'
+
+
+@frozen
+class ListedVm:
+    """Hold one row of the list."""
+
+    member: str
+    address: str
+    leaving: bool
+
+
+@define
+class HttpVmList(AbstractAsyncContextManager['HttpVmList']):
+    """Read the list over HTTP."""
+
+    url: str
+    http: httpx.AsyncClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the connection pool."""
+        self.http = httpx.AsyncClient(
+            base_url=self.url,
+            timeout=TIMEOUT_SECONDS,
+        )
+
+    async def __aexit__(self, *_exception: object) -> None:
+        """Close the connections."""
+        await self.http.aclose()
+
+    async def rows(self) -> list[ListedVm]:
+        """Return the rows; raise UnavailableError without a readable list."""
+        try:
+            answer = await self.http.get('/v1/vms')
+            return [_row(raw) for raw in answer.raise_for_status().json()]
+        except (httpx.HTTPError, KeyError, TypeError, ValueError) as error:
+            raise UnavailableError(
+                f'the list of VMs cannot be read: {error!r}',
+            ) from error
+
+
+def _row(raw: Any) -> ListedVm:
+    return ListedVm(
+        str(raw['member']),
+        str(raw['address']),
+        raw.get('state') == _LEAVING,
+    )
