Let a member advertise another peer address, and relay links in tests

Cause: faults of the network between two members could not be provoked; a member behind address translation could not be reached. Ruled out: packet filters, which need rights on the machine; patching the transport, which proves less. Change: advertised_peer in both settings; a relay before each member that learns the dialler from its hello and holds bytes back by pair and direction. Conclusion: cuts and slow links can be rows of the fault matrix.

--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -64,7 +64,7 @@
         port = await self.around.nursery.start(
             server.serve, settings.peer_host, settings.peer_port
         )
-        fleet.listens_at(f'{settings.peer_host}:{port}')
+        fleet.listens_at(settings.peer_address(port))
         write_port_to(settings.peer_port_file, port)
         self.around.nursery.start_soon(self.programs.watch.run)
         self.around.nursery.start_soon(self.programs.keeper.run)
--- a/src/jasminewheel/_internal/entry/settings.py
+++ b/src/jasminewheel/_internal/entry/settings.py
@@ -12,7 +12,8 @@
     """Hold what an entry process is told at its start.
 
     `peers` are addresses `ip:port` of other members, asked while the
-    key-value service cannot be reached. `unready_seconds` is how long the
+    key-value service cannot be reached; `advertised_peer` is what peers are
+    told, where it is not what is bound. `unready_seconds` is how long the
     entry still accepts requests after SIGTERM, so that the balancer sees that
     it is not ready; `grace_seconds` bounds the requests still in progress.
     The port files receive the ports once the process serves.
@@ -33,6 +34,7 @@
     grace_seconds: float = field(default=GRACE_SECONDS, validator=ge(0))
     http_port_file: str = ''
     peer_port_file: str = ''
+    advertised_peer: str = ''
     statsd: str = ''
     trace_file: str = ''
     otlp: str = ''
@@ -40,3 +42,7 @@
         default='INFO',
         validator=in_(('DEBUG', 'INFO', 'WARNING', 'ERROR')),
     )
+
+    def peer_address(self, port: int) -> str:
+        """Return the address that peers are told."""
+        return self.advertised_peer or f'{self.peer_host}:{port}'
--- a/src/jasminewheel/_internal/history/settings.py
+++ b/src/jasminewheel/_internal/history/settings.py
@@ -15,7 +15,8 @@
 
     `peers` are addresses `ip:port` to ask for the fleet's members while the
     key-value service cannot be reached; `quota_bytes` bounds the data folder.
-    `port_file` receives the peer port once the process serves.
+    `port_file` receives the peer port once the process serves;
+    `advertised_peer` is what peers are told, where it is not what is bound.
     """
 
     member: str
@@ -33,9 +34,14 @@
     vms_url: str = ''
     peers: tuple[str, ...] = ()
     port_file: str = ''
+    advertised_peer: str = ''
     statsd: str = ''
     trace_file: str = ''
     log_level: str = field(
         default='INFO',
         validator=in_(('DEBUG', 'INFO', 'WARNING', 'ERROR')),
     )
+
+    def peer_address(self, port: int) -> str:
+        """Return the address that peers are told."""
+        return self.advertised_peer or f'{self.peer_host}:{port}'
--- a/src/jasminewheel/commands/history.py
+++ b/src/jasminewheel/commands/history.py
@@ -82,7 +82,7 @@
         port = await nursery.start(
             server.serve, settings.peer_host, settings.peer_port
         )
-        fleet.listens_at(f'{settings.peer_host}:{port}')
+        fleet.listens_at(settings.peer_address(port))
         nursery.start_soon(fleet.run)
         if settings.port_file:
             write_port(Path(settings.port_file), port)
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 from fleet_configuration import commit, resources
 from processes import STOP_SECONDS, Process, start, wait_for_port
+from relay import Relays
 
 KEYS = ('cafe', 'yard')
 READY_SECONDS = 40
@@ -78,6 +79,7 @@
     target_fields: dict = field(factory=dict)
     caller_fields: dict = field(factory=dict)
     servers: dict = field(factory=dict)
+    relays: Relays = field(factory=Relays)
 
     def __getitem__(self, name):
         """Return a process."""
@@ -155,12 +157,13 @@
             'key_file': str(self.folder / 'key'),
             'store_url': self.servers['store'].url,
             'peers': self.known_peers(name),
+            'advertised_peer': self.relays.address_of(name),
         }
 
     def known_peers(self, name):
         """Return the peer addresses of the members started before."""
         return [
-            f'127.0.0.1:{server.peer_port}'
+            self.relays.address_of(other) or f'127.0.0.1:{server.peer_port}'
             for other, server in self.servers.items()
             if server.peer_port and other != name
         ]
@@ -176,6 +179,7 @@
         self.servers[name] = server
         server.port = wait_for_port(popen, port_file)
         server.peer_port = self.peer_port_of(name, module, server)
+        self.relays.lead(name, server.peer_port)
         return server
 
     def peer_port_of(self, name, module, server):
@@ -217,6 +221,7 @@
                 server.popen.kill()
         for server in self.servers.values():
             server.popen.wait(STOP_SECONDS)
+        self.relays.close()
 
 
 @contextmanager
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,180 @@
+"""Relay connections between peers, so that a test can cut or slow a link."""
+
+import socket
+import struct
+import threading
+import time
+from contextlib import ExitStack, suppress
+
+from attrs import define, field
+
+from jasminewheel._internal.wire.codec import decode
+from jasminewheel._internal.wire.gen.frame.ttypes import Hello
+
+LENGTH = struct.Struct('>I')
+CHUNK_BYTES = 65536
+POLL_SECONDS = 0.01
+ANY = '*'
+
+
+@define(eq=False)
+class Links:
+    """Hold what every link between two members does to its bytes.
+
+    A cut holds the bytes back, as a network does while it loses packets;
+    they arrive late when the link heals, unless the connection was given up.
+    """
+
+    cuts: set = field(factory=set)
+    delay_seconds: dict = field(factory=dict)
+    sent_bytes: dict = field(factory=dict)
+
+    def cut(self, source, target, *, both=True):
+        """Let nothing through from source to target, or both ways."""
+        self.cuts.add((source, target))
+        if both:
+            self.cuts.add((target, source))
+
+    def cut_between(self, some, others):
+        """Let nothing through between two groups of members."""
+        for one in some:
+            for other in others:
+                self.cut(one, other)
+
+    def slow(self, seconds):
+        """Delay all that is sent between any two members."""
+        self.delay_seconds[ANY] = seconds
+
+    def heal(self):
+        """Let everything through at once again."""
+        self.cuts.clear()
+        self.delay_seconds.clear()
+
+    def wait_for(self, source, target):
+        """Wait until the link lets bytes through."""
+        time.sleep(self.delay_seconds.get(ANY, 0))
+        while (source, target) in self.cuts:
+            time.sleep(POLL_SECONDS)
+
+    def count(self, source, target, size):
+        """Count bytes that went through."""
+        key = (source, target)
+        self.sent_bytes[key] = self.sent_bytes.get(key, 0) + size
+
+
+@define(eq=False)
+class Relay:
+    """Stand before one member's peer port."""
+
+    links: Links
+    member: str
+    listener: socket.socket
+    target_port: int = 0
+    is_closed: bool = False
+
+    @classmethod
+    def open(cls, links, member):
+        """Listen on a free port."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        relay = cls(links, member, listener)
+        threading.Thread(target=relay.accept, daemon=True).start()
+        return relay
+
+    @property
+    def address(self):
+        """Return the address that peers are told."""
+        port = self.listener.getsockname()[1]
+        return f'127.0.0.1:{port}'
+
+    def accept(self):
+        """Serve each connection in threads of its own."""
+        while not self.is_closed:
+            with suppress(OSError):
+                dialled, _ = self.listener.accept()
+                threading.Thread(
+                    target=self.serve, args=(dialled,), daemon=True
+                ).start()
+
+    def serve(self, dialled):
+        """Learn who dials, then pump both ways until either side ends."""
+        with ExitStack() as stack:
+            stack.enter_context(suppress(OSError, EOFError))
+            stack.enter_context(dialled)
+            first = read_block(dialled)
+            source = decode(Hello, first[LENGTH.size :]).member
+            self.links.wait_for(source, self.member)
+            target = stack.enter_context(
+                socket.create_connection(('127.0.0.1', self.target_port))
+            )
+            target.sendall(first)
+            back = threading.Thread(
+                target=self.pump,
+                args=(target, dialled, self.member, source),
+                daemon=True,
+            )
+            back.start()
+            self.pump(dialled, target, source, self.member)
+            back.join()
+
+    def pump(self, incoming, outgoing, source, target):
+        """Copy bytes of one direction while its link lets them through."""
+        with suppress(OSError):
+            while True:
+                chunk = incoming.recv(CHUNK_BYTES)
+                self.links.wait_for(source, target)
+                if not chunk:
+                    break
+                outgoing.sendall(chunk)
+                self.links.count(source, target, len(chunk))
+        for end in (incoming, outgoing):
+            with suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+
+    def close(self):
+        """Take no more connections."""
+        self.is_closed = True
+        self.listener.close()
+
+
+@define(eq=False)
+class Relays:
+    """Hold a relay for each member, if links are relayed at all."""
+
+    links: Links | None = None
+    relays: dict = field(factory=dict)
+
+    def address_of(self, name):
+        """Return the address of a member's relay; empty for none."""
+        if self.links is None:
+            return ''
+        if name not in self.relays:
+            self.relays[name] = Relay.open(self.links, name)
+        return self.relays[name].address
+
+    def lead(self, name, port):
+        """Lead a member's relay to where the member listens now."""
+        relay = self.relays.get(name)
+        if relay:
+            relay.target_port = port
+
+    def close(self):
+        """Close all relays."""
+        for relay in self.relays.values():
+            relay.close()
+
+
+def read_block(connection):
+    """Return a length-prefixed block with its prefix."""
+    prefix = read_exactly(connection, LENGTH.size)
+    return prefix + read_exactly(connection, LENGTH.unpack(prefix)[0])
+
+
+def read_exactly(connection, count):
+    """Return that many bytes; raise EOFError at the end."""
+    taken = b''
+    while len(taken) < count:
+        chunk = connection.recv(count - len(taken))
+        if not chunk:
+            raise EOFError
+        taken += chunk
+    return taken
