--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,7 +2,8 @@
 # ports, and stop them by process id. Sourced by scripts/demo and others.
 # Needs: root (the checkout), work (a folder for settings, logs and data).
 
-pids=()
+stand_ins=()
+members=()
 ports_of_examples=()
 bin=$root/.venv/bin
 start_seconds=40
@@ -11,7 +12,6 @@
     local name=$1
     shift
     (cd "$work" && exec "$@" >"$name.log" 2>&1) &
-    pids+=($!)
 }
 
 wait_for_file() { # path
@@ -28,6 +28,7 @@
 start_stand_in() { # name kind settings
     start_process "$1" "$bin/jasminewheel-fake-$2" \
         --port 0 --port-file "$work/$1.port" ${3:+--settings "$3"}
+    stand_ins+=($!)
 }
 
 # Notes which port a process got in place of the one in the examples.
@@ -69,6 +70,7 @@
         localise "$1/history-$number.jsonc" "$work/history-$number.jsonc"
         start_process "history-$number" "$bin/jasminewheel-history" \
             --settings "history-$number.jsonc"
+        members+=($!)
     done
     for number in 1 2 3; do
         wait_for_file "$work/history-$number.port"
@@ -81,6 +83,7 @@
         localise "$1/entry-$number.jsonc" "$work/entry-$number.jsonc"
         start_process "entry-$number" "$bin/jasminewheel-entry" \
             --settings "entry-$number.jsonc"
+        members+=($!)
     done
     entries=()
     for number in 1 2 3; do
@@ -122,20 +125,27 @@
     map_port "$4" "$work/store.port"
     localise "$1/resources.jsonc" "$work/resources.jsonc"
     start_members "$1"
-    wait_until_ready "${entries[@]}"
     "$bin/jasminewheelctl" apply "$work/resources.jsonc" \
         --server "${entries[0]}"
+    wait_until_ready "${entries[@]}"
     mapfile -t engines < <(runner_urls "$1/resources.jsonc" "$2")
     mapfile -t services < <(runner_urls "$1/resources.jsonc" "$3")
 }
 
-stop_fleet() {
+stop_processes() { # pids...
     local pid
-    for pid in "${pids[@]}"; do
+    for pid in "$@"; do
         kill -TERM "$pid" 2>/dev/null || true
     done
-    for pid in "${pids[@]}"; do
+    for pid in "$@"; do
         wait "$pid" 2>/dev/null || true
     done
-    pids=()
+}
+
+# Members go first, so that they can still say farewell to the store.
+stop_fleet() {
+    stop_processes "${members[@]}"
+    stop_processes "${stand_ins[@]}"
+    members=()
+    stand_ins=()
 }
