Explain decisions to operators and credit programs that waited

Cause: operators ask why; a program that waited before should wait less. Ruled out: log lines a decision (unbounded). Change: decisions as events of the member; waited seconds kept by program.

--- a/src/jasminewheel/_internal/events/scheduling.py
+++ b/src/jasminewheel/_internal/events/scheduling.py
@@ -24,3 +24,4 @@
     'feed of a runner broke; it is followed again',
     'look at the runner if this goes on',
 )
+DECIDED = Event(1605, logging.INFO, 'call placed, made to wait or refused')
--- a/src/jasminewheel/_internal/load/conversation.py
+++ b/src/jasminewheel/_internal/load/conversation.py
@@ -34,6 +34,8 @@
     """Hold the messages of one program as its caller knows them."""
 
     model: str
+    # Keeps the prefixes of different runs apart.
+    salt: str = ''
     messages: list[Message] = field(factory=list)
     # Messages that the system holds already; the next answer is one.
     held_messages: int = 0
@@ -43,7 +45,9 @@
     ) -> list[Message]:
         """Return the messages of the next turn, added to the others."""
         if not self.messages:
-            instructions = write_text(Random(kind.name), kind.opening_tokens)
+            instructions = write_text(
+                Random(f'{self.salt}{kind.name}'), kind.opening_tokens
+            )
             self._add('system', instructions)
         tokens = kind.turn_tokens.draw(random)
         self._add('user', write_text(random, tokens))
@@ -57,7 +61,7 @@
 
     def fork(self) -> 'Conversation':
         """Return a conversation that starts with the messages so far."""
-        return Conversation(self.model, list(self.messages))
+        return Conversation(self.model, self.salt, list(self.messages))
 
     def expected_answer(self, max_tokens: int) -> str:
         """Return the answer that a stand-in gives to all messages."""
--- a/src/jasminewheel/_internal/load/drive.py
+++ b/src/jasminewheel/_internal/load/drive.py
@@ -13,6 +13,7 @@
     draw_arrivals,
 )
 from jasminewheel._internal.load.client import CallerClient
+from jasminewheel._internal.load.conversation import Conversation
 from jasminewheel._internal.load.program_run import ProgramRun
 from jasminewheel._internal.load.records import Records
 from jasminewheel._internal.load.workload import Workload
@@ -81,6 +82,7 @@
             f'{seed}-{kind.name}-{arrival.number}',
             self.clients[kind.name],
             self.records,
+            Conversation(kind.model, self.run_id),
         )
         with ExitStack() as cleanup:
             cleanup.callback(places.release)
--- a/src/jasminewheel/_internal/load/program_run.py
+++ b/src/jasminewheel/_internal/load/program_run.py
@@ -42,17 +42,12 @@
     seed: str
     client: CallerClient
     records: Records
+    conversation: Conversation
     turns: int = 0
-    conversation: Conversation = field()
     calls: int = 0
     failure: Exception | None = None
     random: Random = field(init=False)
 
-    @conversation.default
-    def new_conversation(self) -> Conversation:
-        """Return a conversation without messages."""
-        return Conversation(self.kind.model)
-
     def __attrs_post_init__(self) -> None:
         """Seed the draws."""
         self.random = Random(self.seed)
@@ -163,8 +158,8 @@
             f'{self.seed}-{self.calls}-{number}',
             self.client,
             self.records,
-            self.kind.sub_agents.turns.draw(self.random),
             self.conversation.fork(),
+            self.kind.sub_agents.turns.draw(self.random),
         )
 
     def _next_id(self) -> str:
--- a/src/jasminewheel/_internal/load/report.py
+++ b/src/jasminewheel/_internal/load/report.py
@@ -131,6 +131,7 @@
 
 def print_report(report: Report, console: Console) -> None:
     """Print the report as tables."""
+    console.print('* favoured; durations in seconds or milliseconds')
     console.print(_class_table(report))
     cache = report.cache
     parts = (
@@ -154,12 +155,12 @@
         'finished',
         'refused',
         'failed',
-        'program p50/p95/p99 s',
-        'first token p50/p95 s',
-        'between p50/p95 ms',
+        'program s p50 p95 p99',
+        'first token s p50 p95',
+        'between ms p50 p95',
     )
     for heading in headings:
-        table.add_column(heading)
+        table.add_column(heading, no_wrap=True)
     for one in report.classes:
         table.add_row(*_class_cells(one))
     return table
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/decision_events.py
@@ -0,0 +1,60 @@
+"""Tell operators why recent decisions were made."""
+
+from collections.abc import Iterator
+
+from attrs import asdict, frozen
+
+from jasminewheel._internal.events.scheduling import DECIDED
+from jasminewheel._internal.observability.event_ring import KeptEvent
+from jasminewheel._internal.scheduling.explanations import (
+    Explainer,
+    Explanation,
+    Weighed,
+)
+
+_DIGITS = 4
+
+
+@frozen
+class DecisionEvents:
+    """Give the decisions about a program or target as events."""
+
+    explainer: Explainer
+
+    def decisions(self, subject: str) -> list[KeptEvent]:
+        """Return decisions about a program or a target, the oldest first."""
+        found = self.explainer.explain_program(subject)
+        found = found or self.explainer.explain_target(subject)
+        return [
+            _to_event(position, explanation)
+            for position, explanation in enumerate(found)
+        ]
+
+
+def _to_event(position: int, explanation: Explanation) -> KeptEvent:
+    fields = {
+        'program': explanation.program_id,
+        'request': explanation.request_id,
+        'target': explanation.target,
+        'decision': explanation.decision,
+        'runner': explanation.runner,
+        'reason': explanation.reason,
+        'waited_seconds': str(round(explanation.waited_seconds, _DIGITS)),
+        'calls_ahead': str(explanation.calls_ahead),
+    }
+    for place, weighed in enumerate(explanation.weighed, 1):
+        fields[f'weighed_{place}'] = ' '.join(_numbers(weighed))
+    return KeptEvent(
+        position=position,
+        at=explanation.at,
+        number=DECIDED.number,
+        level='INFO',
+        text=DECIDED.text,
+        fields=fields,
+    )
+
+
+def _numbers(weighed: Weighed) -> Iterator[str]:
+    for name, number in asdict(weighed).items():
+        shown = round(number, _DIGITS) if isinstance(number, float) else number
+        yield f'{name}={shown}'
--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -26,6 +26,7 @@
     kept_free_share,
     weights_of,
 )
+from jasminewheel._internal.scheduling.waited import WaitedBook
 from jasminewheel._internal.scheduling.waiting import (
     TargetBook,
     TargetState,
@@ -58,6 +59,7 @@
         self.fleets = FleetBook(salt, self._estimate)
         self.rules = make_rules(CheapestRunner())
         self.explanations = ExplanationBook()
+        self.waited = WaitedBook()
         self.ledger = OutcomeLedger(
             self.runners, self.fleets, self.targets, self.pump
         )
@@ -128,6 +130,7 @@
         decision = PlacementDecision(request, option, choice, now, self.ledger)
         self.ledger.placed(decision, now)
         waited = now - call.queued_at
+        self.waited.add(request.program_id, waited)
         explanation = explain_choice(request, choice, now, waited, 0)
         self.explanations.record(explanation)
         return decision
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -61,7 +61,8 @@
         """Wait for a runner; raise OverloadedError if that takes too long."""
         patience = self._patience(request, now)
         policy = self.configuration.current.policy
-        claim = ordering_of(policy).claim(request, 0)
+        waited = self.dispatcher.waited.waited(request.program_id)
+        claim = ordering_of(policy).claim(request, waited)
         waiter = Waiter(QueuedCall(request, now, claim))
         state = self.targets.state(request.target)
         self._admit(state, waiter.call, patience)
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/waited.py
@@ -0,0 +1,26 @@
+"""Remember how long each program's calls have waited so far."""
+
+from collections import OrderedDict
+
+PROGRAMS_KEPT = 10_000
+
+
+class WaitedBook:
+    """Keep the seconds waited by program, least recent ones dropped."""
+
+    def __init__(self) -> None:
+        """Start with no program known."""
+        self.seconds: OrderedDict[str, float] = OrderedDict()
+
+    def waited(self, program_id: str) -> float:
+        """Return how long the program's calls have waited."""
+        return self.seconds.get(program_id, 0)
+
+    def add(self, program_id: str, seconds: float) -> None:
+        """Count the wait of one more call."""
+        if seconds <= 0:
+            return
+        self.seconds[program_id] = self.waited(program_id) + seconds
+        self.seconds.move_to_end(program_id)
+        if len(self.seconds) > PROGRAMS_KEPT:
+            self.seconds.popitem(last=False)
--- a/src/jasminewheel/commands/load.py
+++ b/src/jasminewheel/commands/load.py
@@ -31,6 +31,7 @@
 from jasminewheel.errors import SettingsError
 
 EXIT_BROKEN = 1
+CONSOLE_COLUMNS = 110
 
 
 @frozen
@@ -125,7 +126,7 @@
 def drive_workload(options: LoadOptions) -> int:
     """Run the load; return an exit code other than 0 if a promise broke."""
     workload = read_workload(options)
-    console = Console(file=sys.stdout)
+    console = Console(file=sys.stdout, width=CONSOLE_COLUMNS)
     report = trio.run(run_load, workload, options.bounds, options.seed, console)
     print_report(report, console)
     if options.result_file:
