Compare policies by seeded runs of the same programs

Cause: a policy has to be measured against simple rules. Ruled out: replays in process (no engines, queues or wire).

--- /dev/null
+++ b/src/jasminewheel/_internal/load/comparison.py
@@ -0,0 +1,133 @@
+"""Compare runs of the same programs under different policies."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from math import sqrt
+from statistics import mean, stdev
+
+from attrs import frozen
+
+from jasminewheel._internal.load.report import ClassReport, Report
+
+# Half the width of a 95% interval of a mean, in standard errors.
+INTERVAL_STANDARD_ERRORS = 1.96
+
+
+@frozen
+class Run:
+    """Hold one run's place in an experiment and its report."""
+
+    variant: str
+    rate_factor: float
+    report: Report
+
+
+@frozen
+class Measured:
+    """Hold a mean over seeds and half its 95% confidence interval."""
+
+    mean: float
+    half_width: float
+
+    def __str__(self) -> str:
+        """Return the mean and the interval with three digits."""
+        average = format(self.mean, '.3g')
+        interval = format(self.half_width, '.2g')
+        return f'{average} ({interval})'
+
+
+@frozen
+class Row:
+    """Hold what one policy reached at one rate, over all seeds."""
+
+    variant: str
+    rate_factor: float
+    seeds: int
+    favoured_p50: Measured
+    favoured_p95: Measured
+    favoured_p99: Measured
+    other_p95: Measured
+    first_token_p95: Measured
+    between_tokens_p95: Measured
+    cached_share: Measured
+    wasted_tokens: Measured
+    refused_share: Measured
+    finished_a_second: Measured
+    breaches: int
+
+
+def compare(runs: Iterable[Run]) -> list[Row]:
+    """Return one row for each policy and rate."""
+    groups: dict[tuple[str, float], list[Report]] = defaultdict(list)
+    for run in runs:
+        groups[run.variant, run.rate_factor].append(run.report)
+    return [
+        _make_row(variant, rate, reports)
+        for (variant, rate), reports in groups.items()
+    ]
+
+
+def _make_row(variant: str, rate: float, reports: Sequence[Report]) -> Row:
+    favoured = [_model_classes(report, favoured=True) for report in reports]
+    others = [_model_classes(report, favoured=False) for report in reports]
+    return Row(
+        variant=variant,
+        rate_factor=rate,
+        seeds=len(reports),
+        favoured_p50=_measure(_weigh(one, 'p50') for one in favoured),
+        favoured_p95=_measure(_weigh(one, 'p95') for one in favoured),
+        favoured_p99=_measure(_weigh(one, 'p99') for one in favoured),
+        other_p95=_measure(_weigh(one, 'p95') for one in others),
+        first_token_p95=_measure(map(_first_token, favoured)),
+        between_tokens_p95=_measure(map(_between_tokens, favoured)),
+        cached_share=_measure(one.cache.hit_ratio for one in reports),
+        wasted_tokens=_measure(one.cache.wasted_tokens for one in reports),
+        refused_share=_measure(map(_refused_share, reports)),
+        finished_a_second=_measure(map(_goodput, reports)),
+        breaches=sum(len(one.breaches) for one in reports),
+    )
+
+
+def _measure(numbers: Iterable[float]) -> Measured:
+    found = list(numbers)
+    if len(found) < 2:
+        return Measured(found[0], 0)
+    return Measured(
+        mean(found), INTERVAL_STANDARD_ERRORS * stdev(found) / sqrt(len(found))
+    )
+
+
+def _model_classes(report: Report, *, favoured: bool) -> list[ClassReport]:
+    return [
+        one
+        for one in report.classes
+        if one.favoured is favoured and one.first_token.count
+    ]
+
+
+def _weigh(classes: Sequence[ClassReport], percentile: str) -> float:
+    # The classes' percentiles, weighed by their finished programs.
+    finished = sum(one.finished for one in classes)
+    weighed = sum(
+        getattr(one.program, percentile) * one.finished for one in classes
+    )
+    return weighed / max(1, finished)
+
+
+def _first_token(classes: Sequence[ClassReport]) -> float:
+    return max((one.first_token.p95 for one in classes), default=0)
+
+
+def _between_tokens(classes: Sequence[ClassReport]) -> float:
+    return max((one.between_tokens.p95 for one in classes), default=0)
+
+
+def _refused_share(report: Report) -> float:
+    refused = sum(one.refused for one in report.classes)
+    ended = sum(one.finished + one.failed for one in report.classes)
+    return refused / max(1, refused + ended)
+
+
+def _goodput(report: Report) -> float:
+    finished = sum(one.finished for one in report.classes)
+    return finished / report.seconds
--- /dev/null
+++ b/src/jasminewheel/_internal/load/variants.py
@@ -0,0 +1,22 @@
+"""Name the policies that experiments compare."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+from jasminewheel.models.policy import COST_RULE, PARTS, RULES
+
+OURS = 'ours'
+
+
+def _make_variants() -> dict[str, Mapping[str, Any]]:
+    variants = {OURS: {'rule': COST_RULE}}
+    for rule in RULES:
+        if rule != COST_RULE:
+            variants[rule] = {'rule': rule}
+    for part in PARTS:
+        variants[f'without-{part}'] = {'rule': COST_RULE, 'without': [part]}
+    return variants
+
+
+VARIANTS = MappingProxyType(_make_variants())
--- a/src/jasminewheel/cli/load.py
+++ b/src/jasminewheel/cli/load.py
@@ -8,6 +8,7 @@
 from cyclopts import App, Parameter
 
 from jasminewheel._internal.load.arrivals import Bounds
+from jasminewheel.cli.experiment import experiment
 from jasminewheel.commands.decisions import DecisionOptions, measure
 from jasminewheel.commands.load import LoadOptions, drive_workload
 from jasminewheel.errors import SettingsError
@@ -22,6 +23,7 @@
     help='Drive programs shaped like a deployment and check the answers.',
     version=version('jasminewheel'),
 )
+app.command(experiment)
 
 
 @app.command
