Run both deployments in scripts/demo through all parts

Cause: the whole path has to run on a fresh machine by one command.

Ruled out: fixed ports (others may hold them; each process takes a free one and the examples' ports are mapped); starting processes from the tool.

Change: scripts/demo over scripts/fleet.sh; the smallest wiring in the entry (another part's): the scheduler with its feeds, the operators' side with the decisions, and the setting operator_keys.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -125,8 +125,10 @@
     map_port "$4" "$work/store.port"
     localise "$1/resources.jsonc" "$work/resources.jsonc"
     start_members "$1"
-    "$bin/jasminewheelctl" apply "$work/resources.jsonc" \
-        --server "${entries[0]}"
+    echo example-operator-key >"$work/operator.key"
+    "$bin/jasminewheelctl" apply --file "$work/resources.jsonc" \
+        --server "${entries[0]}" --key-file "$work/operator.key" \
+        >"$work/apply.log"
     wait_until_ready "${entries[@]}"
     mapfile -t engines < <(runner_urls "$1/resources.jsonc" "$2")
     mapfile -t services < <(runner_urls "$1/resources.jsonc" "$3")
--- a/src/jasminewheel/_internal/entry/calls.py
+++ b/src/jasminewheel/_internal/entry/calls.py
@@ -10,10 +10,9 @@
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 
 
-def open_flow(around: Surroundings) -> CallFlow:
+def open_flow(around: Surroundings, scheduler: Scheduler) -> CallFlow:
     """Return what runs calls on the targets of the configuration."""
     view = around.fleet.view
-    scheduler = Scheduler(view, around.region)
     return CallFlow(
         snapshot=lambda: view.current,
         wallet=UnlimitedWallet(),
--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -11,6 +11,10 @@
 from werkzeug.exceptions import HTTPException
 
 from jasminewheel._internal.entry.programs import Programs, open_programs
+from jasminewheel._internal.entry.scheduling import (
+    open_operator_side,
+    open_scheduler,
+)
 from jasminewheel._internal.entry.settings import EntrySettings
 from jasminewheel._internal.entry.surroundings import (
     Surroundings,
@@ -20,6 +24,7 @@
 from jasminewheel._internal.http.callers import CallersApi, refused_by_library
 from jasminewheel._internal.http.dispatch import OperationDispatch
 from jasminewheel._internal.http.health import health_blueprint
+from jasminewheel._internal.http.operator_side import OperatorSide
 from jasminewheel._internal.http.serving import serve_app, write_port
 from jasminewheel._internal.peer.server import PeerServer
 
@@ -33,6 +38,7 @@
     settings: EntrySettings
     around: Surroundings
     programs: Programs
+    operators: OperatorSide
     is_ready: bool = False
 
     def app(self) -> QuartTrio:
@@ -45,6 +51,7 @@
             time.time,
         )
         app.register_blueprint(CallersApi(dispatch).blueprint())
+        app.register_blueprint(self.operators.blueprint())
         app.register_blueprint(health_blueprint(self.can_serve))
         app.register_error_handler(HTTPException, refused_by_library)
         return app
@@ -59,7 +66,11 @@
         """Serve peers, then join the fleet."""
         settings = self.settings
         fleet = self.around.fleet
-        handlers = {**fleet.handlers(), **self.programs.handlers()}
+        handlers = {
+            **fleet.handlers(),
+            **self.programs.handlers(),
+            **self.operators.handlers(),
+        }
         server = PeerServer(self.around.identity, self.around.key, handlers)
         port = await self.around.nursery.start(
             server.serve, settings.peer_host, settings.peer_port
@@ -105,8 +116,11 @@
 async def run_entry(settings: EntrySettings, stop: trio.Event) -> None:
     """Run an entry until stop."""
     async with open_surroundings(settings) as around:
-        programs = open_programs(around)
-        entry = EntryProcess(settings, around, programs)
+        scheduler = open_scheduler(around)
+        operators = open_operator_side(settings, around, scheduler)
+        operators.member.drain = stop.set
+        programs = open_programs(around, scheduler)
+        entry = EntryProcess(settings, around, programs, operators)
         await entry.start()
         await entry.serve(stop)
         await around.fleet.depart()
--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -19,6 +19,7 @@
 from jasminewheel._internal.program.routing import Router
 from jasminewheel._internal.program.takeover import SlotTaker
 from jasminewheel._internal.replication.ownership import Ownership
+from jasminewheel._internal.scheduling.scheduler import Scheduler
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
     SlotQuestion,
@@ -72,9 +73,9 @@
     )
 
 
-def open_programs(around: Surroundings) -> Programs:
+def open_programs(around: Surroundings, scheduler: Scheduler) -> Programs:
     """Return the parts, wired together."""
-    flow = open_flow(around)
+    flow = open_flow(around, scheduler)
     host = open_host(around, flow)
     membership = around.fleet.membership
     owners = HistoryOwners(host.ownership.replicas, around.fleet.placements)
--- /dev/null
+++ b/src/jasminewheel/_internal/entry/scheduling.py
@@ -0,0 +1,31 @@
+"""Open the scheduler of an entry and what operators ask of it."""
+
+import time
+
+from jasminewheel._internal.entry.settings import EntrySettings
+from jasminewheel._internal.entry.surroundings import Surroundings
+from jasminewheel._internal.http.operator_side import OperatorSide
+from jasminewheel._internal.observability.event_ring import keep_events
+from jasminewheel._internal.operations.member import MemberOperations
+from jasminewheel._internal.scheduling.decision_events import DecisionEvents
+from jasminewheel._internal.scheduling.feeds import FeedFollower
+from jasminewheel._internal.scheduling.scheduler import Scheduler
+
+
+def open_scheduler(around: Surroundings) -> Scheduler:
+    """Return the scheduler, kept fresh by the feeds of all runners."""
+    view = around.fleet.view
+    scheduler = Scheduler(view, around.region, salt=around.identity.member)
+    around.nursery.start_soon(FeedFollower(view, scheduler).run)
+    return scheduler
+
+
+def open_operator_side(
+    settings: EntrySettings, around: Surroundings, scheduler: Scheduler
+) -> OperatorSide:
+    """Return the operators' side of this entry."""
+    member = MemberOperations(around.fleet, keep_events(), time.time())
+    member.deciders.append(DecisionEvents(scheduler))
+    return OperatorSide.open(
+        around.fleet, around.pool, member, settings.operator_keys
+    )
--- a/src/jasminewheel/commands/load.py
+++ b/src/jasminewheel/commands/load.py
@@ -31,7 +31,7 @@
 from jasminewheel.errors import SettingsError
 
 EXIT_BROKEN = 1
-CONSOLE_COLUMNS = 110
+CONSOLE_COLUMNS = 132
 
 
 @frozen
