Read every token of the engine stand-in's streams

Cause: a stream's reader took a slice, then moved its index to the length of the list, so tokens that came while it yielded were left out. In the middle of an answer the owner saw the gap and tried another runner; at the end nothing could show it. Seen in the demo: one answer of 100 programs had 71 of 77 characters. Ruled out: the owner's reader (keeps offsets, no wait between check and wait), the load tool's placing of pieces, preemption in the batch (keeps position). Change: the index moves by what was taken; the end waits for the last token. Conclusion: the stand-in's fault; gaps in the middle were also spurious runner failures.

--- a/src/jasminewheel/_internal/fakes/engine_streams.py
+++ b/src/jasminewheel/_internal/fakes/engine_streams.py
@@ -47,10 +47,12 @@
         """Yield the tokens from a character offset on, until the end."""
         index = 0
         while True:
-            for token in tokens_from(self.tokens[index:], offset):
+            # More tokens may come while the reader takes these.
+            known = self.tokens[index:]
+            index += len(known)
+            for token in tokens_from(known, offset):
                 yield token
-            index = len(self.tokens)
-            if self.usage:
+            if index == len(self.tokens) and self.usage:
                 return
             await self.wait_beyond(index)
 
--- /dev/null
+++ b/tests/unit/test_engine_streams.py
@@ -0,0 +1,29 @@
+"""Check the streams of the engine's stand-in."""
+
+import trio
+
+from jasminewheel._internal.fakes.engine_sequence import Sequence
+from jasminewheel._internal.fakes.engine_streams import AnswerStream
+from jasminewheel._internal.targets.engine import EngineToken
+
+
+async def read_slowly(stream):
+    """Read a stream that grows by a token while each token is read."""
+    stream.add(EngineToken(0, '0'))
+    received = []
+    async for token in stream.read(0):
+        received.append(token.text)
+        if len(stream.tokens) < 9:
+            count = len(stream.tokens)
+            stream.add(EngineToken(count, str(count)))
+            stream.add(EngineToken(count + 1, str(count + 1)))
+        else:
+            stream.end('stop')
+    return ''.join(received)
+
+
+def test_no_token_is_left_out():
+    """Tokens that come while the reader is busy are read too."""
+    sequence = Sequence('one', 0, 1, (), (), 'stop')
+    stream = AnswerStream(sequence)
+    assert trio.run(read_slowly, stream) == '012345678'
