--- /dev/null
+++ b/tests/functional/faults.py
@@ -0,0 +1,83 @@
+"""Strike the processes of a fleet."""
+
+import signal
+
+from process_fleet import poll
+from processes import STOP_SECONDS
+
+TAKE_OVER_SECONDS = 45
+
+
+def kill_owner(cell):
+    """Kill the owner of the program."""
+    cell.fleet[cell.owner].kill()
+
+
+def kill_entry(cell):
+    """Kill the entry that the caller is connected to."""
+    cell.fleet[cell.entry].kill()
+
+
+def kill_owner_without_store(cell):
+    """Kill the owner while the store is down."""
+    cell.fleet['store'].fault(mode='down')
+    cell.fleet[cell.owner].kill()
+
+
+def kill_all_entries(cell):
+    """Kill all entries at once and start them again."""
+    names = [name for name in cell.fleet.servers if name.startswith('entry-')]
+    for name in names:
+        cell.fleet[name].kill()
+    for name in names:
+        cell.fleet.start_entry(int(name.partition('-')[2]))
+
+
+def kill_history(cell):
+    """Kill one history."""
+    cell.fleet['history-2'].kill()
+
+
+def freeze_owner(cell):
+    """Freeze the owner."""
+    cell.fleet[cell.owner].freeze()
+
+
+def thaw_after_take_over(cell):
+    """Let the old owner go on when another entry has served the request."""
+    request = cell.requests[-1]
+    poll(
+        lambda: not request.thread.is_alive(),
+        seconds=TAKE_OVER_SECONDS,
+        message='nobody took over from the frozen owner',
+    )
+    cell.fleet[cell.owner].thaw()
+
+
+def stop_owner(cell):
+    """Ask the owner to shut down while it serves."""
+    cell.fleet[cell.owner].popen.send_signal(signal.SIGTERM)
+
+
+def wait_for_exit(cell):
+    """Check that the owner ended by itself and without an error."""
+    assert cell.fleet[cell.owner].popen.wait(STOP_SECONDS) == 0
+
+
+def nothing(cell):
+    """Add nothing to the fault."""
+
+
+def heal(fleet):
+    """Start what is dead and wait until all serve again."""
+    fleet['store'].fault(mode='ok')
+    for name in list(fleet.servers):
+        fleet[name].thaw()
+        kind, _, number = name.partition('-')
+        if fleet[name].popen.poll() is None:
+            continue
+        if kind == 'entry':
+            fleet.start_entry(int(number))
+        elif kind == 'history':
+            fleet.start_history(int(number))
+    fleet.wait_ready()
--- /dev/null
+++ b/tests/functional/test_fault_matrix.py
@@ -0,0 +1,165 @@
+"""Check the promises for every fault at every step, by real processes.
+
+Each cell asserts by what the tools and engines counted and by what the
+caller received. To add a column, write a step in fault_steps.py and list it;
+to add a row, write a fault in faults.py and list it.
+"""
+
+from contextlib import ExitStack
+from types import MappingProxyType
+
+import fault_steps as steps
+import faults
+import pytest
+from attrs import frozen
+from callers import CallerClient, service
+from process_fleet import running_fleet
+
+from jasminewheel._internal.fakes.answers import make_answer
+
+ENTRIES = 3
+
+
+@frozen
+class Column:
+    """Name a step with the request that is brought there."""
+
+    step: object
+    streams: bool = False
+
+
+@frozen
+class Row:
+    """Name a fault, and what follows once the step holds nothing any more."""
+
+    strike: object
+    after: object = faults.nothing
+
+
+COLUMNS = MappingProxyType(
+    {
+        'forwarded': Column(steps.forwarded),
+        'queued': Column(steps.queued),
+        'starting': Column(steps.starting),
+        'started': Column(steps.started),
+        'dispatched': Column(steps.dispatched),
+        'streaming': Column(steps.streaming, streams=True),
+        'finishing': Column(steps.finishing),
+        'answered': Column(steps.answered),
+    }
+)
+ROWS = MappingProxyType(
+    {
+        'kill-owner': Row(faults.kill_owner),
+        'kill-entry': Row(faults.kill_entry),
+        'kill-owner-store-down': Row(faults.kill_owner_without_store),
+        'kill-all-entries': Row(faults.kill_all_entries),
+        'kill-history': Row(faults.kill_history),
+        'freeze-owner': Row(faults.freeze_owner, faults.thaw_after_take_over),
+        'stop-owner': Row(faults.stop_owner, faults.wait_for_exit),
+    }
+)
+# Where the fate of a text at its tool cannot be known for sure.
+WEAK_COLUMNS = frozenset(('starting', 'started', 'dispatched', 'finishing'))
+# These rows cut nothing off, so each verdict is the strong one, unless the
+# tool itself is what hangs.
+GENTLE_ROWS = frozenset(('kill-entry', 'kill-history', 'stop-owner'))
+HUNG_COLUMNS = frozenset(('started', 'dispatched'))
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    """Run a fleet that the cells strike and heal."""
+    with running_fleet(
+        tmp_path_factory.mktemp('matrix'),
+        entries=ENTRIES,
+        engine_settings={'speed': {'step_seconds': 0.03}},
+    ) as running:
+        yield running
+
+
+def make_cell(fleet, column, name):
+    """Open a program whose owner is not the entry that the caller uses."""
+    program = CallerClient(fleet['entry-0'].url).open(f'open-{name}')
+    owner = steps.owner_of(fleet, program)
+    entry = 'entry-1' if owner == 'entry-0' else 'entry-0'
+    body = steps.STREAM_BODY if column.streams else steps.TEXT_BODY
+    return steps.Cell(fleet, program, owner, entry, body, column.streams)
+
+
+def living_client(fleet):
+    """Return a client of an entry that runs."""
+    server = next(
+        server
+        for server in fleet.named('entry-')
+        if server.popen.poll() is None
+    )
+    return CallerClient(server.url)
+
+
+def check_fate(cell, request, may_be_weak):
+    """Compare what the caller was told with what the tools counted."""
+    assert request.answers, f'{request.request_id} got no answer'
+    if request.streams:
+        expected = make_answer(
+            'guide', request.body['input']['messages'], 100
+        ).text
+        assert request.verdict == 'ran', request.answers
+        assert request.received.text == expected
+        return
+    runs = cell.runs(request.request_id)
+    assert runs <= 1, 'a text was sent twice'
+    if request.verdict == 'ran':
+        assert runs == 1
+    else:
+        assert may_be_weak, request.answers
+
+
+def check_order(cell):
+    """Check that the program holds its calls in their order."""
+    client = living_client(cell.fleet)
+    path = f'/v1/programs/{cell.program}/history'
+    calls = client.request('GET', path).json()['calls']
+    sent = [request.request_id for request in cell.requests]
+    assert [call['request'] for call in calls] == sent
+
+
+def may_be_weak(column, row, request_id):
+    """Return whether the fate of a text may stay unknown."""
+    if row in GENTLE_ROWS:
+        return column in HUNG_COLUMNS
+    return column in WEAK_COLUMNS or request_id == 'zero'
+
+
+def strike(cell, column, row):
+    """Bring the request to its step, strike, and wait for its fate."""
+    with COLUMNS[column].step(cell):
+        ROWS[row].strike(cell)
+    ROWS[row].after(cell)
+    for request in cell.requests:
+        request.join()
+
+
+def check_follow_up(cell):
+    """Check that the program goes on."""
+    cell.streams = False
+    cell.body = service('text', to='owner')
+    after = cell.send('after')
+    after.join()
+    assert after.verdict == 'ran', after.answers
+    assert cell.runs('after') == 1
+    check_order(cell)
+
+
+@pytest.mark.parametrize('row', ROWS)
+@pytest.mark.parametrize('column', COLUMNS)
+def test_promises_hold(fleet, column, row):
+    """Nothing runs twice, nothing is lost, and the program goes on."""
+    cell = make_cell(fleet, COLUMNS[column], f'{column}-{row}')
+    with ExitStack() as stack:
+        stack.callback(faults.heal, fleet)
+        strike(cell, column, row)
+        for request in cell.requests:
+            weak = may_be_weak(column, row, request.request_id)
+            check_fate(cell, request, weak)
+        check_follow_up(cell)
