Wire budgets, feeds and operators' HTTP into the entry

Cause: calls were not charged, the scheduler followed no feed, operators had no HTTP at the entry; a refusal as not run could come from an owner that did not know that it was replaced, or from an entry before the owner was asked. Ruled out: checking the configuration at the entry (a retry of a request that has run would be refused as not run). Change: slots and programs are kept apart, so that accounts use slots too; refusals as not run are confirmed at a majority; an entry that reaches no owner gives the weak verdict.

--- /dev/null
+++ b/src/jasminewheel/_internal/entry/budgets.py
@@ -0,0 +1,43 @@
+"""Wire the parts that keep budgets."""
+
+from functools import partial
+
+from attrs import frozen
+
+from jasminewheel._internal.budget.account import BudgetLimit
+from jasminewheel._internal.budget.asker import GrantAsker
+from jasminewheel._internal.budget.service import BudgetService
+from jasminewheel._internal.budget.wallet import Wallet
+from jasminewheel._internal.configuration.view import ConfigurationView
+from jasminewheel._internal.entry.slots import Slots
+from jasminewheel._internal.entry.surroundings import Surroundings
+from jasminewheel._internal.program.grants import AccountSlots, GrantRouter
+
+
+@frozen
+class Budgets:
+    """Hold the accounts owned here and the wallet of this process."""
+
+    service: BudgetService
+    wallet: Wallet
+
+
+def open_budgets(around: Surroundings, slots: Slots) -> Budgets:
+    """Return the parts, with no grant in hand."""
+
+    service = BudgetService(
+        AccountSlots(slots.finder),
+        partial(limit_of, around.fleet.view),
+    )
+    source = GrantRouter(slots.finder, around.pool, service)
+    identity = around.identity
+    holder = f'{identity.member}/{identity.incarnation}'
+    return Budgets(service, Wallet(GrantAsker(source, holder)))
+
+
+def limit_of(view: ConfigurationView, caller: str) -> BudgetLimit | None:
+    """Return the limit that is declared for a caller."""
+    declared = view.current.callers.get(caller)
+    if declared is None:
+        return None
+    return BudgetLimit(declared.budget.tokens, declared.budget.window_seconds)
--- /dev/null
+++ b/src/jasminewheel/_internal/entry/parts.py
@@ -0,0 +1,50 @@
+"""Open all parts of an entry."""
+
+from collections.abc import Mapping
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.entry.budgets import Budgets, open_budgets
+from jasminewheel._internal.entry.calls import open_flow, open_scheduler
+from jasminewheel._internal.entry.operators import open_operators
+from jasminewheel._internal.entry.programs import Programs, open_programs
+from jasminewheel._internal.entry.settings import EntrySettings
+from jasminewheel._internal.entry.slots import open_slots
+from jasminewheel._internal.entry.surroundings import Surroundings
+from jasminewheel._internal.http.operator_side import OperatorSide
+from jasminewheel._internal.peer.server import Handler
+
+
+@frozen
+class EntryParts:
+    """Hold the parts that a running entry uses."""
+
+    around: Surroundings
+    budgets: Budgets
+    programs: Programs
+    operators: OperatorSide
+
+    def handlers(self) -> Mapping[type, Handler]:
+        """Return what peers may ask of this process."""
+        return {
+            **self.around.fleet.handlers(),
+            **self.budgets.service.handlers(),
+            **self.programs.handlers(),
+            **self.operators.handlers(),
+        }
+
+
+def open_parts(
+    settings: EntrySettings, around: Surroundings, stop: trio.Event
+) -> EntryParts:
+    """Return the parts, wired together but not running."""
+    slots = open_slots(around)
+    budgets = open_budgets(around, slots)
+    flow = open_flow(around, budgets.wallet, open_scheduler(around))
+    return EntryParts(
+        around,
+        budgets,
+        open_programs(around, slots, flow),
+        open_operators(settings, around, stop),
+    )
--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -10,7 +10,8 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException
 
-from jasminewheel._internal.entry.programs import Programs, open_programs
+from jasminewheel._internal.entry.parts import EntryParts, open_parts
+from jasminewheel._internal.entry.programs import Programs
 from jasminewheel._internal.entry.settings import EntrySettings
 from jasminewheel._internal.entry.surroundings import (
     Surroundings,
@@ -31,10 +32,19 @@
     """Hold the parts of one entry while it runs."""
 
     settings: EntrySettings
-    around: Surroundings
-    programs: Programs
+    parts: EntryParts
     is_ready: bool = False
 
+    @property
+    def around(self) -> Surroundings:
+        """Return what the parts depend on."""
+        return self.parts.around
+
+    @property
+    def programs(self) -> Programs:
+        """Return what hosts programs."""
+        return self.parts.programs
+
     def app(self) -> QuartTrio:
         """Return the HTTP application of callers and operators."""
         app = QuartTrio('jasminewheel')
@@ -45,6 +55,7 @@
             time.time,
         )
         app.register_blueprint(CallersApi(dispatch).blueprint())
+        app.register_blueprint(self.parts.operators.blueprint())
         app.register_blueprint(health_blueprint(self.can_serve))
         app.register_error_handler(HTTPException, refused_by_library)
         return app
@@ -59,8 +70,9 @@
         """Serve peers, then join the fleet."""
         settings = self.settings
         fleet = self.around.fleet
-        handlers = {**fleet.handlers(), **self.programs.handlers()}
-        server = PeerServer(self.around.identity, self.around.key, handlers)
+        server = PeerServer(
+            self.around.identity, self.around.key, self.parts.handlers()
+        )
         port = await self.around.nursery.start(
             server.serve, settings.peer_host, settings.peer_port
         )
@@ -94,7 +106,7 @@
     async def hand_over(self) -> None:
         """Stop taking programs, then release each when its calls are done."""
         self.is_ready = False
-        self.programs.taker.is_draining = True
+        self.programs.slots.taker.is_draining = True
         await self.around.fleet.leave()
         await trio.sleep(self.settings.unready_seconds)
         with trio.move_on_after(self.settings.grace_seconds):
@@ -105,10 +117,11 @@
 async def run_entry(settings: EntrySettings, stop: trio.Event) -> None:
     """Run an entry until stop."""
     async with open_surroundings(settings) as around:
-        programs = open_programs(around)
-        entry = EntryProcess(settings, around, programs)
+        parts = open_parts(settings, around, stop)
+        entry = EntryProcess(settings, parts)
         await entry.start()
-        await entry.serve(stop)
+        async with parts.budgets.wallet:
+            await entry.serve(stop)
         await around.fleet.depart()
 
 
--- a/src/jasminewheel/_internal/entry/settings.py
+++ b/src/jasminewheel/_internal/entry/settings.py
@@ -3,6 +3,8 @@
 from attrs import field, frozen
 from attrs.validators import ge, in_, le, min_len
 
+from jasminewheel._internal.http.operator_keys import OperatorKey
+
 _MAX_PORT = 65535
 GRACE_SECONDS = 60.0
 
@@ -29,6 +31,7 @@
     key_file: str
     vms_url: str = ''
     peers: tuple[str, ...] = ()
+    operator_keys: tuple[OperatorKey, ...] = ()
     unready_seconds: float = field(default=0, validator=ge(0))
     grace_seconds: float = field(default=GRACE_SECONDS, validator=ge(0))
     http_port_file: str = ''
--- a/src/jasminewheel/_internal/http/callers.py
+++ b/src/jasminewheel/_internal/http/callers.py
@@ -16,11 +16,10 @@
 )
 from jasminewheel._internal.http.dispatch import OperationDispatch
 from jasminewheel._internal.http.problem import http_error, problem_response
-from jasminewheel._internal.program.plan import deadline_for, make_plan
+from jasminewheel._internal.program.plan import deadline_for
 from jasminewheel._internal.program.requests import (
     CallBody,
     OpenBody,
-    call_request,
     parse_body,
 )
 from jasminewheel._internal.wire.gen.program.ttypes import (
@@ -106,7 +105,7 @@
         caller = self.dispatch.caller()
         check_program_id(program_id)
         operation = await self.call_operation(caller, program_id)
-        return await self.answer_call(caller, operation)
+        return await self.answer_call(operation)
 
     async def plain(self) -> Response:
         """Make a call outside any program."""
@@ -118,7 +117,7 @@
         operation.deadline_at = deadline_for(
             caller, None, self.dispatch.clock()
         )
-        return await self.answer_call(caller, operation)
+        return await self.answer_call(operation)
 
     async def call_operation(
         self, caller: Caller, program_id: str
@@ -133,17 +132,15 @@
             deadline_at=0,
         )
 
-    async def answer_call(
-        self, caller: Caller, operation: Operation
-    ) -> Response:
-        """Refuse a wrong call here; send a right one to the owner."""
-        make_plan(
-            self.dispatch.snapshot(),
-            caller.name,
-            call_request(operation, self.dispatch.clock()),
-        )
+    async def answer_call(self, operation: Operation) -> Response:
+        """Refuse a malformed call here; send any other to the owner.
+
+        What depends on the configuration is refused by the owner only, which
+        knows whether the same request has run before.
+        """
+        body = parse_body(operation.body, CallBody)
         pipe = self.dispatch.start(operation)
-        if parse_body(operation.body, CallBody).stream:
+        if body.stream:
             return await streamed(pipe)
         return await collected(pipe)
 
--- /dev/null
+++ b/src/jasminewheel/_internal/program/grants.py
@@ -0,0 +1,130 @@
+"""Bring requests for budget grants to the owners of the accounts."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+from attrs import define
+
+from jasminewheel._internal.budget.journal import log_of
+from jasminewheel._internal.budget.service import BudgetService
+from jasminewheel._internal.membership.member import Member
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.program.owner_finder import OwnerFinder
+from jasminewheel._internal.program.ports import SlotLog
+from jasminewheel._internal.wire.gen.budget.ttypes import (
+    GrantReturned,
+    GrantTaken,
+    ReturnGrant,
+    TakeGrant,
+)
+from jasminewheel.errors import (
+    FencedError,
+    JasminewheelError,
+    MovedError,
+    PeerError,
+    QuorumError,
+    UnavailableError,
+)
+
+GrantT = TypeVar('GrantT', GrantTaken, GrantReturned)
+_ANSWER_SECONDS = 3.0
+_PATIENCE_SECONDS = 10.0
+_FIRST_PAUSE_SECONDS = 0.01
+_LONGEST_PAUSE_SECONDS = 0.25
+# Asking again is safe after these: a grant is given once.
+_RETRIED: tuple[type[JasminewheelError], ...] = (
+    FencedError,
+    MovedError,
+    QuorumError,
+    UnavailableError,
+)
+
+
+@define(eq=False)
+class AccountSlots:
+    """Own the slots in which accounts are kept."""
+
+    finder: OwnerFinder
+
+    async def own(self, subject: str) -> SlotLog:
+        """Return the slot of the subject; raise MovedError if not owned."""
+        table = self.finder.table
+        number = table.slot_of(subject)
+        unreachable: set[str] = set()
+        while not table.slot(number):
+            owner = await self.finder.find(number, unreachable)
+            if owner and await self.finder.taker.is_reachable(owner, number):
+                raise MovedError(f'{owner.member} should own the account')
+            if owner:
+                unreachable.add(owner.member)
+        return table.slot(number).log
+
+
+@define(eq=False)
+class GrantRouter:
+    """Ask the owner of an account, here or at another entry."""
+
+    finder: OwnerFinder
+    pool: PeerPool
+    service: BudgetService
+
+    async def take(self, request: TakeGrant) -> GrantTaken:
+        """Take a grant, once for each identifier."""
+        return await self.ask(request, GrantTaken, self.service.take)
+
+    async def give_back(self, request: ReturnGrant) -> GrantReturned:
+        """Give back what is unspent of a grant, once."""
+        return await self.ask(request, GrantReturned, self.service.give_back)
+
+    async def ask(
+        self,
+        request: TakeGrant | ReturnGrant,
+        reply_kind: type[GrantT],
+        here: Callable[..., Awaitable[GrantT]],
+    ) -> GrantT:
+        """Ask until an owner answers; raise UnavailableError if none does."""
+        unreachable: set[str] = set()
+        pause = _FIRST_PAUSE_SECONDS
+        with trio.move_on_after(_PATIENCE_SECONDS):
+            while True:
+                answer = await self.ask_once(
+                    request, reply_kind, here, unreachable
+                )
+                if answer:
+                    return answer
+                await trio.sleep(pause)
+                pause = min(2 * pause, _LONGEST_PAUSE_SECONDS)
+        raise UnavailableError('no owner of the budget answers')
+
+    async def ask_once(
+        self,
+        request: TakeGrant | ReturnGrant,
+        reply_kind: type[GrantT],
+        here: Callable[..., Awaitable[GrantT]],
+        unreachable: set[str],
+    ) -> GrantT | None:
+        """Return the owner's answer; None if there is none now."""
+        try:
+            owner = await self.owner_of(request.caller, unreachable)
+            if owner is None:
+                return await here(request)
+            return await self.pool.ask(
+                owner.peer_address,
+                request,
+                reply_kind,
+                timeout_seconds=_ANSWER_SECONDS,
+            )
+        except PeerError:
+            if owner:
+                unreachable.add(owner.member)
+        except _RETRIED:
+            return None
+        return None
+
+    async def owner_of(
+        self, caller: str, unreachable: set[str]
+    ) -> Member | None:
+        """Return the entry that should own the account; None for this one."""
+        slot = self.finder.table.slot_of(log_of(caller))
+        return await self.finder.find(slot, unreachable)
--- a/src/jasminewheel/_internal/program/handover.py
+++ b/src/jasminewheel/_internal/program/handover.py
@@ -9,7 +9,7 @@
 
 from jasminewheel._internal.events import program as events
 from jasminewheel._internal.membership.member import Member
-from jasminewheel._internal.program.host import HostedSlot, ProgramHost
+from jasminewheel._internal.program.slot_table import HostedSlot, SlotTable
 from jasminewheel._internal.program.job import Clock
 
 _LOGGER = logging.getLogger(__name__)
@@ -32,7 +32,7 @@
 class SlotKeeper:
     """Evict idle programs, move slots to where they belong, drain."""
 
-    host: ProgramHost
+    table: SlotTable
     ranking: OwnerRanking
     clock: Clock
     misplaced_since: dict[int, float] = field(factory=dict)
@@ -45,10 +45,10 @@
 
     def tidy(self, now: float) -> None:
         """Evict idle programs and release idle slots of other entries."""
-        for hosted_slot in self.host.owned_slots():
+        for hosted_slot in self.table.owned_slots():
             hosted_slot.evict_idle(now)
             if self.is_misplaced(hosted_slot, now) and hosted_slot.is_idle:
-                self.host.release(hosted_slot)
+                self.table.release(hosted_slot)
 
     def is_misplaced(self, hosted_slot: HostedSlot, now: float) -> bool:
         """Return whether another entry has been preferred for a while."""
@@ -69,10 +69,10 @@
     def release_idle(self) -> bool:
         """Release the idle slots; return whether busy ones are left."""
         busy = False
-        for hosted_slot in self.host.owned_slots():
+        for hosted_slot in self.table.owned_slots():
             hosted_slot.is_closing = True
             if hosted_slot.is_idle:
-                self.host.release(hosted_slot)
+                self.table.release(hosted_slot)
             else:
                 busy = True
         return busy
--- a/src/jasminewheel/_internal/program/hosted.py
+++ b/src/jasminewheel/_internal/program/hosted.py
@@ -29,6 +29,8 @@
 from jasminewheel.models.verdict import Verdict
 
 Decide: TypeAlias = Callable[[Program], Record | None]
+# No log has this name, so that reading it moves no records.
+CONFIRMATION_LOG = 'none'
 MAX_QUEUED_CALLS = 64
 APPEND_SECONDS = 20.0
 _FIRST_PAUSE_SECONDS = 0.05
@@ -118,6 +120,16 @@
         self.last_turn = turn.ended
         return turn
 
+    async def confirm(self) -> None:
+        """Raise MovedError or QuorumError unless the slot is still owned.
+
+        An entry that was paused may not know that others have run a call.
+        """
+        try:
+            await self.log.read(CONFIRMATION_LOG)
+        except FencedError:
+            self.lose()
+
     async def quiet(self) -> None:
         """Wait until no call is queued or running."""
         while self.last_turn is not None and not self.last_turn.is_set():
--- a/src/jasminewheel/_internal/program/operations.py
+++ b/src/jasminewheel/_internal/program/operations.py
@@ -25,8 +25,9 @@
     Operation,
     OperationKind,
 )
-from jasminewheel.errors import NotFoundError
+from jasminewheel.errors import CallError, NotFoundError
 from jasminewheel.models.call import CallRequest
+from jasminewheel.models.verdict import Verdict
 
 _OK = 200
 _CREATED = 201
@@ -69,13 +70,24 @@
         self, hosted: HostedProgram, operation: Operation, sink: EventSink
     ) -> None:
         """Run the call, or join the one with the same identifier."""
+        try:
+            await self.call_once(hosted, operation, sink)
+        except CallError as refusal:
+            if refusal.verdict is Verdict.not_run:
+                await hosted.confirm()
+            raise
+        if operation.plain:
+            self.nursery.start_soon(self.end_plain, hosted)
+
+    async def call_once(
+        self, hosted: HostedProgram, operation: Operation, sink: EventSink
+    ) -> None:
+        """Send the answer of a call, begun now unless it was before."""
         request = call_request(operation, self.flow.clock())
         answer = hosted.answer_of(request)
         if answer is None:
             answer = self.begin(hosted, request, operation)
         await self.copy(answer, operation, sink)
-        if operation.plain:
-            self.nursery.start_soon(self.end_plain, hosted)
 
     def begin(
         self,
@@ -119,7 +131,10 @@
         self, hosted: HostedProgram, operation: Operation, sink: EventSink
     ) -> None:
         """Say what became of a request."""
-        await sink(done(_OK, status_body(hosted, operation.request_id)))
+        body = status_body(hosted, operation.request_id)
+        if body['verdict'] == Verdict.not_run.value:
+            await hosted.confirm()
+        await sink(done(_OK, body))
 
     async def view(
         self, hosted: HostedProgram, operation: Operation, sink: EventSink
--- /dev/null
+++ b/src/jasminewheel/_internal/program/owner_finder.py
@@ -0,0 +1,46 @@
+"""Find the entry that owns a slot, or own it."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from attrs import define
+
+from jasminewheel._internal.membership.member import Member
+from jasminewheel._internal.program.slot_table import SlotTable
+from jasminewheel._internal.program.takeover import SlotTaker
+from jasminewheel.errors import MovedError
+
+
+class OwnerRanking(Protocol):
+    """Rank the live entries for each slot."""
+
+    own: Member
+
+    def preferred(self, subject: str) -> Sequence[Member]:
+        """Return the live entries by preference for a subject."""
+
+
+@define(eq=False)
+class OwnerFinder:
+    """Choose the entry to ask for a slot."""
+
+    ranking: OwnerRanking
+    table: SlotTable
+    taker: SlotTaker
+
+    async def find(self, slot: int, unreachable: set[str]) -> Member | None:
+        """Return the entry to ask; None if this one owns the slot."""
+        if self.table.slot(slot):
+            return None
+        chosen = self.choose(slot, unreachable)
+        if chosen.member != self.ranking.own.member:
+            return chosen
+        return await self.taker.take(slot, unreachable)
+
+    def choose(self, slot: int, unreachable: set[str]) -> Member:
+        """Return the preferred entry of those not found unreachable."""
+        for member in self.ranking.preferred(f'slot-{slot}'):
+            if member.member not in unreachable:
+                return member
+        unreachable.clear()
+        raise MovedError('no entry can be reached')
--- a/src/jasminewheel/_internal/program/route.py
+++ b/src/jasminewheel/_internal/program/route.py
@@ -13,7 +13,6 @@
     CallError,
     DeadlineError,
     MovedError,
-    PeerError,
     UnavailableError,
 )
 from jasminewheel.models.verdict import Verdict
@@ -22,18 +21,16 @@
 MAX_HOPS = 4
 _FIRST_PAUSE_SECONDS = 0.01
 _LONGEST_PAUSE_SECONDS = 0.25
-_MAY_RUN = frozenset((OperationKind.CALL,))
 
 
 @define(eq=False)
 class Route:
-    """Remember what was tried, what may have run and what was received."""
+    """Remember what was tried and what was received."""
 
     operation: Operation
     sink: EventSink
     searching_since: float
     excluded: set[str] = field(factory=set)
-    verdict: Verdict = Verdict.not_run
     pause_seconds: float = _FIRST_PAUSE_SECONDS
     is_done: bool = False
 
@@ -62,21 +59,15 @@
         self.searching_since = now
         self.pause_seconds = _FIRST_PAUSE_SECONDS
 
-    def moved(self, error: MovedError) -> None:
-        """Take in that an entry is not the owner, or not any more."""
-        if error.verdict is not Verdict.not_run:
-            self.weaken()
+    @property
+    def verdict(self) -> Verdict:
+        """Return what is known while no owner has answered.
 
-    def lost(self, member: str, error: PeerError) -> None:
-        """Take in that an entry does not answer."""
-        self.excluded.add(member)
-        if error.sent:
-            self.weaken()
-
-    def weaken(self) -> None:
-        """Remember that a call may have run."""
-        if self.operation.kind in _MAY_RUN:
-            self.verdict = Verdict.may_have_run
+        An earlier attempt of the same request may have run.
+        """
+        if self.operation.kind == OperationKind.CALL:
+            return Verdict.may_have_run
+        return Verdict.not_run
 
     def next_pause(self) -> float:
         """Return how long to wait before the next try; each time longer."""
--- a/src/jasminewheel/_internal/program/routing.py
+++ b/src/jasminewheel/_internal/program/routing.py
@@ -1,9 +1,7 @@
 """Bring each operation to the entry that owns its program."""
 
 import logging
-from collections.abc import Sequence
-from contextlib import ExitStack
-from typing import Protocol
+from contextlib import ExitStack, suppress
 
 import trio
 from attrs import define
@@ -13,13 +11,12 @@
 from jasminewheel._internal.observability.tracing import hop
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Exchange
-from jasminewheel._internal.program.host import ProgramHost
 from jasminewheel._internal.program.job import Clock
 from jasminewheel._internal.program.liveness import LivenessWatch
+from jasminewheel._internal.program.owner_finder import OwnerFinder
 from jasminewheel._internal.program.operations import ProgramOperations
 from jasminewheel._internal.program.ports import EventSink
 from jasminewheel._internal.program.route import Route
-from jasminewheel._internal.program.takeover import SlotTaker
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
     OperationEvent,
@@ -35,24 +32,13 @@
 _QUIET_PAUSE_SECONDS = 0.01
 
 
-class OwnerRanking(Protocol):
-    """Rank the live entries for each slot."""
-
-    own: Member
-
-    def preferred(self, subject: str) -> Sequence[Member]:
-        """Return the live entries by preference for a subject."""
-
-
 @define(eq=False)
 class Router:
     """Perform operations here or at the owner, wherever they arrive."""
 
-    ranking: OwnerRanking
+    finder: OwnerFinder
     pool: PeerPool
-    host: ProgramHost
     operations: ProgramOperations
-    taker: SlotTaker
     watch: LivenessWatch
     clock: Clock
     running: int = 0
@@ -80,46 +66,26 @@
         """
         route = Route(operation, sink, self.clock())
         while not route.is_done:
-            try:
+            with suppress(MovedError):
                 await self.try_once(route)
-            except MovedError as moved:
-                route.moved(moved)
             if not route.is_done:
                 route.check_patience(self.clock())
                 await trio.sleep(route.next_pause())
 
     async def try_once(self, route: Route) -> None:
         """Perform the operation at the entry that should own the program."""
-        slot = self.host.slot_of(route.operation.program)
-        owner = await self.find_owner(slot, route)
+        slot = self.finder.table.slot_of(route.operation.program)
+        owner = await self.finder.find(slot, route.excluded)
         if owner is None:
-            await self.perform_here(slot, route)
+            await self.perform_here(route)
         else:
             await self.forward(owner, route)
 
-    async def find_owner(self, slot: int, route: Route) -> Member | None:
-        """Return the entry to ask; None if this one owns the slot."""
-        if self.host.slot(slot):
-            return None
-        chosen = self.choose(slot, route)
-        if chosen.member != self.ranking.own.member:
-            return chosen
-        return await self.taker.take(slot, route.excluded)
-
-    def choose(self, slot: int, route: Route) -> Member:
-        """Return the preferred entry of those not found unreachable."""
-        for member in self.ranking.preferred(f'slot-{slot}'):
-            if member.member not in route.excluded:
-                return member
-        route.excluded.clear()
-        raise MovedError('no entry can be reached')
-
-    async def perform_here(self, slot: int, route: Route) -> None:
+    async def perform_here(self, route: Route) -> None:
         """Perform the operation as the owner of its program."""
         try:
             await self.operations.perform(route.operation, route)
         except FencedError as fenced:
-            self.host.lose_slot(slot)
             raise MovedError('another entry took the slot') from fenced
         except QuorumError as missing:
             raise MovedError('too few histories answer') from missing
@@ -133,7 +99,7 @@
                     await self.copy_replies(owner, message, route)
         except PeerError as lost:
             events.OWNER_LOST.log(_LOGGER, owner=owner.member, problem=lost)
-            route.lost(owner.member, lost)
+            route.excluded.add(owner.member)
 
     async def copy_replies(
         self, owner: Member, message: Operation, route: Route
--- a/src/jasminewheel/_internal/program/takeover.py
+++ b/src/jasminewheel/_internal/program/takeover.py
@@ -10,7 +10,7 @@
 from jasminewheel._internal.membership.member import Member
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Exchange
-from jasminewheel._internal.program.host import ProgramHost
+from jasminewheel._internal.program.slot_table import SlotTable
 from jasminewheel._internal.wire.gen.program.ttypes import (
     SlotAnswer,
     SlotQuestion,
@@ -47,13 +47,13 @@
 
     def __init__(
         self,
-        host: ProgramHost,
+        table: SlotTable,
         members: MemberList,
         owners: LastOwners,
         pool: PeerPool,
     ) -> None:
         """Start with no slot being taken."""
-        self.host = host
+        self.table = table
         self.members = members
         self.owners = owners
         self.pool = pool
@@ -68,7 +68,7 @@
             raise MovedError('the entry is shutting down')
         lock = self.locks.setdefault(slot, trio.Lock())
         async with lock:
-            if self.host.slot(slot):
+            if self.table.slot(slot):
                 return None
             try:
                 return await self.take_alone(slot, unreachable)
@@ -82,7 +82,7 @@
         owner = await self.serving_owner(slot, unreachable)
         if owner:
             return owner
-        await self.host.ownership.own(slot)
+        await self.table.ownership.own(slot)
         events.SLOT_TAKEN.log(_LOGGER, slot=slot)
         return None
 
@@ -106,20 +106,32 @@
         membership decides that it is dead.
         """
         try:
-            answer = await self.pool.ask(
-                member.peer_address,
-                SlotQuestion(slot=slot),
-                SlotAnswer,
-                timeout_seconds=ASK_SECONDS,
-            )
+            return await self.ask(member, slot)
         except PeerError as error:
             if error.sent:
                 raise MovedError('the owner does not answer') from error
-            return False
+        return False
+
+    async def is_reachable(self, member: Member, slot: int) -> bool:
+        """Return whether a member runs, or may run."""
+        try:
+            await self.ask(member, slot)
+        except PeerError as error:
+            return error.sent
+        return True
+
+    async def ask(self, member: Member, slot: int) -> bool:
+        """Return whether a member says that it owns the slot."""
+        answer = await self.pool.ask(
+            member.peer_address,
+            SlotQuestion(slot=slot),
+            SlotAnswer,
+            timeout_seconds=ASK_SECONDS,
+        )
         return answer.owned
 
     async def answer(
         self, exchange: Exchange, question: SlotQuestion
     ) -> SlotAnswer:
         """Tell another entry whether this one serves a slot."""
-        return SlotAnswer(owned=self.host.slot(question.slot) is not None)
+        return SlotAnswer(owned=self.table.slot(question.slot) is not None)
--- a/tests/program_parts.py
+++ b/tests/program_parts.py
@@ -1,13 +1,13 @@
 """Stand in, in memory, for what the program's flow needs."""
 
+import contextlib
 import time
-from contextlib import asynccontextmanager, contextmanager
 
 import trio
 from attrs import define, field
+from program_configuration import make_snapshot
 
 from jasminewheel import errors
-from jasminewheel._internal.configuration.snapshot import Snapshot, hash_key
 from jasminewheel._internal.program.ending import ProgramEnding
 from jasminewheel._internal.program.flow import CallFlow
 from jasminewheel._internal.program.host import ProgramHost
@@ -15,55 +15,16 @@
 from jasminewheel._internal.program.opening import ProgramOpening
 from jasminewheel._internal.program.operations import ProgramOperations
 from jasminewheel._internal.program.service_calls import ServiceCalls
+from jasminewheel._internal.program.slot_table import SlotTable
 from jasminewheel._internal.program.wallet import UnlimitedWallet
 from jasminewheel._internal.replication.record import LogRecord
 from jasminewheel._internal.targets.engine import EngineToken, EngineUsage
 from jasminewheel._internal.targets.service import ServiceAnswer
-from jasminewheel.models.caller import Budget, Caller, KeyHash
-from jasminewheel.models.target import Operation, Runner, Target
 from jasminewheel.models.verdict import Verdict
 
-KEY = 'cafe-key'
 TEXT = 'replace the fuse and check the lamp'
 
 
-def make_runner(name):
-    """Return a runner whose address is its name."""
-    return Runner(name=name, url=f'http://{name}', region='r', zone='z')
-
-
-def make_snapshot(**fields):
-    """Return a configuration with a caller, a model and a service."""
-    callers = {
-        name: Caller(
-            name=name,
-            key_hashes=(KeyHash(hash_key(key)),),
-            budget=Budget(tokens=1_000_000),
-            targets=('helper-models', 'ticket-desk'),
-            **fields,
-        )
-        for name, key in (('cafe', KEY), ('yard', 'yard-key'))
-    }
-    targets = {
-        'helper-models': Target(
-            name='helper-models',
-            kind='model',
-            model='guide',
-            runners=(make_runner('engine-1'), make_runner('engine-2')),
-        ),
-        'ticket-desk': Target(
-            name='ticket-desk',
-            kind='service',
-            runners=(make_runner('desk-1'), make_runner('desk-2')),
-            operations={
-                'lookup': Operation(repeatable=True, timeout_seconds=1),
-                'text': Operation(repeatable=False, timeout_seconds=1),
-            },
-        ),
-    }
-    return Snapshot(version=1, callers=callers, targets=targets)
-
-
 @define(eq=False)
 class MemoryLogs:
     """Hold the records of all logs, whoever owns them."""
@@ -79,6 +40,7 @@
 
     logs: MemoryLogs
     fence: int
+    lost: bool = False
 
     @property
     def log_ids(self):
@@ -88,6 +50,7 @@
     def check(self):
         """Refuse an old fence."""
         if self.fence < self.logs.fence:
+            self.lost = True
             raise errors.FencedError('old fence')
 
     async def read(self, log_id):
@@ -128,8 +91,12 @@
         return self.slots[slot]
 
     def owned(self, slot):
-        """Return a slot that was sealed here."""
-        return self.slots.get(slot)
+        """Return a slot that was sealed here and not lost since."""
+        owned = self.slots.get(slot)
+        if owned and owned.lost:
+            self.release(slot)
+            return None
+        return owned
 
     def release(self, slot):
         """Forget a slot."""
@@ -164,7 +131,7 @@
         self.snapshot = snapshot
         self.decisions = []
 
-    @asynccontextmanager
+    @contextlib.asynccontextmanager
     async def place(self, request, now):
         """Give the next runner."""
         runners = self.snapshot.targets[request.target].runners
@@ -197,7 +164,7 @@
         """Return the service, the same for all addresses."""
         return self
 
-    @asynccontextmanager
+    @contextlib.asynccontextmanager
     async def generate(self, request):
         """Stream the rest of the text, perhaps only some of it."""
         self.runs.append(request.request_id)
@@ -207,7 +174,7 @@
         self.streams[request.request_id] = request
         yield self.tokens(len(request.continue_text), breaks)
 
-    @asynccontextmanager
+    @contextlib.asynccontextmanager
     async def resume(self, request_id, offset):
         """Stream a known answer again."""
         if request_id not in self.streams:
@@ -258,7 +225,7 @@
     ownership: MemoryOwnership
 
 
-@asynccontextmanager
+@contextlib.asynccontextmanager
 async def owning(logs, targets, snapshot=None, clock=time.time):
     """Run an owner of all slots over the logs until the test leaves."""
     snapshot = snapshot or make_snapshot()
@@ -273,7 +240,8 @@
     ownership = MemoryOwnership(logs)
     await ownership.own(0)
     async with trio.open_nursery() as nursery:
-        host = ProgramHost(ownership, lambda _: 0, flow, nursery, clock)
+        table = SlotTable(ownership, lambda _: 0)
+        host = ProgramHost(table, flow, nursery, clock)
         operations = ProgramOperations(
             host,
             flow,
@@ -285,7 +253,7 @@
         nursery.cancel_scope.cancel()
 
 
-@contextmanager
+@contextlib.contextmanager
 def closed(targets):
     """Hold calls at the target until the test leaves."""
     targets.gate = trio.Event()
--- a/tests/unit/test_call_flow.py
+++ b/tests/unit/test_call_flow.py
@@ -6,12 +6,12 @@
 
 import pytest
 import trio
+from program_configuration import make_snapshot
 from program_parts import (
     TEXT,
     MemoryLogs,
     MemoryTargets,
     closed,
-    make_snapshot,
     owning,
 )
 from trio.testing import MockClock, wait_all_tasks_blocked
@@ -350,7 +350,7 @@
             logs.fence += 1
             with pytest.raises(MovedError):
                 await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
-            assert owner.host.slot(0) is None
+            assert owner.host.table.slot(0) is None
         assert targets.runs == []
 
     run(check)
