--- a/src/jasminewheel/_internal/program/operations.py
+++ b/src/jasminewheel/_internal/program/operations.py
@@ -1,6 +1,7 @@
 """Carry out callers' operations on the programs of this entry."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
 from types import MappingProxyType
 
 import trio
@@ -25,12 +26,13 @@
     Operation,
     OperationKind,
 )
-from jasminewheel.errors import CallError, NotFoundError
+from jasminewheel.errors import CallError, NotFoundError, QuorumError
 from jasminewheel.models.call import CallRequest
 from jasminewheel.models.verdict import Verdict
 
 _OK = 200
 _CREATED = 201
+CONFIRM_SECONDS = 1.0
 
 
 @define(eq=False)
@@ -133,7 +135,7 @@
         """Say what became of a request."""
         body = status_body(hosted, operation.request_id)
         if body['verdict'] == Verdict.not_run.value:
-            await hosted.confirm()
+            body['verdict'] = (await confirmed_verdict(hosted)).value
         await sink(done(_OK, body))
 
     async def view(
@@ -160,6 +162,14 @@
         await self.host.guarded(self.ending.end, hosted, 'plain call answered')
 
 
+async def confirmed_verdict(hosted: HostedProgram) -> Verdict:
+    """Return not run if a majority confirms in time that the log says so."""
+    with trio.move_on_after(CONFIRM_SECONDS), suppress(QuorumError):
+        await hosted.confirm()
+        return Verdict.not_run
+    return Verdict.may_have_run
+
+
 _Handler = Callable[
     [ProgramOperations, HostedProgram, Operation, EventSink],
     Awaitable[None],
