--- a/src/jasminewheel/_internal/entry/calls.py
+++ b/src/jasminewheel/_internal/entry/calls.py
@@ -7,19 +7,9 @@
 from jasminewheel._internal.program.model_calls import ModelCalls
 from jasminewheel._internal.program.ports import Wallet
 from jasminewheel._internal.program.service_calls import ServiceCalls
-from jasminewheel._internal.scheduling.feeds import FeedFollower
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 
 
-def open_scheduler(around: Surroundings) -> Scheduler:
-    """Return the scheduler, which follows the feeds of all runners."""
-    view = around.fleet.view
-    member = around.identity.member
-    scheduler = Scheduler(view, around.region, salt=member)
-    around.nursery.start_soon(FeedFollower(view, scheduler).run)
-    return scheduler
-
-
 def open_flow(
     around: Surroundings, wallet: Wallet, scheduler: Scheduler
 ) -> CallFlow:
--- a/src/jasminewheel/_internal/entry/parts.py
+++ b/src/jasminewheel/_internal/entry/parts.py
@@ -6,9 +6,12 @@
 from attrs import frozen
 
 from jasminewheel._internal.entry.budgets import Budgets, open_budgets
-from jasminewheel._internal.entry.calls import open_flow, open_scheduler
-from jasminewheel._internal.entry.operators import open_operators
+from jasminewheel._internal.entry.calls import open_flow
 from jasminewheel._internal.entry.programs import Programs, open_programs
+from jasminewheel._internal.entry.scheduling import (
+    open_operator_side,
+    open_scheduler,
+)
 from jasminewheel._internal.entry.settings import EntrySettings
 from jasminewheel._internal.entry.slots import open_slots
 from jasminewheel._internal.entry.surroundings import Surroundings
@@ -41,10 +44,10 @@
     """Return the parts, wired together but not running."""
     slots = open_slots(around)
     budgets = open_budgets(around, slots)
-    flow = open_flow(around, budgets.wallet, open_scheduler(around))
+    scheduler = open_scheduler(around)
+    flow = open_flow(around, budgets.wallet, scheduler)
+    operators = open_operator_side(settings, around, scheduler)
+    operators.member.drain = stop.set
     return EntryParts(
-        around,
-        budgets,
-        open_programs(around, slots, flow),
-        open_operators(settings, around, stop),
+        around, budgets, open_programs(around, slots, flow), operators
     )
