Explain requests across entries, take the list of VMs as a hint, send gauges

Cause: an operator needs the reason for a refusal, take-over or placement from a request identifier in one command; a start may find peers only by the VM list. Ruled out: acting on the list's leaving state beyond the ranking of owners, since it lags and may name a VM that was replaced under its old name.

--- a/src/jasminewheel/_internal/entry/parts.py
+++ b/src/jasminewheel/_internal/entry/parts.py
@@ -12,6 +12,13 @@
     open_operator_side,
     open_scheduler,
 )
+from jasminewheel._internal.entry.sections import (
+    BudgetsSection,
+    MembersSection,
+    QueuesSection,
+    RunnersSection,
+    SlotsSection,
+)
 from jasminewheel._internal.entry.settings import EntrySettings
 from jasminewheel._internal.entry.slots import open_slots
 from jasminewheel._internal.entry.surroundings import Surroundings
@@ -48,6 +55,13 @@
     flow = open_flow(around, budgets.wallet, scheduler)
     operators = open_operator_side(settings, around, scheduler)
     operators.member.drain = stop.set
+    operators.member.sources.update(
+        slots=SlotsSection(slots.table),
+        queues=QueuesSection(scheduler),
+        runners=RunnersSection(scheduler),
+        budgets=BudgetsSection(budgets.wallet),
+        members=MembersSection(around.fleet),
+    )
     return EntryParts(
         around, budgets, open_programs(around, slots, flow), operators
     )
--- /dev/null
+++ b/src/jasminewheel/_internal/entry/sections.py
@@ -0,0 +1,89 @@
+"""Show operators what this entry owns, queues and holds."""
+
+import time
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import frozen
+
+from jasminewheel._internal.budget.wallet import Wallet
+from jasminewheel._internal.fleet.fleet import Fleet
+from jasminewheel._internal.program.slot_table import SlotTable
+from jasminewheel._internal.scheduling.scheduler import Scheduler
+
+
+@frozen
+class SlotsSection:
+    """Show the slots owned here with their programs in memory."""
+
+    table: SlotTable
+
+    def status(self) -> Mapping[str, Any]:
+        """Return the number of programs by slot."""
+        return {
+            str(owned.slot): len(owned.programs)
+            for owned in self.table.owned_slots()
+        }
+
+
+@frozen
+class QueuesSection:
+    """Show the calls that wait here, by target."""
+
+    scheduler: Scheduler
+
+    def status(self) -> Mapping[str, Any]:
+        """Return the number of waiting calls by target."""
+        states = self.scheduler.targets.states
+        return {target: len(states[target].queue) for target in states}
+
+
+@frozen
+class RunnersSection:
+    """Show what this entry believes of each runner."""
+
+    scheduler: Scheduler
+
+    def status(self) -> Mapping[str, Any]:
+        """Return load, state of the breaker and failures by runner."""
+        now = time.time()
+        states = self.scheduler.runners.states
+        return {
+            name: {
+                'running': state.load.estimate(now),
+                'breaker': state.breaker.state.value,
+                'failures': state.breaker.failures,
+            }
+            for name, state in states.items()
+        }
+
+
+@frozen
+class BudgetsSection:
+    """Show the tokens granted to this entry and left, by caller."""
+
+    wallet: Wallet
+
+    def status(self) -> Mapping[str, Any]:
+        """Return the tokens left by caller."""
+        now = time.time()
+        accounts = self.wallet.accounts
+        return {name: accounts[name].purse.left(now) for name in accounts}
+
+
+@frozen
+class MembersSection:
+    """Show how this member sees the others, and its lease."""
+
+    fleet: Fleet
+
+    def status(self) -> Mapping[str, Any]:
+        """Return the states of members and whether the lease is held."""
+        table = self.fleet.membership.table
+        return {
+            'lease': self.fleet.service.lease.held,
+            'states': {
+                entry.member.member: entry.member.state.name
+                for entry in table.entries.values()
+            },
+        }
--- a/src/jasminewheel/_internal/entry/surroundings.py
+++ b/src/jasminewheel/_internal/entry/surroundings.py
@@ -10,11 +10,13 @@
 
 from jasminewheel._internal.entry.settings import EntrySettings
 from jasminewheel._internal.fleet.fleet import Fleet, FleetAddresses
+from jasminewheel._internal.fleet.gauges import run_metrics
 from jasminewheel._internal.membership.member import ENTRY, Member
+from jasminewheel._internal.membership.vm_list import open_vms
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.key import load_key
 from jasminewheel._internal.peer.pool import PeerPool
-from jasminewheel._internal.store.client import HttpStore, Store
+from jasminewheel._internal.store.client import HttpStore
 from jasminewheel._internal.targets.clients import ClientPool
 
 _MILLISECONDS = 1000
@@ -44,30 +46,26 @@
         enter = stack.enter_async_context
         store = await enter(HttpStore(settings.store_url))
         pool = await enter(PeerPool(identity, key))
+        vms = await enter(open_vms(settings.vms_url))
         around = Surroundings(
             identity,
             key,
             settings.region,
             pool,
-            make_fleet(settings, identity, pool, store),
+            Fleet(
+                make_member(settings, identity),
+                pool,
+                store,
+                FleetAddresses(settings.peers, vms),
+            ),
             await enter(ClientPool()),
             await enter(trio.open_nursery()),
         )
+        around.nursery.start_soon(run_metrics, around.fleet, settings.statsd)
         yield around
         around.nursery.cancel_scope.cancel()
 
 
-def make_fleet(
-    settings: EntrySettings,
-    identity: PeerIdentity,
-    pool: PeerPool,
-    store: Store,
-) -> Fleet:
-    """Return this process's part in the fleet."""
-    member = make_member(settings, identity)
-    return Fleet(member, pool, store, FleetAddresses(settings.peers))
-
-
 def make_identity(settings: EntrySettings) -> PeerIdentity:
     """Return the identity of this process; it differs after a restart."""
     started = int(time.time() * _MILLISECONDS)
--- a/src/jasminewheel/_internal/fleet/fleet.py
+++ b/src/jasminewheel/_internal/fleet/fleet.py
@@ -15,13 +15,13 @@
 from jasminewheel._internal.fleet.replica_sets import PlacementShape
 from jasminewheel._internal.fleet.spread import open_spread
 from jasminewheel._internal.membership.asker import PeerAsker
-from jasminewheel._internal.membership.bootstrap import VmList
 from jasminewheel._internal.membership.member import Member
 from jasminewheel._internal.membership.membership import Membership
 from jasminewheel._internal.membership.service import (
     MembershipService,
     PeerSources,
 )
+from jasminewheel._internal.membership.vm_list import VmList
 from jasminewheel._internal.peer.server import Handler
 from jasminewheel._internal.replication.placement import (
     PLACEMENT_KEY,
--- a/src/jasminewheel/_internal/fleet/gauges.py
+++ b/src/jasminewheel/_internal/fleet/gauges.py
@@ -8,7 +8,8 @@
 
 from jasminewheel._internal.fleet.fleet import Fleet
 from jasminewheel._internal.membership.member import MemberState
-from jasminewheel._internal.observability.metrics import Metrics
+from jasminewheel._internal.observability.event_metrics import count_events
+from jasminewheel._internal.observability.metrics import Metrics, open_metrics
 from jasminewheel._internal.peer.traffic import TRAFFIC
 
 PERIOD_SECONDS = 10.0
@@ -42,3 +43,13 @@
             'peers.bytes_sent': TRAFFIC.bytes_sent,
             'peers.bytes_received': TRAFFIC.bytes_received,
         }
+
+
+async def run_metrics(fleet: Fleet, statsd: str) -> None:
+    """Send metrics to a statsd address `ip:port` until cancelled, if any."""
+    if not statsd:
+        return
+    member = fleet.membership.own.member
+    metrics = open_metrics(statsd, f'jasminewheel.{member}')
+    count_events(metrics)
+    await FleetGauges(fleet, metrics).run()
--- a/src/jasminewheel/_internal/http/operators.py
+++ b/src/jasminewheel/_internal/http/operators.py
@@ -169,7 +169,9 @@
     async def events(self) -> Response:
         """Show events of all members, or those that name a subject."""
         self.author()
-        found = await self.questions.events(request.args.get('subject', ''))
+        subject = request.args.get('subject', '')
+        ask = self.questions.explain if subject else self.questions.events
+        found = await ask(subject)
         bodies = [answers.event_body(one) for one in found]
         return answers.answer({'events': bodies})
 
--- a/src/jasminewheel/_internal/membership/bootstrap.py
+++ b/src/jasminewheel/_internal/membership/bootstrap.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Iterable
-from typing import Protocol
 
 import trio
 from attrs import define, field
@@ -14,6 +13,7 @@
     MEMBER_PREFIX,
     parse_member,
 )
+from jasminewheel._internal.membership.vm_list import VmList
 from jasminewheel._internal.parallel import map_parallel
 from jasminewheel._internal.store.client import Store
 from jasminewheel.errors import JasminewheelError
@@ -25,13 +25,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class VmList(Protocol):
-    """Read the platform's list of VMs, which lags."""
-
-    async def addresses(self) -> list[str]:
-        """Return peer addresses of VMs that are listed."""
-
-
 @define
 class Bootstrap:
     """Greet peers until the table of members has come from some of them."""
@@ -102,10 +95,11 @@
         if self.vms is None:
             return []
         try:
-            return await self.vms.addresses()
+            rows = await self.vms.rows()
         except JasminewheelError as error:
             events.HINT_FAILED.log(_LOGGER, problem=error)
             return []
+        return [row.address for row in rows if row.address]
 
     async def leased(self) -> list[str]:
         """Return addresses of the members that hold leases."""
--- a/src/jasminewheel/_internal/membership/lease.py
+++ b/src/jasminewheel/_internal/membership/lease.py
@@ -52,6 +52,11 @@
     random: Random = field(factory=Random)
     lease: str = ''
 
+    @property
+    def held(self) -> bool:
+        """Return whether the last renewal was answered."""
+        return bool(self.lease)
+
     async def run(self) -> None:
         """Grant and renew the lease until cancelled, out of step."""
         await trio.sleep(self.random.uniform(0, START_SPREAD_SECONDS))
--- a/src/jasminewheel/_internal/membership/service.py
+++ b/src/jasminewheel/_internal/membership/service.py
@@ -6,16 +6,18 @@
 from attrs import define, frozen
 
 from jasminewheel._internal.membership.asker import PeerAsker
-from jasminewheel._internal.membership.bootstrap import Bootstrap, VmList
+from jasminewheel._internal.membership.bootstrap import Bootstrap
 from jasminewheel._internal.membership.gossip import Gossip
 from jasminewheel._internal.membership.heartbeats import (
     Heartbeats,
     VersionSource,
 )
+from jasminewheel._internal.membership.hints import VmHints
 from jasminewheel._internal.membership.lease import VmLease
 from jasminewheel._internal.membership.member import Member
 from jasminewheel._internal.membership.membership import Membership
 from jasminewheel._internal.membership.table import MemberTable
+from jasminewheel._internal.membership.vm_list import VmList
 from jasminewheel._internal.store.client import Store
 
 
@@ -36,6 +38,7 @@
     heartbeats: Heartbeats
     bootstrap: Bootstrap
     lease: VmLease
+    hints: VmHints | None
 
     @classmethod
     def open(
@@ -66,6 +69,7 @@
                 sources.vms,
             ),
             VmLease(sources.store, membership),
+            VmHints(sources.vms, membership) if sources.vms else None,
         )
 
     async def run(self) -> None:
@@ -74,6 +78,8 @@
             nursery.start_soon(self.heartbeats.run)
             nursery.start_soon(self.bootstrap.keep_looking)
             nursery.start_soon(self.lease.run)
+            if self.hints:
+                nursery.start_soon(self.hints.run)
 
     async def leave(self, now: float) -> None:
         """Tell peers that this member takes no new work and will go."""
--- a/src/jasminewheel/_internal/membership/vm_list.py
+++ b/src/jasminewheel/_internal/membership/vm_list.py
@@ -1,7 +1,8 @@
 """Read the platform's list of VMs, which lags."""
 
-from contextlib import AbstractAsyncContextManager
-from typing import Any
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any, Protocol
 
 import httpx
 from attrs import define, field, frozen
@@ -21,6 +22,13 @@
     leaving: bool
 
 
+class VmList(Protocol):
+    """Read the platform's list of VMs."""
+
+    async def rows(self) -> list[ListedVm]:
+        """Return the rows; raise UnavailableError without a readable list."""
+
+
 @define
 class HttpVmList(AbstractAsyncContextManager['HttpVmList']):
     """Read the list over HTTP."""
@@ -43,13 +51,24 @@
         """Return the rows; raise UnavailableError without a readable list."""
         try:
             answer = await self.http.get('/v1/vms')
-            return [_row(raw) for raw in answer.raise_for_status().json()]
-        except (httpx.HTTPError, KeyError, TypeError, ValueError) as error:
+            found = answer.raise_for_status().json()
+            return [_row(raw) for raw in found if isinstance(raw, dict)]
+        except (httpx.HTTPError, LookupError, ValueError) as error:
             raise UnavailableError(
                 f'the list of VMs cannot be read: {error!r}',
             ) from error
 
 
+@asynccontextmanager
+async def open_vms(url: str) -> AsyncIterator[VmList | None]:
+    """Give the list at a URL, or None for an empty one."""
+    if not url:
+        yield None
+        return
+    async with HttpVmList(url) as vms:
+        yield vms
+
+
 def _row(raw: Any) -> ListedVm:
     return ListedVm(
         str(raw['member']),
--- a/src/jasminewheel/_internal/observability/event_ring.py
+++ b/src/jasminewheel/_internal/observability/event_ring.py
@@ -21,8 +21,9 @@
     fields: Mapping[str, str]
 
     def names(self, subject: str) -> bool:
-        """Return whether one of the fields is the subject."""
-        return subject in self.fields.values()
+        """Return whether a field is the subject, given as value or pair."""
+        pairs = self.fields.items()
+        return any(subject in {one, f'{name}={one}'} for name, one in pairs)
 
 
 class EventRing(logging.Handler):
--- a/src/jasminewheel/_internal/operations/gathering.py
+++ b/src/jasminewheel/_internal/operations/gathering.py
@@ -21,6 +21,7 @@
 
 ANSWER_SECONDS = 3.0
 PARALLEL = 32
+SLOT_EVENTS = 20
 
 
 @define
@@ -49,6 +50,22 @@
         except PeerError:
             return silent_status(member)
 
+    async def explain(self, subject: str) -> list[EventRecord]:
+        """Return events about a subject and about the slots it was in."""
+        found = await self.events(subject)
+        programs = {record.fields.get('program', subject) for record in found}
+        slots = {self.slot_of(program) for program in programs}
+        for of_slot in await map_parallel(self.events, slots, PARALLEL):
+            found.extend(of_slot[-SLOT_EVENTS:])
+        unique = {(one.member, one.position, one.at): one for one in found}
+        return sorted(unique.values(), key=lambda record: record.at)
+
+    def slot_of(self, program: str) -> str:
+        """Return how events name the slot of a program."""
+        placement = self.own.fleet.placements.placement
+        slot = placement.slot_of(program) if placement else None
+        return f'slot={slot}'
+
     async def events(self, subject: str) -> list[EventRecord]:
         """Return the events of all members that name a subject, by time."""
         ask = partial(self.events_of, subject)
--- a/src/jasminewheel/_internal/operations/joined.py
+++ b/src/jasminewheel/_internal/operations/joined.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from jasminewheel._internal.fleet.fleet import Fleet, FleetAddresses
+from jasminewheel._internal.fleet.gauges import run_metrics
 from jasminewheel._internal.fleet.opening import identity_of, open_fleet
 from jasminewheel._internal.membership.member import Member
 from jasminewheel._internal.observability.event_ring import keep_events
@@ -35,6 +36,12 @@
             },
         )
 
+    async def run(self, statsd: str) -> None:
+        """Take part in the fleet and send metrics until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.fleet.run)
+            nursery.start_soon(run_metrics, self.fleet, statsd)
+
 
 @asynccontextmanager
 async def open_member(
--- a/src/jasminewheel/_internal/scheduling/decision_events.py
+++ b/src/jasminewheel/_internal/scheduling/decision_events.py
@@ -17,14 +17,17 @@
 
 @frozen
 class DecisionEvents:
-    """Give the decisions about a program or target as events."""
+    """Give the decisions about a subject as events."""
 
     explainer: Explainer
 
     def decisions(self, subject: str) -> list[KeptEvent]:
-        """Return decisions about a program or a target, the oldest first."""
-        found = self.explainer.explain_program(subject)
-        found = found or self.explainer.explain_target(subject)
+        """Return decisions about a request, a program or a target."""
+        found = (
+            self.explainer.explain_request(subject)
+            or self.explainer.explain_program(subject)
+            or self.explainer.explain_target(subject)
+        )
         return [
             _to_event(position, explanation)
             for position, explanation in enumerate(found)
--- a/src/jasminewheel/_internal/scheduling/explanations.py
+++ b/src/jasminewheel/_internal/scheduling/explanations.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Sequence
+from itertools import chain
 from typing import Protocol
 
 from attrs import define, field, frozen
@@ -62,6 +63,9 @@
     def explain_target(self, target: str) -> Sequence[Explanation]:
         """Return a target's recent decisions, the oldest first."""
 
+    def explain_request(self, request_id: str) -> Sequence[Explanation]:
+        """Return a request's recent decisions, the oldest first."""
+
 
 def _new_ring() -> deque[Explanation]:
     return deque(maxlen=DECISIONS_A_TARGET)
@@ -96,6 +100,12 @@
         """Return a target's recent decisions, the oldest first."""
         return tuple(self.targets.get(target, ()))
 
+    def explain_request(self, request_id: str) -> Sequence[Explanation]:
+        """Return a request's recent decisions, the oldest first."""
+        rings = self.programs.values()
+        kept = chain.from_iterable(rings)
+        return tuple(one for one in kept if one.request_id == request_id)
+
 
 def explain_choice(
     request: PlacementRequest,
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -93,6 +93,10 @@
         """Return a target's recent decisions, the oldest first."""
         return self.dispatcher.explanations.explain_target(target)
 
+    def explain_request(self, request_id: str) -> Sequence[Explanation]:
+        """Return a request's recent decisions, the oldest first."""
+        return self.dispatcher.explanations.explain_request(request_id)
+
     async def _turn_of(
         self, waiter: Waiter, latest: float
     ) -> PlacementDecision:
--- a/src/jasminewheel/commands/history.py
+++ b/src/jasminewheel/commands/history.py
@@ -79,7 +79,7 @@
             server.serve, settings.peer_host, settings.peer_port
         )
         joined.fleet.listens_at(settings.peer_address(port))
-        nursery.start_soon(joined.fleet.run)
+        nursery.start_soon(joined.run, settings.statsd)
         if settings.port_file:
             write_port(Path(settings.port_file), port)
         frame.STARTED.log(_LOGGER, port=port, replica=gate.replica)
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -43,6 +43,7 @@
     sides: dict = field(factory=dict)
     scopes: dict = field(factory=dict)
     operators: tuple = ()
+    vms: object = None
 
     async def start(self, name, role=ENTRY, peers=()):
         """Start a member, told of the addresses of peers."""
@@ -55,7 +56,7 @@
         member = starting_member(name, zone, 'east-mids', (role,))
         scope = trio.CancelScope()
         self.scopes[name] = scope
-        addresses = FleetAddresses(peers)
+        addresses = FleetAddresses(peers, self.vms)
         opened = open_fleet(member, KEY, self.url, addresses)
         with scope:
             async with opened as fleet, trio.open_nursery() as nursery:
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -4,9 +4,14 @@
 from configurations import caller_changes, target_change
 from fleets import bench
 from members import until
+from stand_ins import serving
 
 from jasminewheel._internal.fakes.faults import FaultMode
+from jasminewheel._internal.fakes.vms import FakeVms, FakeVmsSettings
+from jasminewheel._internal.fleet.gauges import FleetGauges
 from jasminewheel._internal.membership.member import ENTRY, HISTORY
+from jasminewheel._internal.membership.vm_list import HttpVmList
+from jasminewheel._internal.observability.metrics import NoMetrics
 
 
 def test_in_force_everywhere():
@@ -140,3 +145,57 @@
             assert fleet.stand_in.calls['get'] - reads < 10
 
     trio.run(main)
+
+
+def test_stale_list_of_vms():
+    """Members meet by a list that names dead and leaving VMs."""
+
+    async def main():
+        async with bench() as fleet:
+            first = await fleet.start('vm-0')
+            rows = [
+                vm_row('gone', '127.0.0.1:1', 'live'),
+                vm_row('vm-0', first.membership.own.peer_address, 'leaving'),
+            ]
+            settings = FakeVmsSettings(vms=tuple(rows))
+            async with serving(FakeVms(settings)) as url:
+                async with HttpVmList(url) as vms:
+                    fleet.vms = vms
+                    # The list is the only way to find the others.
+                    fleet.stand_in.faults.mode = FaultMode.down
+                    second = await fleet.start('vm-1')
+                    assert len(second.membership.live()) == 2
+                    owner = second.membership.preferred_owner
+                    await until(
+                        lambda: (
+                            {owner(slot).member for slot in range(50)}
+                            == {'vm-1'}
+                        ),
+                    )
+                    fleet.nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def vm_row(name, address, state):
+    """Return a row of the list."""
+    return {
+        'member': name,
+        'zone': f'zone-{name}',
+        'address': address,
+        'state': state,
+    }
+
+
+def test_gauges():
+    """Metrics tell how many members live and what is in force."""
+
+    async def main():
+        async with bench() as fleet:
+            await fleet.commit(target_change())
+            started = await fleet.start('vm-0')
+            gauges = FleetGauges(started, NoMetrics()).read()
+            assert gauges['members.live'] == 1
+            assert gauges['configuration.version'] == 1
+
+    trio.run(main)
