Refuse a text where a list is due, and bound what refusals repeat

Cause: "targets": "desk" was taken for four targets of one letter each, also in settings; nested JSON of 100,000 levels was a 500. Found by a fuzz test and a probe. Ruled out: checking after structuring, when the text is already a tuple.

--- a/src/jasminewheel/_internal/capacity/membership.py
+++ b/src/jasminewheel/_internal/capacity/membership.py
@@ -5,7 +5,11 @@
 import time
 from pathlib import Path
 
-from jasminewheel._internal.capacity.callers import measure_callers
+from jasminewheel._internal.capacity.callers import (
+    caller_changes,
+    commit_and_wait,
+    measure_callers,
+)
 from jasminewheel._internal.capacity.member_cost import mean_cost
 from jasminewheel._internal.capacity.member_fleet import (
     MemberFleet,
@@ -48,6 +52,8 @@
         points.add('membership.bytes', count, cost.byte_rate)
         points.add('membership.processor', count, cost.processor_share)
         points.add('membership.resident', count, cost.resident_bytes)
+        times = commit_and_wait(fleet, caller_changes(count))
+        points.add('membership.spread', count, times.spread)
         measure_storm(fleet, points)
 
 
--- a/src/jasminewheel/_internal/capacity/points.py
+++ b/src/jasminewheel/_internal/capacity/points.py
@@ -26,6 +26,7 @@
         'membership.bytes': Unit('bytes/s a member, both ways', _MEMBER),
         'membership.processor': Unit('share of a core a member', _MEMBER),
         'membership.resident': Unit('bytes resident a member', _MEMBER),
+        'membership.spread': Unit('s until all have a version', _MEMBER),
         'membership.rejoin': Unit('s until a third is known again', _MEMBER),
         'membership.storm_reads': Unit('store reads in a storm', _MEMBER),
         'membership.storm_writes': Unit('store writes in a storm', _MEMBER),
--- a/src/jasminewheel/_internal/configuration/documents.py
+++ b/src/jasminewheel/_internal/configuration/documents.py
@@ -1,11 +1,13 @@
 """Turn resource documents into resources and back."""
 
-from collections.abc import Callable, Mapping
-from functools import cache
+from collections.abc import Iterable, Mapping
+from functools import cache, partial
+from sys import intern
 from typing import Annotated, Any, get_args, get_origin
 
 from attrs import frozen
 from cattrs import Converter
+from cattrs.dispatch import StructureHook
 
 from jasminewheel._internal.settings.loader import make_converter
 from jasminewheel._internal.settings.problems import (
@@ -33,7 +35,7 @@
     """Return the converter for what operators send."""
     converter = make_converter()
     converter.register_structure_hook_factory(
-        _has_rules,
+        lambda kind: get_origin(kind) is Annotated,
         lambda kind: _rule_hook(converter, kind),
     )
     converter.register_structure_hook(ResourceKind, _structure_kind)
@@ -47,7 +49,9 @@
     Fields unknown to this release are passed over, since a newer one may
     have written them during an upgrade.
     """
-    return Converter(detailed_validation=False, omit_if_default=True)
+    converter = Converter(detailed_validation=False, omit_if_default=True)
+    converter.register_structure_hook(str, _shared_text)
+    return converter
 
 
 def parse_document(raw: Any, place: str) -> ResourceDocument:
@@ -99,6 +103,11 @@
     return Resource(kind, spec, entry['version'])
 
 
+def _shared_text(raw: Any, _: Any) -> str:
+    """Return the text; thousands of callers name the same targets."""
+    return intern(str(raw))
+
+
 def _below(place: str, error: Exception) -> tuple[FieldProblem, ...]:
     return tuple(
         FieldProblem(_join(place, found.path), found.problem)
@@ -110,21 +119,22 @@
     return '.'.join(part for part in (place, path) if part)
 
 
-def _has_rules(kind: Any) -> bool:
-    return get_origin(kind) is Annotated
-
-
-def _rule_hook(converter: Converter, kind: Any) -> Callable[[Any, Any], Any]:
-    plain, *metadata = get_args(kind)
-    rules: list[Rule] = list(metadata)
+def _rule_hook(converter: Converter, kind: Any) -> StructureHook:
+    plain, *rules = get_args(kind)
+    return partial(_structure_ruled, converter, plain, rules)
 
-    def structure(raw: Any, _: Any) -> Any:  # noqa: WPS430
-        field_value = converter.structure(raw, plain)
-        for rule in rules:
-            rule.check(field_value)
-        return field_value
 
-    return structure
+def _structure_ruled(
+    converter: Converter,
+    plain: Any,
+    rules: Iterable[Rule],
+    raw: Any,
+    _: Any,
+) -> Any:
+    field_value = converter.structure(raw, plain)
+    for rule in rules:
+        rule.check(field_value)
+    return field_value
 
 
 def _structure_kind(raw: Any, _: Any) -> ResourceKind:
--- a/src/jasminewheel/_internal/http/operators.py
+++ b/src/jasminewheel/_internal/http/operators.py
@@ -222,7 +222,7 @@
     content = await request.get_data(cache=False)
     try:
         body = json.loads(content)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadRequestError(f'the body is not JSON: {error}') from error
     if not isinstance(body, dict):
         raise BadRequestError('the body must be a JSON object')
--- a/src/jasminewheel/_internal/settings/loader.py
+++ b/src/jasminewheel/_internal/settings/loader.py
@@ -1,12 +1,16 @@
 """Load a settings file into an attrs class, with errors a user can act on."""
 
 import re
+from functools import partial
 from json import JSONDecodeError
 from pathlib import Path
-from typing import Any, TypeVar
+from reprlib import repr as short_repr
+from typing import Any, TypeVar, get_args, get_origin
 
 import jsonc
 from cattrs import Converter
+from cattrs.cols import homogenous_tuple_structure_factory
+from cattrs.dispatch import StructureHook
 
 from jasminewheel._internal.settings.problems import list_problems
 from jasminewheel.errors import SettingsError
@@ -23,15 +27,32 @@
     )
     for scalar in (int, float, str, bool):
         converter.register_structure_hook(scalar, _strict_scalar)
+    converter.register_structure_hook_factory(_is_list, _strict_list)
     return converter
 
 
+def _is_list(kind: Any) -> bool:
+    return get_origin(kind) is tuple and get_args(kind)[1:] == (Ellipsis,)
+
+
+def _strict_list(kind: Any, converter: Converter) -> StructureHook:
+    """Return a hook that takes no text for a list of characters."""
+    structure = homogenous_tuple_structure_factory(kind, converter)
+    return partial(_structure_list, structure)
+
+
+def _structure_list(structure: StructureHook, raw: Any, kind: Any) -> Any:
+    if not isinstance(raw, list):
+        raise ValueError(f'expected a list, got {short_repr(raw)}')
+    return structure(raw, kind)
+
+
 def _strict_scalar(raw: Any, kind: type) -> Any:
     if kind is float and isinstance(raw, int) and not isinstance(raw, bool):
         return float(raw)
     is_flag = isinstance(raw, bool)
     if not isinstance(raw, kind) or is_flag != (kind is bool):
-        raise ValueError(f'expected {kind.__name__}, got {raw!r}')
+        raise ValueError(f'expected {kind.__name__}, got {short_repr(raw)}')
     return raw
 
 
--- a/src/jasminewheel/_internal/settings/problems.py
+++ b/src/jasminewheel/_internal/settings/problems.py
@@ -40,4 +40,6 @@
         return f'unknown field {names}'
     if isinstance(error, KeyError):
         return 'a required field is missing'
+    if isinstance(error, AttributeError):
+        return 'expected an object'
     return str(error) or type(error).__name__
--- a/src/jasminewheel/models/rules.py
+++ b/src/jasminewheel/models/rules.py
@@ -1,6 +1,7 @@
 """State what a field accepts beside its type."""
 
 import re
+from reprlib import repr as short_repr
 from typing import Any, Protocol
 
 from attrs import frozen
@@ -38,7 +39,9 @@
     def check(self, field_value: Any) -> None:
         """Raise ValueError for other text."""
         if not re.fullmatch(self.pattern, field_value):
-            raise ValueError(f'must be {self.description}, got {field_value!r}')
+            raise ValueError(
+                f'must be {self.description}, got {short_repr(field_value)}'
+            )
 
 
 @frozen
@@ -51,7 +54,9 @@
         """Raise ValueError for another word."""
         if field_value not in self.words:
             expected = ', '.join(self.words)
-            raise ValueError(f'must be one of {expected}, got {field_value!r}')
+            raise ValueError(
+                f'must be one of {expected}, got {short_repr(field_value)}'
+            )
 
 
 @frozen
--- a/tests/functional/test_operators.py
+++ b/tests/functional/test_operators.py
@@ -140,6 +140,8 @@
             assert (
                 await client.post('/apply', content=b'{')
             ).status_code == 400
+            deep = await client.post('/apply', content=b'[' * 100_000)
+            assert deep.status_code == 400
             listed = await client.post('/apply', json=[])
             assert listed.status_code == 400
             assert (await client.get('/robots')).status_code == 404
--- a/tests/unit/test_resources.py
+++ b/tests/unit/test_resources.py
@@ -71,6 +71,14 @@
     assert 'unknown field colour' in ' '.join(map(str, problems))
 
 
+@pytest.mark.parametrize('targets', ['desk', {'desk': 1}, None])
+def test_only_a_list_is_a_list(targets):
+    """A text is not taken for a list of its characters."""
+    assert [one.path for one in refused(targets=targets)] == [
+        'resources[0].spec.targets',
+    ]
+
+
 @pytest.mark.parametrize(
     'raw',
     [
