Bound the stream test's wait

Cause: against the old reader the new test waited for ever, as the tokens left out never came. Change: five seconds at most.

--- a/tests/unit/test_engine_streams.py
+++ b/tests/unit/test_engine_streams.py
@@ -11,14 +11,15 @@
     """Read a stream that grows by a token while each token is read."""
     stream.add(EngineToken(0, '0'))
     received = []
-    async for token in stream.read(0):
-        received.append(token.text)
-        if len(stream.tokens) < 9:
+    with trio.fail_after(5):
+        async for token in stream.read(0):
+            received.append(token.text)
             count = len(stream.tokens)
-            stream.add(EngineToken(count, str(count)))
-            stream.add(EngineToken(count + 1, str(count + 1)))
-        else:
-            stream.end('stop')
+            if count < 9:
+                stream.add(EngineToken(count, str(count)))
+                stream.add(EngineToken(count + 1, str(count + 1)))
+            else:
+                stream.end('stop')
     return ''.join(received)
 
 
