--- a/tests/histories.py
+++ b/tests/histories.py
@@ -69,7 +69,8 @@
 
     def replicas(self, *members: str) -> list[str]:
         """Return the names under which placements list the disks."""
-        return [self.histories[member].replica for member in members]
+        chosen = members or self.histories
+        return [self.histories[member].replica for member in chosen]
 
     async def serve(
         self,
