Name disks in placements and let entries carry changes

Cause: a VM that comes back with an empty disk must not count as the replica it was, and owners have to follow a changed placement. Change: first replica sets name the disks (asked of the histories); each entry's ownership follows the placement; the first-ranked entry replaces lost disks. tests/fleets.py serves a disk's description, and test_first_replica_sets now asks for the disk names, which is stricter than the member names it asked for.

--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from jasminewheel._internal.entry.calls import open_flow
+from jasminewheel._internal.entry.ownership import open_ownership
 from jasminewheel._internal.entry.surroundings import Surroundings
 from jasminewheel._internal.peer.server import Handler
 from jasminewheel._internal.program.ending import ProgramEnding
@@ -18,7 +19,6 @@
 from jasminewheel._internal.program.operations import ProgramOperations
 from jasminewheel._internal.program.routing import Router
 from jasminewheel._internal.program.takeover import SlotTaker
-from jasminewheel._internal.replication.ownership import Ownership
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
@@ -45,14 +45,8 @@
 
 def open_host(around: Surroundings, flow: CallFlow) -> ProgramHost:
     """Return the host of the slots that this process will own."""
-    ownership = Ownership(
-        around.pool,
-        around.identity,
-        around.fleet.placements,
-        around.fleet.membership.address_of,
-    )
     return ProgramHost(
-        ownership,
+        open_ownership(around),
         lambda program: around.fleet.placements.current.slot_of(program),
         flow,
         around.nursery,
--- a/src/jasminewheel/_internal/fleet/placement.py
+++ b/src/jasminewheel/_internal/fleet/placement.py
@@ -15,6 +15,7 @@
 from jasminewheel._internal.membership.member import HISTORY
 from jasminewheel._internal.membership.membership import Membership
 from jasminewheel._internal.peer.server import Exchange
+from jasminewheel._internal.replication.disks import find_disks
 from jasminewheel._internal.replication.placement import (
     PLACEMENT_KEY,
     Placement,
@@ -109,8 +110,11 @@
         """Write the first replica sets once enough histories are live."""
         # Histories that start together should all have a share.
         await trio.sleep(SETTLE_SECONDS)
-        histories = self.membership.live(HISTORY)
-        placement = first_placement(histories, self.shape)
+        members = self.membership.live(HISTORY)
+        disks = await find_disks(self.spread.asker, members)
+        names = {disk.member: disk.replica for disk in disks}
+        histories = [member for member in members if member.member in names]
+        placement = first_placement(histories, names, self.shape)
         if placement is None:
             events.PLACEMENT_WAITS.log(
                 _LOGGER,
--- a/src/jasminewheel/_internal/fleet/replica_sets.py
+++ b/src/jasminewheel/_internal/fleet/replica_sets.py
@@ -1,6 +1,6 @@
 """Choose the first replica sets from the live history members."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from attrs import frozen
 
@@ -21,17 +21,22 @@
 
 def first_placement(
     members: Sequence[Member],
+    disks: Mapping[str, str],
     shape: PlacementShape,
 ) -> Placement | None:
     """Return replica sets over the members, or None if there are too few.
 
+    The sets name the members' disks, so that one that comes back with
+    another disk is not taken for the replica it was.
+
     Each member leads one set, so that all carry a like share.
     """
     if len(members) < shape.replicas:
         return None
     leaders = sorted(members, key=lambda one: one.member)
     sets = [_replica_set(one, leaders, shape.replicas) for one in leaders]
-    return Placement(1, shape.slots, tuple(sets), None)
+    named = tuple(tuple(disks[one] for one in group) for group in sets)
+    return Placement(1, shape.slots, named, None)
 
 
 def _replica_set(
--- a/src/jasminewheel/_internal/replication/change.py
+++ b/src/jasminewheel/_internal/replication/change.py
@@ -105,7 +105,8 @@
 
     async def wanted_sets(self, placement: Placement, now: float) -> Sets:
         """Return the sets with each disk that is gone replaced."""
-        disks = await find_disks(self.ownership.replicas, self.histories())
+        pool = self.ownership.replicas.pool
+        disks = await find_disks(pool, self.histories())
         present = frozenset(
             name for disk in disks if not disk.leaving for name in disk.names
         )
--- a/src/jasminewheel/_internal/replication/disks.py
+++ b/src/jasminewheel/_internal/replication/disks.py
@@ -1,12 +1,11 @@
 """Find the disks of live history processes."""
 
 from collections.abc import Iterable
-from typing import Protocol
+from typing import Any, Protocol, TypeVar
 
 import trio
 from attrs import frozen
 
-from jasminewheel._internal.replication.replicas import Replicas
 from jasminewheel._internal.wire.gen.history.ttypes import (
     DescribeDisk,
     DiskDescribed,
@@ -14,14 +13,33 @@
 from jasminewheel.errors import JasminewheelError
 
 
+ANSWER_SECONDS = 3.0
+ReplyT = TypeVar('ReplyT')
+
+
 class HistoryMember(Protocol):
     """Describe a live history process."""
 
     member: str
     zone: str
+    peer_address: str
     leaving: bool
 
 
+class DiskAsker(Protocol):
+    """Ask peers by address."""
+
+    async def ask(
+        self,
+        address: str,
+        message: Any,
+        reply_kind: type[ReplyT],
+        *,
+        timeout_seconds: float,
+    ) -> ReplyT:
+        """Return the peer's answer; raise PeerError if there is none."""
+
+
 @frozen
 class Disk:
     """Hold a disk's name in placements, and how much it keeps."""
@@ -39,22 +57,25 @@
 
 
 async def find_disks(
-    replicas: Replicas, members: Iterable[HistoryMember]
+    asker: DiskAsker, members: Iterable[HistoryMember]
 ) -> list[Disk]:
     """Ask each history process for its disk; leave out who is silent."""
     found: list[Disk] = []
     async with trio.open_nursery() as nursery:
         for member in members:
-            nursery.start_soon(_describe, replicas, member, found)
+            nursery.start_soon(_describe, asker, member, found)
     return sorted(found, key=lambda disk: disk.replica)
 
 
 async def _describe(
-    replicas: Replicas, member: HistoryMember, found: list[Disk]
+    asker: DiskAsker, member: HistoryMember, found: list[Disk]
 ) -> None:
     try:
-        answer = await replicas.ask(
-            member.member, DescribeDisk(), DiskDescribed
+        answer = await asker.ask(
+            member.peer_address,
+            DescribeDisk(),
+            DiskDescribed,
+            timeout_seconds=ANSWER_SECONDS,
         )
     except JasminewheelError:
         return
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 
 import trio
-from attrs import define, field
+from attrs import define, field, frozen
 from members import KEY, until
 from stand_ins import serving
 
@@ -26,12 +26,28 @@
 from jasminewheel._internal.operations.member import MemberOperations
 from jasminewheel._internal.peer.server import PeerServer
 from jasminewheel._internal.store.client import HttpStore
+from jasminewheel._internal.wire.gen.history.ttypes import (
+    DescribeDisk,
+    DiskDescribed,
+)
 
 # All members of a test log in one process, so they share the ring.
 EVENTS = keep_events()
 logging.getLogger().setLevel('INFO')
 
 
+@frozen
+class DiskOf:
+    """Describe the disk of a member that keeps no logs."""
+
+    name: str
+    zone: str
+
+    async def describe(self, exchange, request):
+        """Answer as a history process would."""
+        return DiskDescribed(f'{self.name}#d', self.zone, 0, 0)
+
+
 @define
 class Bench:
     """Hold a store's stand-in and the members that use it."""
@@ -65,7 +81,11 @@
                     MemberOperations(fleet, EVENTS, time.time()),
                     self.operators,
                 )
-                handlers = {**fleet.handlers(), **side.handlers()}
+                handlers = {
+                    **fleet.handlers(),
+                    **side.handlers(),
+                    DescribeDisk: DiskOf(name, zone).describe,
+                }
                 server = PeerServer(identity_of(member), KEY, handlers)
                 port = await nursery.start(server.serve, '127.0.0.1', 0)
                 fleet.listens_at(f'127.0.0.1:{port}')
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -120,7 +120,7 @@
             )
             placement = fleet.fleets['vm-0'].placements.placement
             assert all(
-                set(one) == {'disk-0', 'disk-1', 'disk-2'}
+                set(one) == {'disk-0#d', 'disk-1#d', 'disk-2#d'}
                 for one in placement.current
             )
 
--- a/tests/functional/test_replica_change.py
+++ b/tests/functional/test_replica_change.py
@@ -35,6 +35,7 @@
 
     member: str
     zone: str
+    peer_address: str
     leaving: bool = False
 
 
@@ -49,8 +50,8 @@
     def listed(self):
         """Return the histories that run."""
         return [
-            Listed(name, f'zone-{name}', name in self.leaving)
-            for name in self.fleet.histories
+            Listed(name, f'zone-{name}', one.address, name in self.leaving)
+            for name, one in self.fleet.histories.items()
         ]
 
     async def placement(self):
