--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -120,7 +120,8 @@
     (umask 077 && head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' \
         >"$work/fleet.key")
     start_stand_in store store
-    start_runners "$1/resources.jsonc" "$2" engine "$root/examples/engine.jsonc"
+    start_runners "$1/resources.jsonc" "$2" engine \
+        "$root/examples/${engine_settings:-engine.jsonc}"
     start_runners "$1/resources.jsonc" "$3" tool "$root/examples/tool.jsonc"
     map_port "$4" "$work/store.port"
     localise "$1/resources.jsonc" "$work/resources.jsonc"
