Keep prefixes through tool pauses and pay for retries by successes

Cause: under memory pressure a paused program's prefix is evicted and computed again; retries of failing calls add to an overload.

Ruled out: pins ordered by the slot's fence (a lost pin costs a recompute only; pins expire after at most 64 s, also when their owner dies); holding through every pause (the learned pause decides, by tool).

Change: RetentionKeeper pins and releases in the background, at most 15% of an engine's memory an entry; the end of a program releases (smallest change in program/ending.py: it tells who released). RetryBudget by target.

--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -61,14 +61,17 @@
 
 
 def open_operations(
-    around: Surroundings, flow: CallFlow, host: ProgramHost
+    around: Surroundings,
+    flow: CallFlow,
+    host: ProgramHost,
+    scheduler: Scheduler,
 ) -> ProgramOperations:
     """Return what carries out operations on hosted programs."""
     return ProgramOperations(
         host,
         flow,
         ProgramOpening(host, time.time),
-        ProgramEnding(host, time.time),
+        ProgramEnding(host, time.time, scheduler.program_ended),
         around.nursery,
     )
 
@@ -85,7 +88,7 @@
         membership,
         around.pool,
         host,
-        open_operations(around, flow, host),
+        open_operations(around, flow, host, scheduler),
         taker,
         watch,
         time.time,
--- a/src/jasminewheel/_internal/entry/scheduling.py
+++ b/src/jasminewheel/_internal/entry/scheduling.py
@@ -17,6 +17,7 @@
     view = around.fleet.view
     scheduler = Scheduler(view, around.region, salt=around.identity.member)
     around.nursery.start_soon(FeedFollower(view, scheduler).run)
+    around.nursery.start_soon(scheduler.run, around.clients)
     return scheduler
 
 
@@ -25,7 +26,7 @@
 ) -> OperatorSide:
     """Return the operators' side of this entry."""
     member = MemberOperations(around.fleet, keep_events(), time.time())
-    member.deciders.append(DecisionEvents(scheduler))
+    member.deciders.append(DecisionEvents(scheduler.explainer))
     return OperatorSide.open(
         around.fleet, around.pool, member, settings.operator_keys
     )
--- a/src/jasminewheel/_internal/events/scheduling.py
+++ b/src/jasminewheel/_internal/events/scheduling.py
@@ -25,3 +25,8 @@
     'look at the runner if this goes on',
 )
 DECIDED = Event(1605, logging.INFO, 'call placed, made to wait or refused')
+PIN_REFUSED = Event(
+    1606,
+    logging.INFO,
+    'engine did not keep or release a prefix; pins expire by themselves',
+)
--- a/src/jasminewheel/_internal/program/ending.py
+++ b/src/jasminewheel/_internal/program/ending.py
@@ -1,5 +1,7 @@
 """End programs together with their children."""
 
+from collections.abc import Callable
+
 import trio
 from attrs import define
 
@@ -11,10 +13,14 @@
 
 @define(eq=False)
 class ProgramEnding:
-    """Record the end of programs once their calls are done."""
+    """Record the end of programs once their calls are done.
+
+    `released` is told of each program that ended.
+    """
 
     host: ProgramHost
     clock: Clock
+    released: Callable[[str], None]
 
     async def end(self, hosted: HostedProgram, reason: str) -> None:
         """End children first, so that a lost owner leaves no open child."""
@@ -29,6 +35,7 @@
         await hosted.append_decided(
             lambda decided: None if decided.ended else ended
         )
+        self.released(program.program_id)
 
     async def end_child(self, child_id: str, reason: str) -> None:
         """End a child unless its opening was never finished."""
--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -18,6 +18,7 @@
 )
 from jasminewheel._internal.scheduling.queue import QueuedCall
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.retention import RetentionKeeper
 from jasminewheel._internal.scheduling.runners import RunnerBook
 from jasminewheel._internal.scheduling.view import (
     Choice,
@@ -33,6 +34,8 @@
     Waiter,
 )
 
+from jasminewheel.models.policy import COST_RULE
+
 # Calls behind the first may pass it when it waits for a certain runner.
 LOOK_AHEAD = 8
 # When no runner is free for one call, none is for those behind it.
@@ -60,8 +63,9 @@
         self.rules = make_rules(CheapestRunner())
         self.explanations = ExplanationBook()
         self.waited = WaitedBook()
+        self.keeper = RetentionKeeper()
         self.ledger = OutcomeLedger(
-            self.runners, self.fleets, self.targets, self.pump
+            self.runners, self.fleets, self.targets, self.pump, self._retain
         )
 
     def pump(self, target: str, now: float) -> None:
@@ -109,6 +113,15 @@
         priority = waiter.call.request.priority
         return not fleet.has_room(kept_free_share(priority, policy))
 
+    def _retain(self, decision: PlacementDecision, now: float) -> None:
+        policy = self.configuration.current.policy
+        cache = self.runners.prefixes.cache(decision.runner)
+        wanted = policy.rule == COST_RULE and 'retention' not in policy.without
+        if wanted and cache.capacity_tokens and decision.request.blocks:
+            rates = self.targets.state(decision.request.target).rates
+            seconds = rates.prefill_seconds_per_token
+            self.keeper.paused(decision, cache, seconds, now)
+
     def _estimate(self, runner: str, now: float) -> int:
         return self.runners.state(runner).load.estimate(now)
 
--- a/src/jasminewheel/_internal/scheduling/outcomes.py
+++ b/src/jasminewheel/_internal/scheduling/outcomes.py
@@ -21,13 +21,15 @@
 class OutcomeLedger:
     """Keep loads, beliefs, rates and breakers in step with placed calls.
 
-    `freed` is called with the target whenever one of its calls ended.
+    `freed` is called with the target whenever one of its calls ended,
+    `retain` with each call of a model that was answered.
     """
 
     runners: RunnerBook
     fleets: FleetBook
     targets: TargetBook
     freed: Callable[[str, float], None]
+    retain: Callable[[PlacementDecision, float], None]
 
     def placed(self, decision: PlacementDecision, now: float) -> None:
         """Count the call at its runner."""
@@ -52,8 +54,11 @@
         rates.learn_service(now - decision.placed_at)
         if usage is not None:
             self._learn_usage(decision, usage, now)
-        prefixes = self.runners.prefixes
-        prefixes.touch(decision.runner, decision.request.blocks, now)
+            self.retain(decision, now)
+        request = decision.request
+        self.runners.prefixes.touch(decision.runner, request.blocks, now)
+        retries = self.targets.state(request.target).retries
+        retries.succeeded(request.program_id, request.request_id)
         self._end(decision, now)
 
     def failed(self, decision: PlacementDecision, now: float) -> None:
@@ -63,6 +68,9 @@
         breaker.failed(now)
         if was_closed and breaker.state is BreakerState.open:
             events.BREAKER_OPENED.log(LOGGER, runner=decision.runner)
+        request = decision.request
+        retries = self.targets.state(request.target).retries
+        retries.failed(request.program_id, request.request_id)
         self._end(decision, now)
 
     def abandoned(self, decision: PlacementDecision, now: float) -> None:
--- a/src/jasminewheel/_internal/scheduling/pause.py
+++ b/src/jasminewheel/_internal/scheduling/pause.py
@@ -12,7 +12,8 @@
 PAUSE_BOUNDS_SECONDS = (0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 128, 256, 512, 1024)
 DECAY = 0.99
 PRIOR_COUNT = 0.1
-LONGEST_HOLD_SECONDS = 300
+# Bounds how long memory is held for a program whose owner died.
+LONGEST_HOLD_SECONDS = 64
 FULL_CACHE = 0.8
 
 
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/retention.py
@@ -0,0 +1,202 @@
+"""Keep prefixes of paused programs in engines, and release them."""
+
+import logging
+from collections import OrderedDict
+from contextlib import suppress
+from typing import Protocol
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.events import scheduling as events
+from jasminewheel._internal.scheduling.decision import PlacementDecision
+from jasminewheel._internal.scheduling.pause import (
+    PauseLearner,
+    PauseSituation,
+    Retention,
+    decide_retention,
+)
+from jasminewheel._internal.scheduling.prefixes import CacheState
+from jasminewheel._internal.scheduling.queue import TOP_PRIORITY
+from jasminewheel.errors import JasminewheelError
+
+LOGGER = logging.getLogger(__name__)
+ORDERS_WAITING = 1000
+ORDER_SECONDS = 1
+PROGRAMS_KEPT = 20_000
+# Of one engine's memory, for all programs of this entry together.
+PINNED_SHARE = 0.15
+# Pins are not ordered among owners: they expire by themselves, and a lost
+# one costs a recompute only.
+PIN_FENCE = 1
+
+
+class PinningEngine(Protocol):
+    """Hold prefixes in an engine's memory."""
+
+    async def pin(self, block: str, expires_seconds: float, fence: int) -> None:
+        """Keep the prefix that ends in block."""
+
+    async def unpin(self, block: str) -> None:
+        """End a pin."""
+
+
+class EngineClients(Protocol):
+    """Give clients of engines by address."""
+
+    def engine(self, url: str) -> PinningEngine:
+        """Return the client of an engine."""
+
+
+@frozen
+class Pin:
+    """Hold a pinned prefix; `expires_at` is Unix time."""
+
+    url: str
+    block: str
+    tokens: int
+    expires_at: float
+
+
+@frozen
+class PinOrder:
+    """Order an engine to keep a prefix, or to release it after 0 seconds."""
+
+    pin: Pin
+    hold_seconds: float
+
+
+@define(eq=False)
+class PausedProgram:
+    """Hold what is known of a program between two model calls."""
+
+    finished_at: float
+    tool: str
+    pin: Pin | None = None
+
+
+@define(eq=False)
+class RetentionKeeper:
+    """Decide what paused programs keep, and tell the engines."""
+
+    learner: PauseLearner = field(factory=PauseLearner)
+    programs: OrderedDict[str, PausedProgram] = field(factory=OrderedDict)
+    pinned_tokens: dict[str, int] = field(factory=dict)
+    send: trio.MemorySendChannel[PinOrder] = field(init=False)
+    receive: trio.MemoryReceiveChannel[PinOrder] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the queue of orders."""
+        channel = trio.open_memory_channel(ORDERS_WAITING)
+        self.send = channel[0]
+        self.receive = channel[1]
+
+    async def run(self, clients: EngineClients) -> None:
+        """Carry out orders until cancelled."""
+        async for order in self.receive:
+            with trio.move_on_after(ORDER_SECONDS):
+                await _carry_out(order, clients)
+
+    def resumed(self, program_id: str, now: float) -> None:
+        """Learn how long the program paused."""
+        paused = self.programs.get(program_id)
+        if paused is not None:
+            self.learner.learn(paused.tool, now - paused.finished_at)
+
+    def used_tool(self, program_id: str, tool: str) -> None:
+        """Learn the coming pause under the tool that is used meanwhile."""
+        paused = self.programs.get(program_id)
+        if paused is not None:
+            paused.tool = tool
+
+    def paused(
+        self,
+        decision: PlacementDecision,
+        cache: CacheState,
+        prefill_seconds_per_token: float,
+        now: float,
+    ) -> None:
+        """Decide what becomes of the prefix of the call that just ended."""
+        request = decision.request
+        hold_seconds = self._hold_seconds(
+            decision, cache, prefill_seconds_per_token
+        )
+        before = self.programs.get(request.program_id)
+        paused = PausedProgram(now, request.caller)
+        if before is not None:
+            self._release(before)
+        if hold_seconds:
+            paused.pin = self._pin(decision, hold_seconds, now)
+        self._remember(request.program_id, paused)
+
+    def ended(self, program_id: str) -> None:
+        """Release what an ended program held."""
+        paused = self.programs.pop(program_id, None)
+        if paused is not None:
+            self._release(paused)
+
+    def _hold_seconds(
+        self,
+        decision: PlacementDecision,
+        cache: CacheState,
+        prefill_seconds_per_token: float,
+    ) -> float:
+        request = decision.request
+        tokens = request.prompt_tokens
+        pinned = self.pinned_tokens.get(decision.url, 0) + tokens
+        if pinned > PINNED_SHARE * cache.capacity_tokens:
+            return 0
+        situation = PauseSituation(
+            tool=request.caller,
+            prefix_tokens=tokens,
+            rebuild_seconds=tokens * prefill_seconds_per_token,
+            priority_weight=1 + request.priority / TOP_PRIORITY,
+            cache_occupied=cache.used_tokens / cache.capacity_tokens,
+            cache_capacity_tokens=cache.capacity_tokens,
+        )
+        chosen = decide_retention(self.learner, situation)
+        return chosen.hold_seconds * (chosen.retention is Retention.keep)
+
+    def _pin(
+        self, decision: PlacementDecision, hold_seconds: float, now: float
+    ) -> Pin:
+        block = decision.request.blocks[-1].block
+        tokens = decision.request.prompt_tokens
+        pin = Pin(decision.url, block, tokens, now + hold_seconds)
+        self._count(pin, tokens)
+        self._order(PinOrder(pin, hold_seconds))
+        return pin
+
+    def _release(self, paused: PausedProgram) -> None:
+        pin = paused.pin
+        if pin is not None:
+            paused.pin = None
+            self._count(pin, -pin.tokens)
+            self._order(PinOrder(pin, 0))
+
+    def _remember(self, program_id: str, paused: PausedProgram) -> None:
+        self.programs[program_id] = paused
+        self.programs.move_to_end(program_id)
+        if len(self.programs) > PROGRAMS_KEPT:
+            self._release(self.programs.popitem(last=False)[1])
+
+    def _count(self, pin: Pin, tokens: int) -> None:
+        self.pinned_tokens[pin.url] = (
+            self.pinned_tokens.get(pin.url, 0) + tokens
+        )
+
+    def _order(self, order: PinOrder) -> None:
+        with suppress(trio.WouldBlock):
+            # A lost order costs a recompute, or expires by itself.
+            self.send.send_nowait(order)
+
+
+async def _carry_out(order: PinOrder, clients: EngineClients) -> None:
+    engine = clients.engine(order.pin.url)
+    try:
+        if order.hold_seconds:
+            await engine.pin(order.pin.block, order.hold_seconds, PIN_FENCE)
+        else:
+            await engine.unpin(order.pin.block)
+    except JasminewheelError as error:
+        events.PIN_REFUSED.log(LOGGER, url=order.pin.url, error=error)
--- /dev/null
+++ b/src/jasminewheel/_internal/scheduling/retry_budget.py
@@ -0,0 +1,42 @@
+"""Bound retries by a share of the calls that succeed."""
+
+from collections import OrderedDict
+
+from attrs import define, field
+
+RETRY_SHARE = 0.2
+MOST_SAVED = 20
+FAILED_KEPT = 10_000
+
+
+@define(eq=False)
+class RetryBudget:
+    """Let a retry through while successes have paid for it.
+
+    A call counts as a retry when a runner failed it before.
+    """
+
+    saved: float = MOST_SAVED
+    failed_calls: OrderedDict[tuple[str, str], None] = field(
+        factory=OrderedDict
+    )
+
+    def succeeded(self, program_id: str, request_id: str) -> None:
+        """Save a part of a retry."""
+        self.failed_calls.pop((program_id, request_id), None)
+        self.saved = min(MOST_SAVED, self.saved + RETRY_SHARE)
+
+    def failed(self, program_id: str, request_id: str) -> None:
+        """Remember that the next placement of the call is a retry."""
+        self.failed_calls[program_id, request_id] = None
+        if len(self.failed_calls) > FAILED_KEPT:
+            self.failed_calls.popitem(last=False)
+
+    def allows(self, program_id: str, request_id: str) -> bool:
+        """Pay for the call if it is a retry; return whether that worked."""
+        if (program_id, request_id) not in self.failed_calls:
+            return True
+        if self.saved < 1:
+            return False
+        self.saved -= 1
+        return True
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable
 from contextlib import ExitStack, asynccontextmanager
 
 import trio
@@ -19,18 +19,20 @@
     Dispatcher,
 )
 from jasminewheel._internal.scheduling.explanations import (
-    Explanation,
+    Explainer,
     explain_choice,
     explain_refusal,
 )
 from jasminewheel._internal.scheduling.queue import QueuedCall, ordering_of
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.retention import EngineClients
 from jasminewheel._internal.scheduling.waiting import TargetState, Waiter
 from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
 
 LOGGER = logging.getLogger(__name__)
 RECHECK_SECONDS = 0.25
+RETRY_SECONDS = 2
 
 
 class Scheduler:
@@ -53,6 +55,7 @@
         self.dispatcher = Dispatcher(configuration, region, salt)
         self.runners = self.dispatcher.runners
         self.targets = self.dispatcher.targets
+        self.explainer: Explainer = self.dispatcher.explanations
 
     @asynccontextmanager
     async def place(
@@ -60,6 +63,7 @@
     ) -> AsyncIterator[PlacementDecision]:
         """Wait for a runner; raise OverloadedError if that takes too long."""
         patience = self._patience(request, now)
+        self._note_use(request, now)
         policy = self.configuration.current.policy
         waited = self.dispatcher.waited.waited(request.program_id)
         claim = ordering_of(policy).claim(request, waited)
@@ -85,13 +89,13 @@
         if self.runners.forget(runner):
             events.RUNNER_FORGOTTEN.log(LOGGER, runner=runner)
 
-    def explain_program(self, program_id: str) -> Sequence[Explanation]:
-        """Return a program's recent decisions, the oldest first."""
-        return self.dispatcher.explanations.explain_program(program_id)
+    async def run(self, clients: EngineClients) -> None:
+        """Keep and release prefixes in engines until cancelled."""
+        await self.dispatcher.keeper.run(clients)
 
-    def explain_target(self, target: str) -> Sequence[Explanation]:
-        """Return a target's recent decisions, the oldest first."""
-        return self.dispatcher.explanations.explain_target(target)
+    def program_ended(self, program_id: str) -> None:
+        """Release what engines keep for a program that ended."""
+        self.dispatcher.keeper.ended(program_id)
 
     async def _turn_of(
         self, waiter: Waiter, latest: float
@@ -110,6 +114,13 @@
             raise self._refuse(waiter.call, _late_refusal(waiter))
         return waiter.decision
 
+    def _note_use(self, request: PlacementRequest, now: float) -> None:
+        keeper = self.dispatcher.keeper
+        if request.blocks:
+            keeper.resumed(request.program_id, now)
+        else:
+            keeper.used_tool(request.program_id, request.target)
+
     def _explain_wait(self, waiter: Waiter, now: float) -> None:
         if waiter.choice is None or waiter.turn.is_set():
             return
@@ -134,6 +145,9 @@
             raise self._refuse(call, Refusal('the queue is full', retry))
         if 'admission' in policy.without:
             return
+        request = call.request
+        if not state.retries.allows(request.program_id, request.request_id):
+            raise self._refuse(call, Refusal('too many retries', RETRY_SECONDS))
         ahead = state.queue.ahead_of(call)
         refusal = judge(ahead, patience, state.throughput)
         if refusal is not None:
--- a/src/jasminewheel/_internal/scheduling/waiting.py
+++ b/src/jasminewheel/_internal/scheduling/waiting.py
@@ -5,6 +5,7 @@
 
 from jasminewheel._internal.scheduling.admission import Throughput
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
+from jasminewheel._internal.scheduling.retry_budget import RetryBudget
 from jasminewheel._internal.scheduling.view import Choice
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.queue import ProgramQueue, QueuedCall
@@ -39,6 +40,7 @@
     waiters: dict[QueuedCall, Waiter] = field(factory=dict)
     rates: TargetRates = field(factory=new_rates)
     throughput: Throughput = field(factory=Throughput)
+    retries: RetryBudget = field(factory=RetryBudget)
 
     def push(self, waiter: Waiter) -> None:
         """Queue a waiter."""
--- a/tests/functional/test_scheduler.py
+++ b/tests/functional/test_scheduler.py
@@ -9,7 +9,7 @@
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.configuration.view import ConfigurationView
 from jasminewheel._internal.scheduling.request import PlacementRequest
-from jasminewheel._internal.targets.engine import LoadReport
+from jasminewheel._internal.targets.engine import EngineUsage, LoadReport
 from jasminewheel._internal.targets.prefix import PrefixBlock
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
@@ -196,7 +196,7 @@
         async with trio.open_nursery() as nursery:
             for _ in range(20):
                 nursery.start_soon(hold, scheduler, request('p'), [])
-        explained = scheduler.explain_program('p')
+        explained = scheduler.explainer.explain_program('p')
         assert 0 < len(explained) <= 8
         assert explained[-1].decision == 'placed'
         weighed = explained[-1].weighed
@@ -204,7 +204,7 @@
         with pytest.raises(DeadlineError):
             async with scheduler.place(request('p', deadline=1), 2):
                 pytest.fail('the deadline passed')
-        assert scheduler.explain_target('guide')[-1].program_id == 'p'
+        assert scheduler.explainer.explain_target('guide')[-1].program_id == 'p'
 
     run(scenario)
 
@@ -219,3 +219,66 @@
         assert sorted(order) == ['a', 'b', 'c']
 
     run(scenario)
+
+
+class EngineDouble:
+    """Note the pins that are ordered."""
+
+    def __init__(self):
+        """Start without pins."""
+        self.pinned = {}
+
+    def engine(self, url):
+        """Return itself for every address."""
+        return self
+
+    async def pin(self, block, expires_seconds, fence):
+        """Pin a block."""
+        self.pinned[block] = expires_seconds
+
+    async def unpin(self, block):
+        """Release a block."""
+        self.pinned.pop(block)
+
+
+def test_a_paused_program_keeps_its_prefix_until_its_end():
+    async def scenario():
+        scheduler, engine = make_scheduler(limit=4), EngineDouble()
+        full = LoadReport(0, 0, 10_000, 10_000)
+        scheduler.observe_load('r1', full, 0)
+        scheduler.observe_load('r2', full, 0)
+        usage = EngineUsage(1000, 0, 8, 'stop')
+        for _ in range(50):
+            scheduler.dispatcher.keeper.learner.learn('cafe', 0.3)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(scheduler.run, engine)
+            asked = request('p', 9, [PrefixBlock('a', 1000)])
+            async with scheduler.place(asked, 0) as decision:
+                decision.finished(usage, 1)
+            await wait_all_tasks_blocked()
+            assert 0 < engine.pinned['a'] <= 64
+            scheduler.program_ended('p')
+            await wait_all_tasks_blocked()
+            assert not engine.pinned
+            assert not scheduler.dispatcher.keeper.programs
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_retries_are_paid_for_by_successes():
+    async def scenario():
+        scheduler = make_scheduler(limit=4)
+        state = scheduler.targets.state('guide')
+        state.retries.saved = 1
+        asked = request('p')
+        for _ in range(2):
+            async with scheduler.place(asked, 0) as decision:
+                decision.failed(0)
+        with pytest.raises(OverloadedError):
+            await hold(scheduler, asked, [])
+        order = []
+        await hold(scheduler, request('other'), order)
+        assert order == ['other']
+
+    run(scenario)
--- a/tests/program_parts.py
+++ b/tests/program_parts.py
@@ -278,7 +278,7 @@
             host,
             flow,
             ProgramOpening(host, clock),
-            ProgramEnding(host, clock),
+            ProgramEnding(host, clock, lambda program: None),
             nursery,
         )
         yield Owner(host, operations, placer, ownership)
