--- /dev/null
+++ b/src/jasminewheel/_internal/load/figures.py
@@ -0,0 +1,182 @@
+"""Measure what the fleet adds to direct calls of the same stand-ins."""
+
+import secrets
+from collections.abc import Mapping
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import httpx
+import trio
+from attrs import asdict, define, field, frozen
+
+from jasminewheel._internal.http.sse import ServerSentEvent
+from jasminewheel._internal.load.answer import StreamedAnswer, collect_answer
+from jasminewheel._internal.load.client import CallerClient
+from jasminewheel._internal.load.conversation import write_text
+from jasminewheel._internal.load.records import Durations
+from jasminewheel._internal.load.workload import ProgramClass, ToolUse
+from jasminewheel._internal.targets.engine import (
+    EngineClient,
+    EngineRequest,
+    EngineToken,
+)
+
+_KIB_A_MIB = 1024
+_RANDOM_BYTES = 6
+ANSWER_TOKENS = 40
+PROMPT_TOKENS = 100
+ANSWER_PRIORITY = 9
+
+
+@frozen
+class Subject:
+    """Name what is measured: entries with their processes, and runners."""
+
+    entries: tuple[str, ...]
+    process_ids: tuple[int, ...]
+    engine: str
+    service: str
+    model_class: ProgramClass
+    lookup: ToolUse
+    lookup_key: str
+
+
+@define(eq=False)
+class StreamTimes:
+    """Hold the times of streamed answers."""
+
+    first_token: Durations = field(factory=Durations)
+    between_tokens: Durations = field(factory=Durations)
+
+    def add(self, answer: StreamedAnswer) -> None:
+        """Take in one answer."""
+        self.first_token.add(answer.first_token_seconds or 0)
+        for gap in answer.token_gaps:
+            self.between_tokens.add(gap)
+
+
+def new_id() -> str:
+    """Return an identifier that was never used."""
+    return secrets.token_hex(_RANDOM_BYTES)
+
+
+class FigureDriver:
+    """Make the same calls directly and through the entries."""
+
+    def __init__(
+        self,
+        subject: Subject,
+        http: httpx.AsyncClient,
+        engine: EngineClient,
+    ) -> None:
+        """Use each entry in turn."""
+        self.subject = subject
+        self.http = http
+        self.engine = engine
+        key = subject.model_class.key
+        self.models = CallerClient(http, subject.entries, key)
+        self.lookups = CallerClient(http, subject.entries, subject.lookup_key)
+
+    async def time_direct_lookup(self) -> float:
+        """Return the seconds of a plain call of the service itself."""
+        started_at = trio.current_time()
+        service = self.subject.service
+        operation = self.subject.lookup.operation
+        answer = await self.http.post(
+            f'{service}/v1/call/{operation}',
+            json={'order': 'direct'},
+            headers={'Idempotency-Key': new_id()},
+        )
+        answer.raise_for_status()
+        return trio.current_time() - started_at
+
+    async def time_lookup(self, client: CallerClient | None = None) -> float:
+        """Return the seconds of a plain call through an entry."""
+        started_at = trio.current_time()
+        caller = client or self.lookups
+        await caller.post('/v1/calls', new_id(), self.lookup_body())
+        return trio.current_time() - started_at
+
+    def lookup_body(self) -> Mapping[str, Any]:
+        """Return the body of a plain call."""
+        return {
+            'target': self.subject.lookup.target,
+            'operation': self.subject.lookup.operation,
+            'input': {'order': 'entry'},
+            'repeatable': True,
+        }
+
+    def question(self) -> list[dict[str, str]]:
+        """Return messages that no cache holds."""
+        return [{'role': 'user', 'content': _unique_text()}]
+
+    async def stream_direct(self) -> StreamedAnswer:
+        """Return an answer of the engine itself."""
+        request = EngineRequest(
+            new_id(),
+            self.subject.model_class.model,
+            self.question(),
+            ANSWER_TOKENS,
+            ANSWER_PRIORITY,
+        )
+        answer = StreamedAnswer(trio.current_time())
+        async with self.engine.generate(request) as replies:
+            async for reply in replies:
+                if isinstance(reply, EngineToken):
+                    event = ServerSentEvent('token', asdict(reply))
+                    answer.take(event, trio.current_time())
+        return answer
+
+    async def stream(self) -> StreamedAnswer:
+        """Return an answer through an entry, in a program of its own."""
+        program = await self.open_program()
+        body = {
+            'target': self.subject.model_class.target,
+            'input': {
+                'messages': self.question(),
+                'max_tokens': ANSWER_TOKENS,
+                'model': self.subject.model_class.model,
+            },
+            'repeatable': True,
+            'stream': True,
+        }
+        answer = await collect_answer(self.models, program, new_id(), body)
+        await self.models.delete(f'/v1/programs/{program}')
+        return answer
+
+    async def open_program(self) -> str:
+        """Return the identifier of a new program."""
+        opened = await self.models.post('/v1/programs', new_id(), {})
+        return opened.fields['program']
+
+    async def requests_a_second(self, clients: int, seconds: float) -> float:
+        """Return how many plain calls one entry takes each second."""
+        entry = self.subject.entries[:1]
+        caller = CallerClient(self.http, entry, self.subject.lookup_key)
+        done: list[float] = []
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                for _ in range(clients):
+                    nursery.start_soon(self._repeat, caller, done)
+        return len(done) / seconds
+
+    async def _repeat(self, caller: CallerClient, done: list[float]) -> None:
+        while True:
+            done.append(await self.time_lookup(caller))
+
+
+def resident_mebibytes(process_ids: tuple[int, ...]) -> float:
+    """Return the resident memory of all the processes together."""
+    return sum(map(_resident_kib, process_ids)) / _KIB_A_MIB
+
+
+def _resident_kib(process_id: int) -> int:
+    status = Path(f'/proc/{process_id}/status').read_text(encoding='ascii')
+    line = next(one for one in status.splitlines() if one.startswith('VmRSS:'))
+    return int(line.split()[1])
+
+
+def _unique_text() -> str:
+    unique = new_id()
+    return unique + write_text(Random(unique), PROMPT_TOKENS)
--- a/src/jasminewheel/cli/load.py
+++ b/src/jasminewheel/cli/load.py
@@ -9,6 +9,7 @@
 
 from jasminewheel._internal.load.arrivals import Bounds
 from jasminewheel.cli.experiment import experiment
+from jasminewheel.cli.figures import figures
 from jasminewheel.commands.capacity import measure_capacity
 from jasminewheel.commands.decisions import DecisionOptions, measure
 from jasminewheel.commands.load import LoadOptions, drive_workload
@@ -26,6 +27,7 @@
     version=version('jasminewheel'),
 )
 app.command(experiment)
+app.command(figures)
 
 
 @app.command
--- /dev/null
+++ b/src/jasminewheel/commands/figures.py
@@ -0,0 +1,167 @@
+"""Measure and write what the fleet adds to direct calls."""
+
+import sys
+from pathlib import Path
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.load.drive import open_http
+from jasminewheel._internal.load.figures import (
+    FigureDriver,
+    StreamTimes,
+    Subject,
+    resident_mebibytes,
+)
+from jasminewheel._internal.load.records import Durations
+from jasminewheel._internal.load.workload import ProgramClass, Workload
+from jasminewheel._internal.targets.engine import EngineClient
+from jasminewheel.commands.load import LoadOptions, read_workload
+
+CALLS = 300
+STREAMS = 60
+CLIENTS = 32
+RATE_SECONDS = 5
+PROGRAMS = 1000
+MEDIAN = 50
+NINETY_NINE = 99
+LEAST_SECONDS = 0.000001
+
+
+@frozen
+class Figure:
+    """Hold one figure direct and through the entries, in seconds."""
+
+    name: str
+    direct: Durations
+    through: Durations
+
+    def lines(self) -> list[str]:
+        """Return table rows of the median and the 99th percentile."""
+        return [self._line(MEDIAN), self._line(NINETY_NINE)]
+
+    def _line(self, percent: int) -> str:
+        direct = self.direct.percentile(percent)
+        through = self.through.percentile(percent)
+        cells = (
+            f'{self.name} p{percent}',
+            f'{direct:.4f}',
+            f'{through:.4f}',
+            format(through / max(direct, LEAST_SECONDS), '.2f'),
+        )
+        joined = ' | '.join(cells)
+        return f'| {joined} |'
+
+
+@frozen
+class Figures:
+    """Hold all figures of one run."""
+
+    compared: tuple[Figure, ...]
+    requests_a_second: float
+    resident_at_rest: float
+    resident_slope: float
+
+
+def write_figures(
+    load: LoadOptions, process_ids: tuple[int, ...], page: Path
+) -> int:
+    """Measure against the fleet and write the page."""
+    subject = make_subject(read_workload(load), process_ids)
+    figures = trio.run(measure_figures, subject)
+    text = '\n'.join(page_lines(figures, len(process_ids)))
+    page.write_text(f'{text}\n', encoding='utf-8')
+    sys.stdout.write(f'{text}\n')
+    return 0
+
+
+def make_subject(workload: Workload, process_ids: tuple[int, ...]) -> Subject:
+    """Return what is measured of a workload's fleet."""
+    model = next(kind for kind in workload.classes if kind.model)
+    plain = next(kind for kind in workload.classes if not kind.model)
+    return Subject(
+        workload.entries,
+        process_ids,
+        workload.engines[0],
+        workload.services[0],
+        model,
+        _repeatable(plain),
+        plain.key,
+    )
+
+
+def _repeatable(kind: ProgramClass):
+    return next(tool for tool in kind.tools if tool.repeatable)
+
+
+async def measure_figures(subject: Subject) -> Figures:
+    """Return all figures; memory at rest is read first."""
+    at_rest = resident_mebibytes(subject.process_ids)
+    async with open_http() as http, EngineClient(subject.engine) as engine:
+        driver = FigureDriver(subject, http, engine)
+        lookups = await _compare_lookups(driver)
+        streams = await _compare_streams(driver)
+        rate = await driver.requests_a_second(CLIENTS, RATE_SECONDS)
+        slope = await _measure_slope(driver)
+    return Figures((lookups, *streams), rate, at_rest, slope)
+
+
+async def _compare_lookups(driver: FigureDriver) -> Figure:
+    direct, through = Durations(), Durations()
+    left = CALLS
+    while left:
+        left -= 1
+        direct.add(await driver.time_direct_lookup())
+        through.add(await driver.time_lookup())
+    return Figure('plain call', direct, through)
+
+
+async def _compare_streams(driver: FigureDriver) -> tuple[Figure, Figure]:
+    direct, through = StreamTimes(), StreamTimes()
+    left = STREAMS
+    while left:
+        left -= 1
+        direct.add(await driver.stream_direct())
+        through.add(await driver.stream())
+    return (
+        Figure('first token', direct.first_token, through.first_token),
+        Figure('between tokens', direct.between_tokens, through.between_tokens),
+    )
+
+
+async def _measure_slope(driver: FigureDriver) -> float:
+    process_ids = driver.subject.process_ids
+    before = resident_mebibytes(process_ids)
+    left = PROGRAMS
+    while left:
+        left -= 1
+        await driver.open_program()
+    return resident_mebibytes(process_ids) - before
+
+
+def page_lines(figures: Figures, processes: int) -> list[str]:
+    """Return the page's lines."""
+    at_rest = figures.resident_at_rest / processes
+    lines = [
+        '# Figures',
+        '',
+        'Made by `scripts/figures` in one run. Direct calls go to the same',
+        'stand-ins; calls through the fleet go to each entry in turn, so that',
+        'two of three take a hop to the owner. Seconds.',
+        '',
+        '| figure | direct | through the fleet | ratio |',
+        '| --- | --- | --- | --- |',
+    ]
+    for figure in figures.compared:
+        lines.extend(figure.lines())
+    lines += [
+        '',
+        f'Plain calls a second at one entry: {figures.requests_a_second:.0f}',
+        f'({CLIENTS} callers for {RATE_SECONDS} s; its peers own two thirds',
+        'of the programs).',
+        '',
+        f'Resident memory of an entry at rest: {at_rest:.1f} MiB; all',
+        f'{processes} entries together grow by {figures.resident_slope:.1f}',
+        f'MiB for {PROGRAMS} open programs.',
+    ]
+    return lines
