--- a/src/jasminewheel/cli/figures.py
+++ b/src/jasminewheel/cli/figures.py
@@ -4,8 +4,6 @@
 from pathlib import Path
 from typing import Annotated
 
-from cyclopts import Parameter
-
 from jasminewheel.cli.experiment import NO_FLEET, FleetArguments, Many
 from jasminewheel.commands.figures import write_figures
 from jasminewheel.commands.load import LoadOptions
