--- a/src/jasminewheel/_internal/scheduling/cost.py
+++ b/src/jasminewheel/_internal/scheduling/cost.py
@@ -45,6 +45,8 @@
     limit: int
     held: Held
     same_region: bool
+    # Calls of this entry that wait for this very runner.
+    wanted: int = 0
 
     @property
     def free(self) -> bool:
@@ -72,7 +74,8 @@
     """Return what running the call at the runner costs all programs there."""
     recompute = weights.prefix * _recompute_seconds(situation, demand, rates)
     crowding = weights.load * _crowding_seconds(situation, demand, rates)
-    excess = max(0, situation.running + 1 - situation.limit)
+    ahead = situation.running + situation.wanted
+    excess = max(0, ahead + 1 - situation.limit)
     wait = rates.service_seconds * excess / situation.limit
     link = weights.link * _link_seconds(situation, demand, weights)
     total = recompute + crowding + wait + link
--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -14,6 +14,7 @@
 from jasminewheel._internal.scheduling.placement import (
     FULL_REASON,
     NONE_REASON,
+    WAIT_REASON,
     CheapestRunner,
 )
 from jasminewheel._internal.scheduling.queue import QueuedCall
@@ -88,19 +89,24 @@
         if target is not None:
             self.pump(target, now)
 
-    def choose(self, request: PlacementRequest, now: float) -> Choice:
+    def choose(
+        self, request: PlacementRequest, now: float, waited_seconds: float = 0
+    ) -> Choice:
         """Weigh the runners for a call without placing it."""
         snapshot = self.configuration.current
         target = snapshot.targets.get(request.target)
         if target is None:
             return Choice(None, (), NONE_REASON)
+        state = self.targets.state(request.target)
         view = TargetView(
             self.fleets.fleet(target, now),
             self.runners,
-            self.targets.state(request.target).rates,
+            state.rates,
             snapshot.policy,
             self.region,
             weights_of(snapshot.policy),
+            waited_seconds,
+            state.wanted,
         )
         return self.rules[snapshot.policy.rule].choose(view, request, now)
 
@@ -128,9 +134,12 @@
     def _try_place(
         self, state: TargetState, call: QueuedCall, now: float
     ) -> Choice:
-        choice = self.choose(call.request, now)
         waiter = state.waiters[call]
+        state.want(waiter, '')
+        choice = self.choose(call.request, now, now - call.queued_at)
         waiter.choice = choice
+        if choice.reason == WAIT_REASON:
+            state.want(waiter, choice.weighed[0].runner.name)
         if choice.option is not None:
             state.remove(waiter)
             waiter.place(self._decide(call, choice, choice.option, now))
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -17,6 +17,8 @@
 WAIT_REASON = 'waits for a runner that costs less than a free one'
 FULL_REASON = 'waits because all runners are full'
 NONE_REASON = 'no runner may be sent calls'
+# A call waits at most this many times what it was expected to.
+WAIT_PATIENCE = 2
 HOLDERS_WEIGHED = 4
 LEAST_LOADED_WEIGHED = 2
 
@@ -50,7 +52,8 @@
         best = weighed[0]
         if best.situation.free:
             return Choice(best, weighed, 'costs least')
-        if 'waiting' in view.policy.without:
+        patience = WAIT_PATIENCE * best.cost.wait_seconds
+        if 'waiting' in view.policy.without or view.waited_seconds > patience:
             return _first_free(weighed)
         free = any(option.situation.free for option in weighed)
         return Choice(None, weighed, WAIT_REASON if free else FULL_REASON)
--- a/src/jasminewheel/_internal/scheduling/view.py
+++ b/src/jasminewheel/_internal/scheduling/view.py
@@ -1,5 +1,8 @@
 """Show a rule what is known of a target's runners for one call."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from attrs import frozen
 
 from jasminewheel._internal.scheduling.cost import (
@@ -19,6 +22,9 @@
 from jasminewheel.models.target import Runner
 
 
+NOBODY_WAITS: Mapping[str, int] = MappingProxyType({})
+
+
 @frozen
 class Option:
     """Hold a runner that may be chosen and what it would cost."""
@@ -47,6 +53,8 @@
     policy: Policy
     region: str
     weights: CostWeights
+    waited_seconds: float = 0
+    wanted: Mapping[str, int] = NOBODY_WAITS
 
     def allows(self, runner: str, now: float) -> bool:
         """Return whether a runner serves and its breaker is closed."""
@@ -76,6 +84,7 @@
             max(1, runner.max_running - kept_free),
             held,
             runner.region == self.region,
+            self.wanted.get(runner.name, 0),
         )
         cost = price(situation, demand, self.rates, self.weights)
         return Option(runner, situation, cost)
--- a/src/jasminewheel/_internal/scheduling/waiting.py
+++ b/src/jasminewheel/_internal/scheduling/waiting.py
@@ -1,5 +1,7 @@
 """Keep one target's waiting calls and wake each when it is placed."""
 
+from collections import Counter
+
 import trio
 from attrs import define, field
 
@@ -19,6 +21,8 @@
     turn: trio.Event = field(factory=trio.Event)
     decision: PlacementDecision | None = None
     choice: Choice | None = None
+    # The runner that the call waits for while others are free.
+    wanted: str = ''
     displaced: bool = False
 
     def place(self, decision: PlacementDecision) -> None:
@@ -40,6 +44,7 @@
     waiters: dict[QueuedCall, Waiter] = field(factory=dict)
     rates: TargetRates = field(factory=new_rates)
     throughput: Throughput = field(factory=Throughput)
+    wanted: Counter[str] = field(factory=Counter)
     retries: RetryBudget = field(factory=RetryBudget)
 
     def push(self, waiter: Waiter) -> None:
@@ -51,6 +56,15 @@
         """Take a waiter out of the queue if it is there."""
         if self.queue.remove(waiter.call):
             self.waiters.pop(waiter.call, None)
+            self.want(waiter, '')
+
+    def want(self, waiter: Waiter, runner: str) -> None:
+        """Count the call among those that wait for one runner, or none."""
+        if waiter.wanted:
+            self.wanted[waiter.wanted] -= 1
+        if runner:
+            self.wanted[runner] += 1
+        waiter.wanted = runner
 
     def displace_last(self, before: QueuedCall) -> bool:
         """Refuse the last call if it ranks behind the given one."""
