--- a/src/jasminewheel/_internal/scheduling/cost.py
+++ b/src/jasminewheel/_internal/scheduling/cost.py
@@ -1,4 +1,7 @@
-"""Price running a call at a runner, in seconds of programs' latency."""
+"""Price running a call at a runner, in weighed seconds of latency.
+
+A second of the least favoured program costs 1, of others their weight.
+"""
 
 from attrs import frozen
 
@@ -7,6 +10,7 @@
 
 BYTES_PER_PROMPT_TOKEN = 4
 REGION_ROUND_TRIP_SECONDS = 0.04
+PRIORITIES_TO_DOUBLE = 3
 
 
 @frozen
@@ -25,6 +29,11 @@
         return max(1, self.link_bytes_per_second * self.link_share)
 
 
+def priority_weight(priority: int) -> float:
+    """Return what a second of a program's latency is worth."""
+    return 2 ** (priority / PRIORITIES_TO_DOUBLE)
+
+
 @frozen
 class Demand:
     """Hold what a call asks of a runner and has to leave free of it."""
@@ -32,6 +41,7 @@
     prompt_tokens: int
     answer_tokens: float
     kept_free_share: float = 0
+    weight: float = 1
 
 
 @frozen
@@ -47,6 +57,8 @@
     same_region: bool
     # Calls of this entry that wait for this very runner.
     wanted: int = 0
+    # The worth of the running calls, which a further call slows.
+    running_weight: float = 0
 
     @property
     def free(self) -> bool:
@@ -76,7 +88,7 @@
     crowding = weights.load * _crowding_seconds(situation, demand, rates)
     ahead = situation.running + situation.wanted
     excess = max(0, ahead + 1 - situation.limit)
-    wait = rates.service_seconds * excess / situation.limit
+    wait = demand.weight * rates.service_seconds * excess / situation.limit
     link = weights.link * _link_seconds(situation, demand, weights)
     total = recompute + crowding + wait + link
     return Cost(recompute, crowding, wait, link, total)
@@ -87,7 +99,7 @@
 ) -> float:
     missing = max(0, demand.prompt_tokens - situation.held.expected_tokens)
     # A prompt that is computed holds up every answer of the same batch.
-    held_up = 1 + situation.running
+    held_up = demand.weight + situation.running_weight
     return missing * rates.prefill_seconds_per_token * held_up
 
 
@@ -95,9 +107,10 @@
     situation: Situation, demand: Demand, rates: TargetRates
 ) -> float:
     if not demand.prompt_tokens:
-        return rates.service_seconds * situation.running / situation.limit
+        occupied = situation.running / situation.limit
+        return demand.weight * rates.service_seconds * occupied
     # Each running call slows this one, and this one slows each of them.
-    slowed = 2 * situation.running
+    slowed = demand.weight * situation.running + situation.running_weight
     return demand.answer_tokens * rates.crowding.seconds * slowed
 
 
@@ -108,4 +121,4 @@
         return 0
     sent = demand.prompt_tokens * BYTES_PER_PROMPT_TOKEN
     transfer = sent / weights.usable_bytes_per_second
-    return transfer + REGION_ROUND_TRIP_SECONDS
+    return demand.weight * (transfer + REGION_ROUND_TRIP_SECONDS)
--- a/src/jasminewheel/_internal/scheduling/load.py
+++ b/src/jasminewheel/_internal/scheduling/load.py
@@ -10,6 +10,8 @@
 HISTORY_SECONDS = 10
 # A report this old says nothing about other entries' calls any more.
 REPORT_LIFE_SECONDS = 10
+# Reports do not tell the priorities of other entries' calls.
+OTHERS_WEIGHT = 2
 
 
 @frozen
@@ -25,17 +27,20 @@
     lag_seconds: float = DEFAULT_LAG_SECONDS
     reported_at: float = 0
     own_running: int = 0
+    own_weight: float = 0
     others_running: int = 0
     steps: deque[_Step] = field(factory=deque)
 
-    def started(self, now: float) -> None:
+    def started(self, now: float, weight: float = 1) -> None:
         """Count a call sent by this entry."""
         self.own_running += 1
+        self.own_weight += weight
         self._remember(now)
 
-    def ended(self, now: float) -> None:
+    def ended(self, now: float, weight: float = 1) -> None:
         """Count an end of a call sent by this entry."""
         self.own_running -= 1
+        self.own_weight -= weight
         self._remember(now)
 
     def reported(self, report: LoadReport, now: float) -> None:
@@ -51,6 +56,11 @@
             return self.own_running
         return self.own_running + self.others_running
 
+    def weight(self, now: float) -> float:
+        """Return the weight of the calls that the runner has now."""
+        others = self.estimate(now) - self.own_running
+        return self.own_weight + OTHERS_WEIGHT * others
+
     def _own_at(self, moment: float) -> int:
         for step in reversed(self.steps):
             if step.at <= moment:
--- a/src/jasminewheel/_internal/scheduling/outcomes.py
+++ b/src/jasminewheel/_internal/scheduling/outcomes.py
@@ -7,6 +7,7 @@
 
 from jasminewheel._internal.events import scheduling as events
 from jasminewheel._internal.scheduling.breaker import BreakerState
+from jasminewheel._internal.scheduling.cost import priority_weight
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.fleet import FleetBook
 from jasminewheel._internal.scheduling.rates import TargetRates
@@ -34,7 +35,7 @@
     def placed(self, decision: PlacementDecision, now: float) -> None:
         """Count the call at its runner."""
         state = self._state(decision)
-        state.load.started(now)
+        state.load.started(now, _weight(decision))
         state.breaker.sent(now)
         self.fleets.update(decision.runner, now)
 
@@ -104,8 +105,12 @@
         return self.runners.state(decision.runner)
 
     def _end(self, decision: PlacementDecision, now: float) -> None:
-        self._state(decision).load.ended(now)
+        self._state(decision).load.ended(now, _weight(decision))
         self.fleets.update(decision.runner, now)
         target = decision.request.target
         self.targets.state(target).throughput.ended(now)
         self.freed(target, now)
+
+
+def _weight(decision: PlacementDecision) -> float:
+    return priority_weight(decision.request.priority)
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from jasminewheel._internal.scheduling.cost import priority_weight
 from jasminewheel._internal.scheduling.prefixes import (
     NOTHING_HELD,
     Held,
@@ -52,7 +53,8 @@
         best = weighed[0]
         if best.situation.free:
             return Choice(best, weighed, 'costs least')
-        patience = WAIT_PATIENCE * best.cost.wait_seconds
+        weight = priority_weight(request.priority)
+        patience = WAIT_PATIENCE * best.cost.wait_seconds / weight
         if 'waiting' in view.policy.without or view.waited_seconds > patience:
             return _first_free(weighed)
         free = any(option.situation.free for option in weighed)
--- a/src/jasminewheel/_internal/scheduling/view.py
+++ b/src/jasminewheel/_internal/scheduling/view.py
@@ -11,6 +11,7 @@
     Demand,
     Situation,
     price,
+    priority_weight,
 )
 from jasminewheel._internal.scheduling.fleet import TargetFleet
 from jasminewheel._internal.scheduling.prefixes import NOTHING_HELD, Held
@@ -68,8 +69,14 @@
             request.prompt_tokens,
             min(self.rates.answer_tokens, request.max_tokens),
             kept_free_share(request.priority, self.policy),
+            self._weight(request.priority),
         )
 
+    def _weight(self, priority: int) -> float:
+        if 'priority' in self.policy.without:
+            return 1
+        return priority_weight(priority)
+
     def option(
         self,
         runner: Runner,
@@ -79,12 +86,14 @@
     ) -> Option:
         """Return a runner with its situation and cost."""
         kept_free = round(demand.kept_free_share * runner.max_running)
+        load = self.runners.state(runner.name).load
         situation = Situation(
-            self.runners.state(runner.name).load.estimate(now),
+            load.estimate(now),
             max(1, runner.max_running - kept_free),
             held,
             runner.region == self.region,
             self.wanted.get(runner.name, 0),
+            load.weight(now),
         )
         cost = price(situation, demand, self.rates, self.weights)
         return Option(runner, situation, cost)
