--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -39,6 +39,8 @@
 
 # Calls behind the first may pass it when it waits for a certain runner.
 LOOK_AHEAD = 8
+# However many calls wait, a target is looked at this often without cause.
+RECHECK_SECONDS = 0.25
 # When no runner is free for one call, none is for those behind it.
 ENDING_REASONS = frozenset((FULL_REASON, NONE_REASON))
 
@@ -69,19 +71,32 @@
             self.runners, self.fleets, self.targets, self.pump, self._retain
         )
 
-    def pump(self, target: str, now: float) -> None:
-        """Place as many waiting calls of a target as runners allow."""
+    def pump(self, target: str, now: float, freed: str = '') -> None:
+        """Place as many waiting calls of a target as runners allow.
+
+        `freed` is a runner on which a call just ended.
+        """
         state = self.targets.state(target)
+        state.pumped_at = now
         passed = 0
         while passed < min(LOOK_AHEAD, len(state.queue)):
             call = state.queue.at(passed)
-            if self._stays_full(state.waiters[call]):
+            waiter = state.waiters[call]
+            if waiter.rests(freed, now):
+                passed += 1
+                continue
+            if self._stays_full(waiter):
                 return
             choice = self._try_place(state, call, now)
             if choice.reason in ENDING_REASONS:
                 return
             passed += choice.option is None
 
+    def recheck(self, target: str, now: float) -> None:
+        """Place waiting calls unless that was tried a moment ago."""
+        if now - self.targets.state(target).pumped_at >= RECHECK_SECONDS:
+            self.pump(target, now)
+
     def pump_runner(self, runner: str, now: float) -> None:
         """Place the waiting calls of the target that a runner serves."""
         self.fleets.update(runner, now)
@@ -138,6 +153,7 @@
         state.want(waiter, '')
         choice = self.choose(call.request, now, now - call.queued_at)
         waiter.choice = choice
+        waiter.weighed_at = now
         if choice.reason == WAIT_REASON:
             state.want(waiter, choice.weighed[0].runner.name)
         if choice.option is not None:
--- a/src/jasminewheel/_internal/scheduling/outcomes.py
+++ b/src/jasminewheel/_internal/scheduling/outcomes.py
@@ -22,14 +22,14 @@
 class OutcomeLedger:
     """Keep loads, beliefs, rates and breakers in step with placed calls.
 
-    `freed` is called with the target whenever one of its calls ended,
+    `freed` is called with target and runner whenever a call ended,
     `retain` with each call of a model that was answered.
     """
 
     runners: RunnerBook
     fleets: FleetBook
     targets: TargetBook
-    freed: Callable[[str, float], None]
+    freed: Callable[[str, float, str], None]
     retain: Callable[[PlacementDecision, float], None]
 
     def placed(self, decision: PlacementDecision, now: float) -> None:
@@ -109,7 +109,7 @@
         self.fleets.update(decision.runner, now)
         target = decision.request.target
         self.targets.state(target).throughput.ended(now)
-        self.freed(target, now)
+        self.freed(target, now, decision.runner)
 
 
 def _weight(decision: PlacementDecision) -> float:
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 )
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.dispatch import (
+    RECHECK_SECONDS,
     ConfigurationSource,
     Dispatcher,
 )
@@ -31,7 +32,6 @@
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
 
 LOGGER = logging.getLogger(__name__)
-RECHECK_SECONDS = 0.25
 RETRY_SECONDS = 2
 
 
@@ -109,7 +109,7 @@
                 await waiter.turn.wait()
             now = self.clock()
             if not waiter.turn.is_set():
-                self.dispatcher.pump(target, now)
+                self.dispatcher.recheck(target, now)
         if waiter.decision is None:
             raise self._refuse(waiter.call, _late_refusal(waiter))
         return waiter.decision
--- a/src/jasminewheel/_internal/scheduling/view.py
+++ b/src/jasminewheel/_internal/scheduling/view.py
@@ -72,11 +72,6 @@
             self._weight(request.priority),
         )
 
-    def _weight(self, priority: int) -> float:
-        if 'priority' in self.policy.without:
-            return 1
-        return priority_weight(priority)
-
     def option(
         self,
         runner: Runner,
@@ -98,6 +93,11 @@
         cost = price(situation, demand, self.rates, self.weights)
         return Option(runner, situation, cost)
 
+    def _weight(self, priority: int) -> float:
+        if 'priority' in self.policy.without:
+            return 1
+        return priority_weight(priority)
+
 
 def kept_free_share(priority: int, policy: Policy) -> float:
     """Return the share of a runner that a priority has to leave free."""
--- a/src/jasminewheel/_internal/scheduling/waiting.py
+++ b/src/jasminewheel/_internal/scheduling/waiting.py
@@ -12,6 +12,10 @@
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.queue import ProgramQueue, QueuedCall
 
+# A call that waits for one runner is weighed again after this, or when a call
+# ends there.
+REWEIGH_SECONDS = 0.1
+
 
 @define(eq=False)
 class Waiter:
@@ -23,8 +27,15 @@
     choice: Choice | None = None
     # The runner that the call waits for while others are free.
     wanted: str = ''
+    weighed_at: float = 0
     displaced: bool = False
 
+    def rests(self, freed: str, now: float) -> bool:
+        """Return whether weighing the call again would change nothing."""
+        if not self.wanted or self.wanted == freed:
+            return False
+        return now - self.weighed_at < REWEIGH_SECONDS
+
     def place(self, decision: PlacementDecision) -> None:
         """Wake the waiting task with its runner."""
         self.decision = decision
@@ -43,6 +54,7 @@
     queue: ProgramQueue = field(factory=ProgramQueue)
     waiters: dict[QueuedCall, Waiter] = field(factory=dict)
     rates: TargetRates = field(factory=new_rates)
+    pumped_at: float = 0
     throughput: Throughput = field(factory=Throughput)
     wanted: Counter[str] = field(factory=Counter)
     retries: RetryBudget = field(factory=RetryBudget)
