--- a/src/jasminewheel/_internal/scheduling/rates.py
+++ b/src/jasminewheel/_internal/scheduling/rates.py
@@ -10,6 +10,7 @@
 DEFAULT_TOKEN_SECONDS = 0.005
 DEFAULT_RUNNING = 4
 LEAST_VARIANCE = 0.5
+LEAST_SLOPE_SHARE = 0.1
 # Fewer computed tokens tell more of the network than of the engine.
 FEWEST_MEASURED_TOKENS = 256
 MOST_PREFILL_SECONDS_PER_TOKEN = 0.01
@@ -38,7 +39,8 @@
     def seconds(self) -> float:
         """Return the seconds that each other call adds to a token."""
         slope = self.covariance / max(self.variance, LEAST_VARIANCE)
-        return max(0, slope)
+        # Prompts that are computed meanwhile blur the slope, down to none.
+        return max(LEAST_SLOPE_SHARE * self.mean_seconds, slope)
 
 
 @define(eq=False)
--- a/tests/unit/test_scheduling_rules.py
+++ b/tests/unit/test_scheduling_rules.py
@@ -18,6 +18,7 @@
     Retention,
     decide_retention,
 )
+from jasminewheel._internal.scheduling.placement import WAIT_REASON
 from jasminewheel._internal.scheduling.prefixes import (
     NOTHING_HELD,
     PrefixIndex,
@@ -28,6 +29,7 @@
     ProgramQueue,
     QueuedCall,
 )
+from jasminewheel._internal.scheduling.rates import CrowdingSlope
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.view import kept_free_share
 from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
@@ -200,3 +202,24 @@
     fleet = TargetFleet(make_target(1), 'salt')
     fleet.update('runner-0', 0)
     assert fleet.has_room(kept_free_share(0, Policy(reserved_share=1)))
+
+
+def test_crowding_is_never_learned_away():
+    slope = CrowdingSlope()
+    for running in (0, 4, 8) * 50:
+        # Prompts computed at idle runners make these look slow.
+        slope.learn(running, 0.02 - running * 0.001)
+    assert slope.seconds > 0.001
+
+
+def test_a_call_waits_for_one_runner_no_longer_than_expected():
+    bench = DecisionBench(FleetSize(2, 1, 0), Random(1))
+    dispatcher = bench.dispatcher
+    home = dispatcher.runners.prefixes.blocks['0-39']
+    held_by = next(iter(home))
+    dispatcher.runners.state(held_by).load.own_running = 16
+    dispatcher.fleets.update(held_by, 0)
+    asked = bench.request(9)
+    assert dispatcher.choose(asked, 0).reason == WAIT_REASON
+    late = dispatcher.choose(asked, 0, 60)
+    assert late.option.runner.name != held_by
