--- a/src/jasminewheel/commands/experiment.py
+++ b/src/jasminewheel/commands/experiment.py
@@ -50,14 +50,16 @@
     _check_variants(options.variants)
     console = Console(file=sys.stdout, width=CONSOLE_COLUMNS)
     runs = list(_run_all(load, options, console))
-    _write_results(options, runs)
+    _write_results(load, options, runs)
     return 1 if any(run.report.breaches for run in runs) else 0
 
 
-def _write_results(options: ExperimentOptions, runs: list[Run]) -> None:
+def _write_results(
+    load: LoadOptions, options: ExperimentOptions, runs: list[Run]
+) -> None:
     rows = compare(runs)
     stem = options.folder / options.title
-    command = ' '.join(['jasminewheel-load', *sys.argv[1:]])
+    command = _command(load, options)
     write_page(stem.with_suffix('.md'), options.title, command, rows)
     write_plot(stem.with_suffix('.png'), options.title, rows)
     results = {
@@ -69,6 +71,24 @@
     stem.with_suffix('.json').write_text(f'{text}\n', encoding='utf-8')
 
 
+def _command(load: LoadOptions, options: ExperimentOptions) -> str:
+    arguments = [
+        ('title', [options.title]),
+        ('variant', options.variants),
+        ('rates', options.rate_factors),
+        ('seeds', options.seeds),
+        ('programs', [load.bounds.programs]),
+        ('seconds', [load.bounds.seconds]),
+        ('grace-seconds', [load.bounds.grace_seconds]),
+    ]
+    if options.policy_file is not None:
+        arguments.append(('policy-file', [options.policy_file]))
+    words = ['scripts/experiment', load.workload.parent.name]
+    for name, given in arguments:
+        words.extend((f'--{name}', *map(str, given)))
+    return ' '.join(words)
+
+
 def _run_all(
     load: LoadOptions, options: ExperimentOptions, console: Console
 ) -> Iterator[Run]:
