Send a retry elsewhere at once and obey every tunable of the policy

Cause: a retry could go to the runner that had just failed until its breaker opened; several tunables of the policy resource had no effect; a runner declared anew started with a load below zero.

Ruled out: opening the breaker at the first failure (one lost connection would empty a runner).

Change: the runners that failed a call are passed over for it; breaker, belief, hold and attained tunables are obeyed (defaults are the values used so far); a decision keeps the state of the runner it was counted at.

--- a/src/jasminewheel/_internal/scheduling/breaker.py
+++ b/src/jasminewheel/_internal/scheduling/breaker.py
@@ -2,11 +2,20 @@
 
 from enum import Enum
 
-from attrs import define
+from attrs import define, frozen
 
-FAILURES_TO_OPEN = 3
-FIRST_OPEN_SECONDS = 0.5
-LONGEST_OPEN_SECONDS = 30
+LONGEST_OPEN_SECONDS = 60
+
+
+@frozen
+class BreakerLimits:
+    """Say when a breaker opens and for how long at first."""
+
+    failures: int = 3
+    open_seconds: float = 0.5
+
+
+DEFAULT_LIMITS = BreakerLimits()
 
 
 class BreakerState(Enum):
@@ -43,12 +52,14 @@
         self.openings = 0
         self.state = BreakerState.closed
 
-    def failed(self, now: float) -> None:
+    def failed(
+        self, now: float, limits: BreakerLimits = DEFAULT_LIMITS
+    ) -> None:
         """Count a failure; open at the limit or when a probe failed."""
         self.failures += 1
         probe_failed = self.state is BreakerState.probing
-        if probe_failed or self.failures >= FAILURES_TO_OPEN:
-            self._open(now)
+        if probe_failed or self.failures >= limits.failures:
+            self._open(now, limits)
 
     def abandoned(self, now: float) -> None:
         """Let another probe go when one ended without a result."""
@@ -56,10 +67,12 @@
             self.state = BreakerState.open
             self.open_until = now
 
-    def _open(self, now: float) -> None:
+    def _open(self, now: float, limits: BreakerLimits) -> None:
         if self.state is BreakerState.open and now < self.open_until:
             return
-        pause = min(FIRST_OPEN_SECONDS * 2**self.openings, LONGEST_OPEN_SECONDS)
+        pause = min(
+            limits.open_seconds * 2**self.openings, LONGEST_OPEN_SECONDS
+        )
         self.openings += 1
         self.open_until = now + pause
         self.state = BreakerState.open
--- a/src/jasminewheel/_internal/scheduling/decision.py
+++ b/src/jasminewheel/_internal/scheduling/decision.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.runners import RunnerState
 from jasminewheel._internal.scheduling.view import Choice, Option
 from jasminewheel._internal.targets.engine import EngineUsage
 
@@ -41,6 +42,7 @@
     ledger: Ledger = field(repr=False)
     first_token_at: float | None = None
     ended: bool = False
+    runner_state: RunnerState = field(factory=RunnerState, repr=False)
 
     @property
     def runner(self) -> str:
--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -4,6 +4,7 @@
 
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.scheduling.baselines import make_rules
+from jasminewheel._internal.scheduling.breaker import BreakerLimits
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.explanations import (
     ExplanationBook,
@@ -36,6 +37,7 @@
 )
 
 from jasminewheel.models.policy import COST_RULE
+from jasminewheel.models.target import Target
 
 # Calls behind the first may pass it when it waits for a certain runner.
 LOOK_AHEAD = 8
@@ -68,7 +70,12 @@
         self.waited = WaitedBook()
         self.keeper = RetentionKeeper()
         self.ledger = OutcomeLedger(
-            self.runners, self.fleets, self.targets, self.pump, self._retain
+            self.runners,
+            self.fleets,
+            self.targets,
+            self.pump,
+            self._retain,
+            self._breaker_limits,
         )
 
     def pump(self, target: str, now: float, freed: str = '') -> None:
@@ -112,16 +119,19 @@
         target = snapshot.targets.get(request.target)
         if target is None:
             return Choice(None, (), NONE_REASON)
+        policy = snapshot.policy
+        self.runners.prefixes.half_life_seconds = policy.prefix_belief_seconds
         state = self.targets.state(request.target)
         view = TargetView(
             self.fleets.fleet(target, now),
             self.runners,
             state.rates,
-            snapshot.policy,
+            policy,
             self.region,
-            weights_of(snapshot.policy),
+            weights_of(policy),
             waited_seconds,
             state.wanted,
+            self._avoided(state, target, request),
         )
         return self.rules[snapshot.policy.rule].choose(view, request, now)
 
@@ -141,8 +151,20 @@
         if wanted and cache.capacity_tokens and decision.request.blocks:
             rates = self.targets.state(decision.request.target).rates
             seconds = rates.prefill_seconds_per_token
+            self.keeper.longest_seconds = policy.prefix_hold_seconds
             self.keeper.paused(decision, cache, seconds, now)
 
+    def _avoided(
+        self, state: TargetState, target: Target, request: PlacementRequest
+    ) -> frozenset[str]:
+        failed = state.retries.failed_at(request.program_id, request.request_id)
+        # When all have failed the call, any may be tried again.
+        return failed if len(failed) < len(target.runners) else frozenset()
+
+    def _breaker_limits(self) -> BreakerLimits:
+        policy = self.configuration.current.policy
+        return BreakerLimits(policy.breaker_failures, policy.breaker_seconds)
+
     def _estimate(self, runner: str, now: float) -> int:
         return self.runners.state(runner).load.estimate(now)
 
--- a/src/jasminewheel/_internal/scheduling/outcomes.py
+++ b/src/jasminewheel/_internal/scheduling/outcomes.py
@@ -6,7 +6,10 @@
 from attrs import define
 
 from jasminewheel._internal.events import scheduling as events
-from jasminewheel._internal.scheduling.breaker import BreakerState
+from jasminewheel._internal.scheduling.breaker import (
+    BreakerLimits,
+    BreakerState,
+)
 from jasminewheel._internal.scheduling.cost import priority_weight
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.fleet import FleetBook
@@ -31,10 +34,12 @@
     targets: TargetBook
     freed: Callable[[str, float, str], None]
     retain: Callable[[PlacementDecision, float], None]
+    breaker_limits: Callable[[], BreakerLimits]
 
     def placed(self, decision: PlacementDecision, now: float) -> None:
         """Count the call at its runner."""
-        state = self._state(decision)
+        state = self.runners.state(decision.runner)
+        decision.runner_state = state
         state.load.started(now, _weight(decision))
         state.breaker.sent(now)
         self.fleets.update(decision.runner, now)
@@ -66,12 +71,12 @@
         """Count the failure against the runner."""
         breaker = self._state(decision).breaker
         was_closed = breaker.state is BreakerState.closed
-        breaker.failed(now)
+        breaker.failed(now, self.breaker_limits())
         if was_closed and breaker.state is BreakerState.open:
             events.BREAKER_OPENED.log(LOGGER, runner=decision.runner)
         request = decision.request
         retries = self.targets.state(request.target).retries
-        retries.failed(request.program_id, request.request_id)
+        retries.failed(request.program_id, request.request_id, decision.runner)
         self._end(decision, now)
 
     def abandoned(self, decision: PlacementDecision, now: float) -> None:
@@ -102,7 +107,8 @@
         return self.targets.state(decision.request.target).rates
 
     def _state(self, decision: PlacementDecision) -> RunnerState:
-        return self.runners.state(decision.runner)
+        # A runner that was declared anew meanwhile has another state.
+        return decision.runner_state
 
     def _end(self, decision: PlacementDecision, now: float) -> None:
         self._state(decision).load.ended(now, _weight(decision))
--- a/src/jasminewheel/_internal/scheduling/pause.py
+++ b/src/jasminewheel/_internal/scheduling/pause.py
@@ -2,7 +2,6 @@
 
 from bisect import bisect_right
 from collections import OrderedDict
-from collections.abc import Sequence
 from enum import Enum
 
 from attrs import define, field, frozen
@@ -92,13 +91,13 @@
 def decide_retention(
     learner: PauseLearner,
     situation: PauseSituation,
-    holds: Sequence[float] = PAUSE_BOUNDS_SECONDS,
+    longest_seconds: float = LONGEST_HOLD_SECONDS,
 ) -> PauseDecision:
     """Return the hold whose saved rebuild outweighs the memory it takes."""
     histogram = learner.histogram(situation.tool)
     best = PauseDecision(Retention.drop, 0, 0, 0, 0)
-    for hold in holds:
-        if hold > LONGEST_HOLD_SECONDS:
+    for hold in PAUSE_BOUNDS_SECONDS:
+        if hold > min(longest_seconds, LONGEST_HOLD_SECONDS):
             break
         candidate = _weigh_hold(histogram, situation, hold)
         if _gain(candidate) > _gain(best):
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -19,7 +19,7 @@
 FULL_REASON = 'waits because all runners are full'
 NONE_REASON = 'no runner may be sent calls'
 # A call waits at most this many times what it was expected to.
-WAIT_PATIENCE = 2
+WAIT_PATIENCE = 4
 HOLDERS_WEIGHED = 4
 LEAST_LOADED_WEIGHED = 2
 
--- a/src/jasminewheel/_internal/scheduling/prefixes.py
+++ b/src/jasminewheel/_internal/scheduling/prefixes.py
@@ -75,7 +75,9 @@
     stored_then: int
     gaps_then: int
 
-    def trust(self, cache: CacheState, now: float) -> float:
+    def trust(
+        self, cache: CacheState, now: float, half_life_seconds: float
+    ) -> float:
         """Return how likely the block is still held."""
         stored_since = cache.stored_tokens - self.stored_then
         if cache.capacity_tokens and stored_since > cache.capacity_tokens:
@@ -83,7 +85,7 @@
             # cache has been replaced since.
             return 0
         missed = min(cache.gaps - self.gaps_then, MOST_GAPS)
-        faded = 0.5 ** ((now - self.seen_at) / HALF_LIFE_SECONDS)
+        faded = 0.5 ** ((now - self.seen_at) / half_life_seconds)
         return cache.accuracy * faded * GAP_TRUST**missed
 
 
@@ -96,6 +98,7 @@
     """
 
     block_limit: int = BLOCK_LIMIT
+    half_life_seconds: float = HALF_LIFE_SECONDS
     caches: dict[str, CacheState] = field(factory=dict)
     blocks: OrderedDict[str, dict[str, _Sighting]] = field(factory=OrderedDict)
 
@@ -188,7 +191,7 @@
     def _held(
         self, runner: str, sighting: _Sighting, prefix: '_Prefix', now: float
     ) -> Held:
-        trust = sighting.trust(self.cache(runner), now)
+        trust = sighting.trust(self.cache(runner), now, self.half_life_seconds)
         age = now - sighting.seen_at
         return Held(prefix.tokens, trust, age, prefix.block)
 
--- a/src/jasminewheel/_internal/scheduling/queue.py
+++ b/src/jasminewheel/_internal/scheduling/queue.py
@@ -54,6 +54,7 @@
     by_priority: bool = True
     by_attained: bool = True
     by_age: bool = True
+    attained_weight: float = 1
 
     def claim(self, request: PlacementRequest, waited_seconds: float) -> Claim:
         """Return the claim of a call whose program waited so long before."""
@@ -62,10 +63,13 @@
         credit = min(waited_seconds, WAITED_CREDIT_LIMIT_SECONDS)
         return Claim(
             priority_seconds=self.by_priority * steps * PRIORITY_STEP_SECONDS,
-            attained_seconds=self.by_attained * level * ATTAINED_STEP_SECONDS,
+            attained_seconds=self.by_attained * self._attained(level),
             waited_seconds=self.by_age * credit,
         )
 
+    def _attained(self, level: int) -> float:
+        return self.attained_weight * level * ATTAINED_STEP_SECONDS
+
 
 FIFO = ProgramOrdering(by_priority=False, by_attained=False, by_age=False)
 PRIORITY_FIFO = ProgramOrdering(by_attained=False, by_age=False)
@@ -78,6 +82,7 @@
             by_priority='priority' not in policy.without,
             by_attained='attained' not in policy.without,
             by_age='age' not in policy.without,
+            attained_weight=policy.attained_weight,
         )
     return PRIORITY_FIFO if policy.rule == 'priority-fifo' else FIFO
 
--- a/src/jasminewheel/_internal/scheduling/retention.py
+++ b/src/jasminewheel/_internal/scheduling/retention.py
@@ -11,6 +11,7 @@
 from jasminewheel._internal.events import scheduling as events
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.pause import (
+    LONGEST_HOLD_SECONDS,
     PauseLearner,
     PauseSituation,
     Retention,
@@ -80,6 +81,7 @@
     """Decide what paused programs keep, and tell the engines."""
 
     learner: PauseLearner = field(factory=PauseLearner)
+    longest_seconds: float = LONGEST_HOLD_SECONDS
     programs: OrderedDict[str, PausedProgram] = field(factory=OrderedDict)
     pinned_tokens: dict[str, int] = field(factory=dict)
     send: trio.MemorySendChannel[PinOrder] = field(init=False)
@@ -154,7 +156,7 @@
             cache_occupied=cache.used_tokens / cache.capacity_tokens,
             cache_capacity_tokens=cache.capacity_tokens,
         )
-        chosen = decide_retention(self.learner, situation)
+        chosen = decide_retention(self.learner, situation, self.longest_seconds)
         return chosen.hold_seconds * (chosen.retention is Retention.keep)
 
     def _pin(
--- a/src/jasminewheel/_internal/scheduling/retry_budget.py
+++ b/src/jasminewheel/_internal/scheduling/retry_budget.py
@@ -17,7 +17,7 @@
     """
 
     saved: float = MOST_SAVED
-    failed_calls: OrderedDict[tuple[str, str], None] = field(
+    failed_calls: OrderedDict[tuple[str, str], frozenset[str]] = field(
         factory=OrderedDict
     )
 
@@ -26,12 +26,17 @@
         self.failed_calls.pop((program_id, request_id), None)
         self.saved = min(MOST_SAVED, self.saved + RETRY_SHARE)
 
-    def failed(self, program_id: str, request_id: str) -> None:
+    def failed(self, program_id: str, request_id: str, runner: str) -> None:
         """Remember that the next placement of the call is a retry."""
-        self.failed_calls[program_id, request_id] = None
+        before = self.failed_at(program_id, request_id)
+        self.failed_calls[program_id, request_id] = before | {runner}
         if len(self.failed_calls) > FAILED_KEPT:
             self.failed_calls.popitem(last=False)
 
+    def failed_at(self, program_id: str, request_id: str) -> frozenset[str]:
+        """Return the runners that failed a call."""
+        return self.failed_calls.get((program_id, request_id), frozenset())
+
     def allows(self, program_id: str, request_id: str) -> bool:
         """Pay for the call if it is a retry; return whether that worked."""
         if (program_id, request_id) not in self.failed_calls:
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -71,7 +71,7 @@
         state = self.targets.state(request.target)
         self._admit(state, waiter.call, patience)
         with ExitStack() as cleanup:
-            cleanup.callback(self._release, state, waiter)
+            cleanup.callback(_release, state, waiter, self.clock)
             state.push(waiter)
             yield await self._turn_of(waiter, now + patience)
 
@@ -130,28 +130,27 @@
             explain_choice(request, waiter.choice, now, 0, ahead)
         )
 
-    def _release(self, state: TargetState, waiter: Waiter) -> None:
-        state.remove(waiter)
-        if waiter.decision is not None:
-            waiter.decision.abandoned(self.clock())
-
     def _admit(
         self, state: TargetState, call: QueuedCall, patience: float
     ) -> None:
         policy = self.configuration.current.policy
+        if 'admission' not in policy.without:
+            self._judge(state, call, patience)
         full = len(state.queue) >= policy.max_queue_per_target
         if full and not state.displace_last(call):
             retry = state.throughput.expected_wait(len(state.queue))
             raise self._refuse(call, Refusal('the queue is full', retry))
-        if 'admission' in policy.without:
-            return
+
+    def _judge(
+        self, state: TargetState, call: QueuedCall, patience: float
+    ) -> None:
         request = call.request
-        if not state.retries.allows(request.program_id, request.request_id):
-            raise self._refuse(call, Refusal('too many retries', RETRY_SECONDS))
         ahead = state.queue.ahead_of(call)
         refusal = judge(ahead, patience, state.throughput)
         if refusal is not None:
             raise self._refuse(call, refusal)
+        if not state.retries.allows(request.program_id, request.request_id):
+            raise self._refuse(call, Refusal('too many retries', RETRY_SECONDS))
 
     def _patience(self, request: PlacementRequest, now: float) -> float:
         snapshot = self.configuration.current
@@ -172,6 +171,14 @@
         return _overloaded(request, refusal)
 
 
+def _release(
+    state: TargetState, waiter: Waiter, clock: Callable[[], float]
+) -> None:
+    state.remove(waiter)
+    if waiter.decision is not None:
+        waiter.decision.abandoned(clock())
+
+
 def _late_refusal(waiter: Waiter) -> Refusal:
     if waiter.displaced:
         return Refusal('more favoured calls filled the queue', 1)
--- a/src/jasminewheel/_internal/scheduling/view.py
+++ b/src/jasminewheel/_internal/scheduling/view.py
@@ -56,10 +56,12 @@
     weights: CostWeights
     waited_seconds: float = 0
     wanted: Mapping[str, int] = NOBODY_WAITS
+    # Runners that failed this call before.
+    avoided: frozenset[str] = frozenset()
 
     def allows(self, runner: str, now: float) -> bool:
         """Return whether a runner serves and its breaker is closed."""
-        if runner not in self.fleet.runners:
+        if runner in self.avoided or runner not in self.fleet.runners:
             return False
         return self.runners.state(runner).breaker.allows(now)
 
