--- a/src/jasminewheel/_internal/entry/parts.py
+++ b/src/jasminewheel/_internal/entry/parts.py
@@ -62,6 +62,5 @@
         budgets=BudgetsSection(budgets.wallet),
         members=MembersSection(around.fleet),
     )
-    return EntryParts(
-        around, budgets, open_programs(around, slots, flow), operators
-    )
+    programs = open_programs(around, slots, flow, scheduler.program_ended)
+    return EntryParts(around, budgets, programs, operators)
--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -4,6 +4,7 @@
 
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.scheduling.baselines import make_rules
+from jasminewheel._internal.scheduling.breaker import BreakerLimits
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.explanations import (
     ExplanationBook,
@@ -14,10 +15,12 @@
 from jasminewheel._internal.scheduling.placement import (
     FULL_REASON,
     NONE_REASON,
+    WAIT_REASON,
     CheapestRunner,
 )
 from jasminewheel._internal.scheduling.queue import QueuedCall
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.retention import RetentionKeeper
 from jasminewheel._internal.scheduling.runners import RunnerBook
 from jasminewheel._internal.scheduling.view import (
     Choice,
@@ -33,8 +36,13 @@
     Waiter,
 )
 
+from jasminewheel.models.policy import COST_RULE
+from jasminewheel.models.target import Target
+
 # Calls behind the first may pass it when it waits for a certain runner.
 LOOK_AHEAD = 8
+# However many calls wait, a target is looked at this often without cause.
+RECHECK_SECONDS = 0.25
 # When no runner is free for one call, none is for those behind it.
 ENDING_REASONS = frozenset((FULL_REASON, NONE_REASON))
 
@@ -60,23 +68,42 @@
         self.rules = make_rules(CheapestRunner())
         self.explanations = ExplanationBook()
         self.waited = WaitedBook()
+        self.keeper = RetentionKeeper()
         self.ledger = OutcomeLedger(
-            self.runners, self.fleets, self.targets, self.pump
+            self.runners,
+            self.fleets,
+            self.targets,
+            self.pump,
+            self._retain,
+            self._breaker_limits,
         )
 
-    def pump(self, target: str, now: float) -> None:
-        """Place as many waiting calls of a target as runners allow."""
+    def pump(self, target: str, now: float, freed: str = '') -> None:
+        """Place as many waiting calls of a target as runners allow.
+
+        `freed` is a runner on which a call just ended.
+        """
         state = self.targets.state(target)
+        state.pumped_at = now
         passed = 0
         while passed < min(LOOK_AHEAD, len(state.queue)):
             call = state.queue.at(passed)
-            if self._stays_full(state.waiters[call]):
+            waiter = state.waiters[call]
+            if waiter.rests(freed, now):
+                passed += 1
+                continue
+            if self._stays_full(waiter):
                 return
             choice = self._try_place(state, call, now)
             if choice.reason in ENDING_REASONS:
                 return
             passed += choice.option is None
 
+    def recheck(self, target: str, now: float) -> None:
+        """Place waiting calls unless that was tried a moment ago."""
+        if now - self.targets.state(target).pumped_at >= RECHECK_SECONDS:
+            self.pump(target, now)
+
     def pump_runner(self, runner: str, now: float) -> None:
         """Place the waiting calls of the target that a runner serves."""
         self.fleets.update(runner, now)
@@ -84,19 +111,27 @@
         if target is not None:
             self.pump(target, now)
 
-    def choose(self, request: PlacementRequest, now: float) -> Choice:
+    def choose(
+        self, request: PlacementRequest, now: float, waited_seconds: float = 0
+    ) -> Choice:
         """Weigh the runners for a call without placing it."""
         snapshot = self.configuration.current
         target = snapshot.targets.get(request.target)
         if target is None:
             return Choice(None, (), NONE_REASON)
+        policy = snapshot.policy
+        self.runners.prefixes.half_life_seconds = policy.prefix_belief_seconds
+        state = self.targets.state(request.target)
         view = TargetView(
             self.fleets.fleet(target, now),
             self.runners,
-            self.targets.state(request.target).rates,
-            snapshot.policy,
+            state.rates,
+            policy,
             self.region,
-            weights_of(snapshot.policy),
+            weights_of(policy),
+            waited_seconds,
+            state.wanted,
+            self._avoided(state, target, request),
         )
         return self.rules[snapshot.policy.rule].choose(view, request, now)
 
@@ -109,15 +144,40 @@
         priority = waiter.call.request.priority
         return not fleet.has_room(kept_free_share(priority, policy))
 
+    def _retain(self, decision: PlacementDecision, now: float) -> None:
+        policy = self.configuration.current.policy
+        cache = self.runners.prefixes.cache(decision.runner)
+        wanted = policy.rule == COST_RULE and 'retention' not in policy.without
+        if wanted and cache.capacity_tokens and decision.request.blocks:
+            rates = self.targets.state(decision.request.target).rates
+            seconds = rates.prefill_seconds_per_token
+            self.keeper.longest_seconds = policy.prefix_hold_seconds
+            self.keeper.paused(decision, cache, seconds, now)
+
+    def _avoided(
+        self, state: TargetState, target: Target, request: PlacementRequest
+    ) -> frozenset[str]:
+        failed = state.retries.failed_at(request.program_id, request.request_id)
+        # When all have failed the call, any may be tried again.
+        return failed if len(failed) < len(target.runners) else frozenset()
+
+    def _breaker_limits(self) -> BreakerLimits:
+        policy = self.configuration.current.policy
+        return BreakerLimits(policy.breaker_failures, policy.breaker_seconds)
+
     def _estimate(self, runner: str, now: float) -> int:
         return self.runners.state(runner).load.estimate(now)
 
     def _try_place(
         self, state: TargetState, call: QueuedCall, now: float
     ) -> Choice:
-        choice = self.choose(call.request, now)
         waiter = state.waiters[call]
+        state.want(waiter, '')
+        choice = self.choose(call.request, now, now - call.queued_at)
         waiter.choice = choice
+        waiter.weighed_at = now
+        if choice.reason == WAIT_REASON:
+            state.want(waiter, choice.weighed[0].runner.name)
         if choice.option is not None:
             state.remove(waiter)
             waiter.place(self._decide(call, choice, choice.option, now))
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable
 from contextlib import ExitStack, asynccontextmanager
 
 import trio
@@ -15,22 +15,24 @@
 )
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.dispatch import (
+    RECHECK_SECONDS,
     ConfigurationSource,
     Dispatcher,
 )
 from jasminewheel._internal.scheduling.explanations import (
-    Explanation,
+    Explainer,
     explain_choice,
     explain_refusal,
 )
 from jasminewheel._internal.scheduling.queue import QueuedCall, ordering_of
 from jasminewheel._internal.scheduling.request import PlacementRequest
+from jasminewheel._internal.scheduling.retention import EngineClients
 from jasminewheel._internal.scheduling.waiting import TargetState, Waiter
 from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
 
 LOGGER = logging.getLogger(__name__)
-RECHECK_SECONDS = 0.25
+RETRY_SECONDS = 2
 
 
 class Scheduler:
@@ -53,6 +55,7 @@
         self.dispatcher = Dispatcher(configuration, region, salt)
         self.runners = self.dispatcher.runners
         self.targets = self.dispatcher.targets
+        self.explainer: Explainer = self.dispatcher.explanations
 
     @asynccontextmanager
     async def place(
@@ -60,6 +63,7 @@
     ) -> AsyncIterator[PlacementDecision]:
         """Wait for a runner; raise OverloadedError if that takes too long."""
         patience = self._patience(request, now)
+        self._note_use(request, now)
         policy = self.configuration.current.policy
         waited = self.dispatcher.waited.waited(request.program_id)
         claim = ordering_of(policy).claim(request, waited)
@@ -67,7 +71,7 @@
         state = self.targets.state(request.target)
         self._admit(state, waiter.call, patience)
         with ExitStack() as cleanup:
-            cleanup.callback(self._release, state, waiter)
+            cleanup.callback(_release, state, waiter, self.clock)
             state.push(waiter)
             yield await self._turn_of(waiter, now + patience)
 
@@ -85,13 +89,13 @@
         if self.runners.forget(runner):
             events.RUNNER_FORGOTTEN.log(LOGGER, runner=runner)
 
-    def explain_program(self, program_id: str) -> Sequence[Explanation]:
-        """Return a program's recent decisions, the oldest first."""
-        return self.dispatcher.explanations.explain_program(program_id)
+    async def run(self, clients: EngineClients) -> None:
+        """Keep and release prefixes in engines until cancelled."""
+        await self.dispatcher.keeper.run(clients)
 
-    def explain_target(self, target: str) -> Sequence[Explanation]:
-        """Return a target's recent decisions, the oldest first."""
-        return self.dispatcher.explanations.explain_target(target)
+    def program_ended(self, program_id: str) -> None:
+        """Release what engines keep for a program that ended."""
+        self.dispatcher.keeper.ended(program_id)
 
     def explain_request(self, request_id: str) -> Sequence[Explanation]:
         """Return a request's recent decisions, the oldest first."""
@@ -109,11 +113,18 @@
                 await waiter.turn.wait()
             now = self.clock()
             if not waiter.turn.is_set():
-                self.dispatcher.pump(target, now)
+                self.dispatcher.recheck(target, now)
         if waiter.decision is None:
             raise self._refuse(waiter.call, _late_refusal(waiter))
         return waiter.decision
 
+    def _note_use(self, request: PlacementRequest, now: float) -> None:
+        keeper = self.dispatcher.keeper
+        if request.blocks:
+            keeper.resumed(request.program_id, now)
+        else:
+            keeper.used_tool(request.program_id, request.target)
+
     def _explain_wait(self, waiter: Waiter, now: float) -> None:
         if waiter.choice is None or waiter.turn.is_set():
             return
@@ -123,25 +134,27 @@
             explain_choice(request, waiter.choice, now, 0, ahead)
         )
 
-    def _release(self, state: TargetState, waiter: Waiter) -> None:
-        state.remove(waiter)
-        if waiter.decision is not None:
-            waiter.decision.abandoned(self.clock())
-
     def _admit(
         self, state: TargetState, call: QueuedCall, patience: float
     ) -> None:
         policy = self.configuration.current.policy
+        if 'admission' not in policy.without:
+            self._judge(state, call, patience)
         full = len(state.queue) >= policy.max_queue_per_target
         if full and not state.displace_last(call):
             retry = state.throughput.expected_wait(len(state.queue))
             raise self._refuse(call, Refusal('the queue is full', retry))
-        if 'admission' in policy.without:
-            return
+
+    def _judge(
+        self, state: TargetState, call: QueuedCall, patience: float
+    ) -> None:
+        request = call.request
         ahead = state.queue.ahead_of(call)
         refusal = judge(ahead, patience, state.throughput)
         if refusal is not None:
             raise self._refuse(call, refusal)
+        if not state.retries.allows(request.program_id, request.request_id):
+            raise self._refuse(call, Refusal('too many retries', RETRY_SECONDS))
 
     def _patience(self, request: PlacementRequest, now: float) -> float:
         snapshot = self.configuration.current
@@ -162,6 +175,14 @@
         return _overloaded(request, refusal)
 
 
+def _release(
+    state: TargetState, waiter: Waiter, clock: Callable[[], float]
+) -> None:
+    state.remove(waiter)
+    if waiter.decision is not None:
+        waiter.decision.abandoned(clock())
+
+
 def _late_refusal(waiter: Waiter) -> Refusal:
     if waiter.displaced:
         return Refusal('more favoured calls filled the queue', 1)
--- a/src/jasminewheel/_internal/scheduling/view.py
+++ b/src/jasminewheel/_internal/scheduling/view.py
@@ -1,5 +1,8 @@
 """Show a rule what is known of a target's runners for one call."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from attrs import frozen
 
 from jasminewheel._internal.scheduling.cost import (
@@ -8,6 +11,7 @@
     Demand,
     Situation,
     price,
+    priority_weight,
 )
 from jasminewheel._internal.scheduling.fleet import TargetFleet
 from jasminewheel._internal.scheduling.prefixes import NOTHING_HELD, Held
@@ -19,6 +23,9 @@
 from jasminewheel.models.target import Runner
 
 
+NOBODY_WAITS: Mapping[str, int] = MappingProxyType({})
+
+
 @frozen
 class Option:
     """Hold a runner that may be chosen and what it would cost."""
@@ -47,10 +54,14 @@
     policy: Policy
     region: str
     weights: CostWeights
+    waited_seconds: float = 0
+    wanted: Mapping[str, int] = NOBODY_WAITS
+    # Runners that failed this call before.
+    avoided: frozenset[str] = frozenset()
 
     def allows(self, runner: str, now: float) -> bool:
         """Return whether a runner serves and its breaker is closed."""
-        if runner not in self.fleet.runners:
+        if runner in self.avoided or runner not in self.fleet.runners:
             return False
         return self.runners.state(runner).breaker.allows(now)
 
@@ -60,6 +71,7 @@
             request.prompt_tokens,
             min(self.rates.answer_tokens, request.max_tokens),
             kept_free_share(request.priority, self.policy),
+            self._weight(request.priority),
         )
 
     def option(
@@ -71,15 +83,23 @@
     ) -> Option:
         """Return a runner with its situation and cost."""
         kept_free = round(demand.kept_free_share * runner.max_running)
+        load = self.runners.state(runner.name).load
         situation = Situation(
-            self.runners.state(runner.name).load.estimate(now),
+            load.estimate(now),
             max(1, runner.max_running - kept_free),
             held,
             runner.region == self.region,
+            self.wanted.get(runner.name, 0),
+            load.weight(now),
         )
         cost = price(situation, demand, self.rates, self.weights)
         return Option(runner, situation, cost)
 
+    def _weight(self, priority: int) -> float:
+        if 'priority' in self.policy.without:
+            return 1
+        return priority_weight(priority)
+
 
 def kept_free_share(priority: int, policy: Policy) -> float:
     """Return the share of a runner that a priority has to leave free."""
