Wire budgets into the entry, and mend a skip in the stand-in's streams

Cause: the entry reserved from an unlimited wallet. Ruled out: the account (granted stayed within the limit). Change: wallet, service and owners of accounts in the entry; grants in hand go back before slots are handed over; the stand-in reads its tokens whole.

--- a/src/jasminewheel/_internal/budget/owner.py
+++ b/src/jasminewheel/_internal/budget/owner.py
@@ -67,20 +67,28 @@
     """Own the slots of accounts that other entries ask for here."""
 
     ownership: SlotOwnership
-    taker: SlotTaker
     slot_of: Callable[[str], int]
+    taker: SlotTaker | None = None
 
     async def own(self, subject: str) -> SlotLog:
         """Return the slot; raise MovedError if another entry serves it."""
         number = self.slot_of(subject)
         owned = self.ownership.owned(number)
         if owned is None:
-            await self.taker.take(number, ())
+            await self.take(number, ())
             owned = self.ownership.owned(number)
         if owned is None:
             raise MovedError('another entry owns the account')
         return owned
 
+    async def take(
+        self, number: int, unreachable: Collection[str]
+    ) -> PeerMember | None:
+        """Own the slot and return None, or return its serving owner."""
+        if self.taker is None:
+            raise MovedError('the entry is starting')
+        return await self.taker.take(number, unreachable)
+
 
 @define(eq=False)
 class AccountOwners:
@@ -156,7 +164,7 @@
             unreachable.clear()
             raise MovedError('no entry can be reached')
         if candidates[0].member == self.ranking.own.member:
-            return await self.slots.taker.take(number, unreachable)
+            return await self.slots.take(number, unreachable)
         return candidates[0]
 
     async def ask_here(self, message: TakeGrant | ReturnGrant) -> Any:
--- a/src/jasminewheel/_internal/budget/wallet.py
+++ b/src/jasminewheel/_internal/budget/wallet.py
@@ -29,7 +29,7 @@
 _SWEEP_SECONDS = 10.0
 # Grants that nothing was reserved from for so long go back.
 _IDLE_SECONDS = 60.0
-_STOP_SECONDS = 5.0
+_STOP_SECONDS = 2.0
 
 
 @define(eq=False)
@@ -73,9 +73,7 @@
         """Give back what is unspent, unless the process fails."""
         self.nursery.cancel_scope.cancel()
         if exception[0] is None:
-            with trio.CancelScope(shield=True) as scope:
-                scope.deadline = trio.current_time() + _STOP_SECONDS
-                await self.give_back_all()
+            await self.give_back_all()
         return await self.stack.__aexit__(*exception)
 
     @asynccontextmanager
@@ -160,10 +158,12 @@
             self.accounts.pop(account.caller, None)
 
     async def give_back_all(self) -> None:
-        """Give back all grants at once."""
-        async with trio.open_nursery() as nursery:
-            for account in self.accounts.values():
-                nursery.start_soon(self.close, account)
+        """Give back all grants, as far as the time of a stop allows."""
+        with trio.CancelScope(shield=True) as scope:
+            scope.deadline = trio.current_time() + _STOP_SECONDS
+            async with trio.open_nursery() as nursery:
+                for account in list(self.accounts.values()):
+                    nursery.start_soon(self.close, account)
 
     async def close(self, account: HeldAccount) -> None:
         """Settle a grant whose answer is out, then give back all."""
--- a/src/jasminewheel/_internal/entry/calls.py
+++ b/src/jasminewheel/_internal/entry/calls.py
@@ -2,21 +2,21 @@
 
 import time
 
+from jasminewheel._internal.budget.wallet import Wallet
 from jasminewheel._internal.entry.surroundings import Surroundings
 from jasminewheel._internal.program.flow import CallFlow
 from jasminewheel._internal.program.model_calls import ModelCalls
 from jasminewheel._internal.program.service_calls import ServiceCalls
-from jasminewheel._internal.program.wallet import UnlimitedWallet
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 
 
-def open_flow(around: Surroundings) -> CallFlow:
+def open_flow(around: Surroundings, wallet: Wallet) -> CallFlow:
     """Return what runs calls on the targets of the configuration."""
     view = around.fleet.view
     scheduler = Scheduler(view, around.region)
     return CallFlow(
         snapshot=lambda: view.current,
-        wallet=UnlimitedWallet(),
+        wallet=wallet,
         models=ModelCalls(scheduler, around.clients),
         services=ServiceCalls(scheduler, around.clients),
         clock=time.time,
--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -94,6 +94,8 @@
     async def hand_over(self) -> None:
         """Stop taking programs, then release each when its calls are done."""
         self.is_ready = False
+        # While the accounts of other callers are still owned here.
+        await self.programs.budgets.wallet.give_back_all()
         self.programs.taker.is_draining = True
         await self.around.fleet.leave()
         await trio.sleep(self.settings.unready_seconds)
@@ -108,7 +110,8 @@
         programs = open_programs(around)
         entry = EntryProcess(settings, around, programs)
         await entry.start()
-        await entry.serve(stop)
+        async with programs.budgets.wallet:
+            await entry.serve(stop)
         await around.fleet.depart()
 
 
--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from jasminewheel._internal.entry.budgets import Budgets, open_budgets
 from jasminewheel._internal.entry.calls import open_flow
 from jasminewheel._internal.entry.surroundings import Surroundings
 from jasminewheel._internal.peer.server import Handler
@@ -33,23 +34,31 @@
     keeper: SlotKeeper
     taker: SlotTaker
     watch: LivenessWatch
+    budgets: Budgets
 
     def handlers(self) -> Mapping[type, Handler]:
         """Return what peers may ask about programs."""
         return {
             Operation: self.router.handle,
             SlotQuestion: self.taker.answer,
+            **self.budgets.handlers(),
         }
 
 
-def open_host(around: Surroundings, flow: CallFlow) -> ProgramHost:
-    """Return the host of the slots that this process will own."""
-    ownership = Ownership(
+def open_ownership(around: Surroundings) -> Ownership:
+    """Return what seals slots for this process."""
+    return Ownership(
         around.pool,
         around.identity,
         around.fleet.placements,
         around.fleet.membership.address_of,
     )
+
+
+def open_host(
+    around: Surroundings, ownership: Ownership, flow: CallFlow
+) -> ProgramHost:
+    """Return the host of the slots that this process will own."""
     return ProgramHost(
         ownership,
         lambda program: around.fleet.placements.current.slot_of(program),
@@ -74,11 +83,18 @@
 
 def open_programs(around: Surroundings) -> Programs:
     """Return the parts, wired together."""
-    flow = open_flow(around)
-    host = open_host(around, flow)
+    ownership = open_ownership(around)
+    budgets = open_budgets(around, ownership)
+    flow = open_flow(around, budgets.wallet)
+    host = open_host(around, ownership, flow)
     membership = around.fleet.membership
-    owners = HistoryOwners(host.ownership.replicas, around.fleet.placements)
-    taker = SlotTaker(host, membership, owners, around.pool)
+    taker = SlotTaker(
+        host,
+        membership,
+        HistoryOwners(ownership.replicas, around.fleet.placements),
+        around.pool,
+    )
+    budgets.slots.taker = taker
     watch = LivenessWatch(membership)
     router = Router(
         membership,
@@ -90,4 +106,4 @@
         time.time,
     )
     keeper = SlotKeeper(host, membership, time.time)
-    return Programs(router, keeper, taker, watch)
+    return Programs(router, keeper, taker, watch, budgets)
--- a/src/jasminewheel/_internal/fakes/engine_streams.py
+++ b/src/jasminewheel/_internal/fakes/engine_streams.py
@@ -47,10 +47,12 @@
         """Yield the tokens from a character offset on, until the end."""
         index = 0
         while True:
-            for token in tokens_from(self.tokens[index:], offset):
+            # More tokens come in while these are sent.
+            known = self.tokens[index:]
+            for token in tokens_from(known, offset):
                 yield token
-            index = len(self.tokens)
-            if self.usage:
+            index += len(known)
+            if self.usage and index == len(self.tokens):
                 return
             await self.wait_beyond(index)
 
--- a/src/jasminewheel/_internal/http/serving.py
+++ b/src/jasminewheel/_internal/http/serving.py
@@ -78,5 +78,5 @@
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = logging.getLogger('hypercorn.error')
-    config.loglevel = 'WARNING'
+    config.errorlog.setLevel(logging.WARNING)
     return config
--- a/tests/fleet_configuration.py
+++ b/tests/fleet_configuration.py
@@ -48,12 +48,12 @@
 
 def caller(name, fleet):
     """Return a caller whose key is `<name>-key`."""
+    fields = {'budget': Budget(tokens=100_000_000), **fleet.caller_fields}
     return Caller(
         name=name,
         key_hashes=(KeyHash(hash_key(f'{name}-key')),),
-        budget=Budget(tokens=100_000_000),
         targets=('helper-models', 'ticket-desk'),
-        **fleet.caller_fields,
+        **fields,
     )
 
 
--- a/tests/functional/test_budget_owners.py
+++ b/tests/functional/test_budget_owners.py
@@ -119,7 +119,7 @@
             PlacementView(placement),
             self.histories.addresses.__getitem__,
         )
-        slots = TakenSlots(ownership, Taker(ownership), placement.slot_of)
+        slots = TakenSlots(ownership, placement.slot_of, Taker(ownership))
         service = BudgetService(slots, lambda _: LIMIT, lambda: NOW)
         ranking = Ranking(address, self.addresses)
         owners = AccountOwners(service, slots, ranking, pool)
