--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -97,10 +97,6 @@
         """Release what engines keep for a program that ended."""
         self.dispatcher.keeper.ended(program_id)
 
-    def explain_request(self, request_id: str) -> Sequence[Explanation]:
-        """Return a request's recent decisions, the oldest first."""
-        return self.dispatcher.explanations.explain_request(request_id)
-
     async def _turn_of(
         self, waiter: Waiter, latest: float
     ) -> PlacementDecision:
