--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -1,7 +1,7 @@
 """Wire the parts that host programs and route to them."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from attrs import frozen
 
@@ -40,7 +40,10 @@
 
 
 def open_operations(
-    around: Surroundings, slots: Slots, flow: CallFlow
+    around: Surroundings,
+    slots: Slots,
+    flow: CallFlow,
+    released: Callable[[str], None],
 ) -> ProgramOperations:
     """Return what carries out operations on hosted programs."""
     host = ProgramHost(slots.table, flow, around.nursery, time.time)
@@ -48,13 +51,16 @@
         host,
         flow,
         ProgramOpening(host, time.time),
-        ProgramEnding(host, time.time),
+        ProgramEnding(host, time.time, released),
         around.nursery,
     )
 
 
 def open_programs(
-    around: Surroundings, slots: Slots, flow: CallFlow
+    around: Surroundings,
+    slots: Slots,
+    flow: CallFlow,
+    released: Callable[[str], None],
 ) -> Programs:
     """Return the parts, wired together."""
     membership = around.fleet.membership
@@ -62,7 +68,7 @@
     router = Router(
         slots.finder,
         around.pool,
-        open_operations(around, slots, flow),
+        open_operations(around, slots, flow, released),
         watch,
         time.time,
     )
--- a/src/jasminewheel/_internal/program/job.py
+++ b/src/jasminewheel/_internal/program/job.py
@@ -4,14 +4,14 @@
 from contextlib import AbstractContextManager, contextmanager
 
 import trio
-from attrs import define
+from attrs import define, field
 from opentelemetry.trace import Span
 
 from jasminewheel._internal.observability.tracing import hop
 from jasminewheel._internal.program.answer import Answer
 from jasminewheel._internal.program.hosted import HostedProgram
 from jasminewheel._internal.program.plan import CallPlan
-from jasminewheel._internal.program.ports import Decision
+from jasminewheel._internal.program.ports import Decision, Spending
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.targets.prefix import PrefixBlock, chain
 from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
@@ -37,6 +37,7 @@
     may_have_run: bool = False
     runner_url: str = ''
     known_blocks: list[PrefixBlock] | None = None
+    spending: Spending = field(init=False)
 
     @property
     def deadline_at(self) -> float:
--- a/src/jasminewheel/_internal/scheduling/outcomes.py
+++ b/src/jasminewheel/_internal/scheduling/outcomes.py
@@ -6,7 +6,11 @@
 from attrs import define
 
 from jasminewheel._internal.events import scheduling as events
-from jasminewheel._internal.scheduling.breaker import BreakerState
+from jasminewheel._internal.scheduling.breaker import (
+    BreakerLimits,
+    BreakerState,
+)
+from jasminewheel._internal.scheduling.cost import priority_weight
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.fleet import FleetBook
 from jasminewheel._internal.scheduling.rates import TargetRates
@@ -21,18 +25,22 @@
 class OutcomeLedger:
     """Keep loads, beliefs, rates and breakers in step with placed calls.
 
-    `freed` is called with the target whenever one of its calls ended.
+    `freed` is called with target and runner whenever a call ended,
+    `retain` with each call of a model that was answered.
     """
 
     runners: RunnerBook
     fleets: FleetBook
     targets: TargetBook
-    freed: Callable[[str, float], None]
+    freed: Callable[[str, float, str], None]
+    retain: Callable[[PlacementDecision, float], None]
+    breaker_limits: Callable[[], BreakerLimits]
 
     def placed(self, decision: PlacementDecision, now: float) -> None:
         """Count the call at its runner."""
-        state = self._state(decision)
-        state.load.started(now)
+        state = self.runners.state(decision.runner)
+        decision.runner_state = state
+        state.load.started(now, _weight(decision))
         state.breaker.sent(now)
         self.fleets.update(decision.runner, now)
 
@@ -52,17 +60,23 @@
         rates.learn_service(now - decision.placed_at)
         if usage is not None:
             self._learn_usage(decision, usage, now)
-        prefixes = self.runners.prefixes
-        prefixes.touch(decision.runner, decision.request.blocks, now)
+            self.retain(decision, now)
+        request = decision.request
+        self.runners.prefixes.touch(decision.runner, request.blocks, now)
+        retries = self.targets.state(request.target).retries
+        retries.succeeded(request.program_id, request.request_id)
         self._end(decision, now)
 
     def failed(self, decision: PlacementDecision, now: float) -> None:
         """Count the failure against the runner."""
         breaker = self._state(decision).breaker
         was_closed = breaker.state is BreakerState.closed
-        breaker.failed(now)
+        breaker.failed(now, self.breaker_limits())
         if was_closed and breaker.state is BreakerState.open:
             events.BREAKER_OPENED.log(LOGGER, runner=decision.runner)
+        request = decision.request
+        retries = self.targets.state(request.target).retries
+        retries.failed(request.program_id, request.request_id, decision.runner)
         self._end(decision, now)
 
     def abandoned(self, decision: PlacementDecision, now: float) -> None:
@@ -93,11 +107,16 @@
         return self.targets.state(decision.request.target).rates
 
     def _state(self, decision: PlacementDecision) -> RunnerState:
-        return self.runners.state(decision.runner)
+        # A runner that was declared anew meanwhile has another state.
+        return decision.runner_state
 
     def _end(self, decision: PlacementDecision, now: float) -> None:
-        self._state(decision).load.ended(now)
+        self._state(decision).load.ended(now, _weight(decision))
         self.fleets.update(decision.runner, now)
         target = decision.request.target
         self.targets.state(target).throughput.ended(now)
-        self.freed(target, now)
+        self.freed(target, now, decision.runner)
+
+
+def _weight(decision: PlacementDecision) -> float:
+    return priority_weight(decision.request.priority)
--- a/src/jasminewheel/_internal/scheduling/placement.py
+++ b/src/jasminewheel/_internal/scheduling/placement.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from jasminewheel._internal.scheduling.cost import priority_weight
 from jasminewheel._internal.scheduling.prefixes import (
     NOTHING_HELD,
     Held,
@@ -17,6 +18,8 @@
 WAIT_REASON = 'waits for a runner that costs less than a free one'
 FULL_REASON = 'waits because all runners are full'
 NONE_REASON = 'no runner may be sent calls'
+# A call waits at most this many times what it was expected to.
+WAIT_PATIENCE = 4
 HOLDERS_WEIGHED = 4
 LEAST_LOADED_WEIGHED = 2
 
@@ -50,7 +53,9 @@
         best = weighed[0]
         if best.situation.free:
             return Choice(best, weighed, 'costs least')
-        if 'waiting' in view.policy.without:
+        weight = priority_weight(request.priority)
+        patience = WAIT_PATIENCE * best.cost.wait_seconds / weight
+        if 'waiting' in view.policy.without or view.waited_seconds > patience:
             return _first_free(weighed)
         free = any(option.situation.free for option in weighed)
         return Choice(None, weighed, WAIT_REASON if free else FULL_REASON)
--- a/tests/functional/test_scheduler.py
+++ b/tests/functional/test_scheduler.py
@@ -9,7 +9,7 @@
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.configuration.view import ConfigurationView
 from jasminewheel._internal.scheduling.request import PlacementRequest
-from jasminewheel._internal.targets.engine import LoadReport
+from jasminewheel._internal.targets.engine import EngineUsage, LoadReport
 from jasminewheel._internal.targets.prefix import PrefixBlock
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
@@ -117,8 +117,10 @@
         chain = [PrefixBlock('a', 4000)]
         scheduler.runners.prefixes.touch('r2', chain, 0)
         asked = request('p', blocks=chain)
-        for _ in range(3):
-            async with scheduler.place(asked, 0) as decision:
+        for name in ('x', 'y', 'z'):
+            failing = request(name, blocks=chain)
+            async with scheduler.place(failing, 0) as decision:
+                assert decision.runner == 'r2'
                 decision.failed(0)
         async with scheduler.place(asked, 0) as decision:
             assert decision.runner == 'r1'
@@ -129,6 +131,38 @@
     run(scenario)
 
 
+def test_a_retry_goes_to_another_runner_at_once():
+    async def scenario():
+        scheduler = make_scheduler(limit=4)
+        chain = [PrefixBlock('a', 4000)]
+        scheduler.runners.prefixes.touch('r2', chain, 0)
+        asked = request('p', blocks=chain)
+        async with scheduler.place(asked, 0) as decision:
+            assert decision.runner == 'r2'
+            decision.failed(0)
+        async with scheduler.place(asked, 0) as decision:
+            assert decision.runner == 'r1'
+            decision.failed(0)
+        # Both failed it, so either may be tried again.
+        async with scheduler.place(asked, 0) as decision:
+            assert decision.runner == 'r2'
+
+    run(scenario)
+
+
+def test_a_runner_declared_anew_starts_from_no_load():
+    async def scenario():
+        scheduler = make_scheduler()
+        async with AsyncExitStack() as stack:
+            placing = scheduler.place(request('p'), 0)
+            decision = await stack.enter_async_context(placing)
+            scheduler.forget_runner(decision.runner)
+            load = scheduler.runners.state(decision.runner).load
+        assert load.own_running == 0
+
+    run(scenario)
+
+
 def test_refusals_are_not_run_and_tell_when_to_retry():
     async def scenario():
         scheduler = make_scheduler(max_queue_seconds=2)
@@ -196,7 +230,7 @@
         async with trio.open_nursery() as nursery:
             for _ in range(20):
                 nursery.start_soon(hold, scheduler, request('p'), [])
-        explained = scheduler.explain_program('p')
+        explained = scheduler.explainer.explain_program('p')
         assert 0 < len(explained) <= 8
         assert explained[-1].decision == 'placed'
         weighed = explained[-1].weighed
@@ -204,7 +238,7 @@
         with pytest.raises(DeadlineError):
             async with scheduler.place(request('p', deadline=1), 2):
                 pytest.fail('the deadline passed')
-        assert scheduler.explain_target('guide')[-1].program_id == 'p'
+        assert scheduler.explainer.explain_target('guide')[-1].program_id == 'p'
 
     run(scenario)
 
@@ -219,3 +253,66 @@
         assert sorted(order) == ['a', 'b', 'c']
 
     run(scenario)
+
+
+class EngineDouble:
+    """Note the pins that are ordered."""
+
+    def __init__(self):
+        """Start without pins."""
+        self.pinned = {}
+
+    def engine(self, url):
+        """Return itself for every address."""
+        return self
+
+    async def pin(self, block, expires_seconds, fence):
+        """Pin a block."""
+        self.pinned[block] = expires_seconds
+
+    async def unpin(self, block):
+        """Release a block."""
+        self.pinned.pop(block)
+
+
+def test_a_paused_program_keeps_its_prefix_until_its_end():
+    async def scenario():
+        scheduler, engine = make_scheduler(limit=4), EngineDouble()
+        full = LoadReport(0, 0, 10_000, 10_000)
+        scheduler.observe_load('r1', full, 0)
+        scheduler.observe_load('r2', full, 0)
+        usage = EngineUsage(1000, 0, 8, 'stop')
+        for _ in range(50):
+            scheduler.dispatcher.keeper.learner.learn('cafe', 0.3)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(scheduler.run, engine)
+            asked = request('p', 9, [PrefixBlock('a', 1000)])
+            async with scheduler.place(asked, 0) as decision:
+                decision.finished(usage, 1)
+            await wait_all_tasks_blocked()
+            assert 0 < engine.pinned['a'] <= 64
+            scheduler.program_ended('p')
+            await wait_all_tasks_blocked()
+            assert not engine.pinned
+            assert not scheduler.dispatcher.keeper.programs
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
+def test_retries_are_paid_for_by_successes():
+    async def scenario():
+        scheduler = make_scheduler(limit=4)
+        state = scheduler.targets.state('guide')
+        state.retries.saved = 1
+        asked = request('p')
+        for _ in range(2):
+            async with scheduler.place(asked, 0) as decision:
+                decision.failed(0)
+        with pytest.raises(OverloadedError):
+            await hold(scheduler, asked, [])
+        order = []
+        await hold(scheduler, request('other'), order)
+        assert order == ['other']
+
+    run(scenario)
