Test a change while regions are apart and a drain by command

Cause: the promise that an accepted configuration never reverts was tested with a frozen entry, not with a far region whose members still see each other. Ruled out: cutting by signals, which stops the far members altogether. Change: tests only: links of whole members can be cut in groups; the far members have no store; a drained entry exits with 0 and is gone from its peer's view in 2 s.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -3,10 +3,11 @@
 import logging
 import time
 from contextlib import asynccontextmanager
+from itertools import product
 
 import trio
 from attrs import define, field, frozen
-from members import KEY, until
+from members import KEY, Cuttable, until
 from stand_ins import serving
 
 from jasminewheel._internal.configuration.configuration import Configuration
@@ -57,28 +58,35 @@
     nursery: trio.Nursery
     fleets: dict = field(factory=dict)
     sides: dict = field(factory=dict)
+    links: dict = field(factory=dict)
     scopes: dict = field(factory=dict)
     operators: tuple = ()
     vms: object = None
 
-    async def start(self, name, role=ENTRY, peers=()):
+    async def start(self, name, role=ENTRY, peers=(), store_url=''):
         """Start a member, told of the addresses of peers."""
-        await self.nursery.start(self.run, name, role, tuple(peers))
+        url = store_url or self.url
+        await self.nursery.start(self.run, name, role, tuple(peers), url)
         return self.fleets[name]
 
-    async def run(self, name, role, peers, *, task_status):
+    async def run(self, name, role, peers, url, *, task_status):
         """Run a member until it is killed."""
         zone = f'zone-{name}'
         member = starting_member(name, zone, 'east-mids', (role,))
         scope = trio.CancelScope()
         self.scopes[name] = scope
         addresses = FleetAddresses(peers, self.vms)
-        opened = open_fleet(member, KEY, self.url, addresses)
+        opened = open_fleet(member, KEY, url, addresses)
         with scope:
             async with opened as fleet, trio.open_nursery() as nursery:
+                link = Cuttable(fleet.service.heartbeats.asker)
+                fleet.service.heartbeats.asker = link
+                fleet.spread.configuration.asker = link
+                fleet.spread.placement.asker = link
+                self.links[name] = link
                 side = OperatorSide.open(
                     fleet,
-                    fleet.service.heartbeats.asker,
+                    link,
                     MemberOperations(fleet, EVENTS, time.time()),
                     self.operators,
                 )
@@ -100,6 +108,17 @@
         self.scopes[name].cancel()
         self.fleets.pop(name)
 
+    def cut(self, names, others):
+        """Cut the links between two groups of members, both ways."""
+        for one, other in (*product(names, others), *product(others, names)):
+            cut_off = self.fleets[other].membership.own
+            self.links[one].cut.add(cut_off.peer_address)
+
+    def heal(self):
+        """Make all links work again."""
+        for link in self.links.values():
+            link.cut.clear()
+
     def addresses(self):
         """Return where the members listen."""
         return [
--- a/tests/functional/test_configuration_processes.py
+++ b/tests/functional/test_configuration_processes.py
@@ -225,3 +225,14 @@
     for shown in sections.values():
         assert set(shown) >= {'slots', 'queues', 'runners', 'budgets'}
         assert shown['members']['states']['history-0'] == 'alive'
+
+
+def test_drain_by_command(operator):
+    """A drained entry ends by itself and is known to be gone."""
+    drained = operator.fleet['entry-1'].popen
+    with operator.client('entry-0') as client:
+        assert client.post('members/entry-1/drain', {})['member'] == 'entry-1'
+    assert drained.wait(30) == 0
+    poll(lambda: 'entry-1' not in operator.versions('entry-0'), 2)
+    operator.fleet.start_entry(1)
+    poll(operator.fleet['entry-1'].is_ready)
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -147,6 +147,40 @@
     trio.run(main)
 
 
+def test_change_while_regions_are_apart():
+    """The far region takes the change after the cut and never goes back."""
+
+    async def main():
+        async with bench() as fleet:
+            await fleet.commit(target_change())
+            await fleet.start('near-0')
+            await fleet.start('near-1', ENTRY, fleet.addresses())
+            for name in ('far-0', 'far-1'):
+                # The store stands in the near region.
+                fleet.nursery.start_soon(
+                    fleet.start,
+                    name,
+                    ENTRY,
+                    fleet.addresses(),
+                    'http://127.0.0.1:1',
+                )
+            await until(lambda: len(fleet.fleets) == 4)
+            await fleet.until_version(1)
+            fleet.cut(('near-0', 'near-1'), ('far-0', 'far-1'))
+            await fleet.commit(target_change('second'))
+            await until(
+                lambda: list(fleet.versions().values()).count(2) == 2,
+            )
+            far = fleet.fleets['far-0'].membership
+            await until(lambda: len(far.live()) == 2)
+            versions = fleet.versions()
+            assert versions['far-0'] == versions['far-1'] == 1
+            fleet.heal()
+            await until(lambda: set(fleet.versions().values()) == {2}, 30)
+
+    trio.run(main)
+
+
 def test_stale_list_of_vms():
     """Members meet by a list that names dead and leaving VMs."""
 
