--- a/src/jasminewheel/_internal/replication/ownership.py
+++ b/src/jasminewheel/_internal/replication/ownership.py
@@ -15,12 +15,18 @@
     PlacementSource,
     PlacementView,
 )
+from jasminewheel._internal.replication.purge import DropPurge
 from jasminewheel._internal.replication.replicas import (
     Replicas,
+    ReplicaSets,
     Target,
     Votes,
 )
-from jasminewheel._internal.replication.slot import OwnedSlot, SealedLogs
+from jasminewheel._internal.replication.slot import (
+    RENEW_DROPS,
+    OwnedSlot,
+    SealedLogs,
+)
 from jasminewheel._internal.wire.gen.history.ttypes import (
     SealSlot,
     SlotSealed,
@@ -28,6 +34,7 @@
 from jasminewheel.errors import FencedError, JasminewheelError
 
 SEAL_ATTEMPTS = 6
+RENEW_SECONDS = 60.0
 # The longest wait between two attempts of owners that race each other.
 SEAL_BACKOFF_SECONDS = 0.1
 _LOGGER = logging.getLogger(__name__)
@@ -93,12 +100,27 @@
         except JasminewheelError as error:
             events.SLOT_NOT_MOVED.log(_LOGGER, slot=slot, problem=error)
 
+    async def renew(self) -> None:
+        """Seal slots anew that dropped many logs, until cancelled.
+
+        Only a higher fence lets the replicas forget dropped logs.
+        """
+        while True:
+            await trio.sleep(RENEW_SECONDS)
+            due = [
+                slot
+                for slot, owned in self.slots.items()
+                if owned.drops >= RENEW_DROPS
+            ]
+            while due:
+                await self.try_move(due.pop(), self.placement_source.current)
+
     async def move(self, slot: int, placement: Placement) -> None:
         """Seal an owned slot under a newer placement and copy its logs."""
         async with self.locks.setdefault(slot, trio.Lock()):
             owned = self.owned(slot)
             sets = placement.sets_of(slot)
-            if owned is None or not owned.session.is_older(sets):
+            if owned is None or not is_due(owned, sets):
                 return
             former = owned.session.target
             with owned.session.move():
@@ -151,6 +173,8 @@
         events.SLOT_SEALED.log(
             _LOGGER, slot=target.slot, fence=target.fence.number
         )
+        purge = DropPurge(self.replicas, target, votes)
+        self.replicas.pool.nursery.start_soon(purge.run)
         return OwnedSlot(self.replicas, target, sealed_logs(votes))
 
     async def settle(self, target: Target, votes: Votes) -> None:
@@ -187,6 +211,11 @@
         )
 
 
+def is_due(owned: OwnedSlot, sets: ReplicaSets) -> bool:
+    """Tell whether to seal anew: for other sets, or after many drops."""
+    return owned.session.is_older(sets) or owned.drops >= RENEW_DROPS
+
+
 def sealed_logs(votes: Votes) -> SealedLogs:
     """Join the lists of logs that the replicas gave."""
     live: set[str] = set()
--- a/src/jasminewheel/_internal/replication/slot.py
+++ b/src/jasminewheel/_internal/replication/slot.py
@@ -16,6 +16,8 @@
 
 # Logs that ended here, for which a late append is refused without asking.
 REMEMBERED_ENDS = 1024
+# Replicas remember as many dropped logs of a slot until it is sealed anew.
+RENEW_DROPS = 1000
 
 
 @frozen
@@ -39,6 +41,7 @@
         self.session = SlotSession(replicas, target)
         self.logs = logs
         self.tails: dict[str, LogTail] = {}
+        self.drops = 0
         self.ended: deque[str] = deque(maxlen=REMEMBERED_ENDS)
 
     @property
@@ -55,6 +58,7 @@
         """Go on under a new fence, which this process has sealed."""
         self.session.target = target
         self.logs = logs
+        self.drops = 0
         for tail in self.tails.values():
             tail.forget()
 
@@ -119,6 +123,7 @@
         # For one that is forgotten here, the replicas refuse to append.
         self.tails.pop(log_id, None)
         self.ended.append(log_id)
+        self.drops += 1
 
     async def write(self, log_id: str, record: LogRecord) -> None:
         """Append one record at a majority."""
--- a/tests/functional/test_ownership.py
+++ b/tests/functional/test_ownership.py
@@ -243,6 +243,37 @@
     run(scenario, tmp_path)
 
 
+def test_dropped_logs_are_purged_by_the_next_owner(tmp_path):
+    """Replicas forget a dropped log once all of them know of it."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as first:
+                slot = await first.own(3)
+                await slot.append('p', 0, 'turn', b'x')
+                running.stop('h3')
+                await slot.drop('p')
+            await running.start('h3')
+            # h3 missed the drop, so the first seal finishes it.
+            async with running.owner('b', PLACEMENT) as second:
+                await second.own(3)
+                while any(slot.logs for slot in slots_of(running)):
+                    await trio.sleep(0.01)
+            async with running.owner('c', PLACEMENT) as third:
+                await third.own(3)
+                while any(slot.live_dropped() for slot in slots_of(running)):
+                    await trio.sleep(0.01)
+
+    run(scenario, tmp_path)
+
+
+def slots_of(running):
+    """Return what each history knows of slot 3."""
+    return [
+        history.journal.state.slot(3) for history in running.histories.values()
+    ]
+
+
 def test_unfinished_drop_loses_nothing(tmp_path):
     """A drop that reached one replica only frees no record anywhere."""
 
