--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -10,11 +10,8 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException
 
-from jasminewheel._internal.entry.programs import Programs, open_programs
-from jasminewheel._internal.entry.scheduling import (
-    open_operator_side,
-    open_scheduler,
-)
+from jasminewheel._internal.entry.parts import EntryParts, open_parts
+from jasminewheel._internal.entry.programs import Programs
 from jasminewheel._internal.entry.settings import EntrySettings
 from jasminewheel._internal.entry.surroundings import (
     Surroundings,
@@ -24,7 +21,6 @@
 from jasminewheel._internal.http.callers import CallersApi, refused_by_library
 from jasminewheel._internal.http.dispatch import OperationDispatch
 from jasminewheel._internal.http.health import health_blueprint
-from jasminewheel._internal.http.operator_side import OperatorSide
 from jasminewheel._internal.http.serving import serve_app, write_port
 from jasminewheel._internal.peer.server import PeerServer
 
@@ -36,11 +32,19 @@
     """Hold the parts of one entry while it runs."""
 
     settings: EntrySettings
-    around: Surroundings
-    programs: Programs
-    operators: OperatorSide
+    parts: EntryParts
     is_ready: bool = False
 
+    @property
+    def around(self) -> Surroundings:
+        """Return what the parts depend on."""
+        return self.parts.around
+
+    @property
+    def programs(self) -> Programs:
+        """Return what hosts programs."""
+        return self.parts.programs
+
     def app(self) -> QuartTrio:
         """Return the HTTP application of callers and operators."""
         app = QuartTrio('jasminewheel')
@@ -51,7 +55,7 @@
             time.time,
         )
         app.register_blueprint(CallersApi(dispatch).blueprint())
-        app.register_blueprint(self.operators.blueprint())
+        app.register_blueprint(self.parts.operators.blueprint())
         app.register_blueprint(health_blueprint(self.can_serve))
         app.register_error_handler(HTTPException, refused_by_library)
         return app
@@ -66,12 +70,9 @@
         """Serve peers, then join the fleet."""
         settings = self.settings
         fleet = self.around.fleet
-        handlers = {
-            **fleet.handlers(),
-            **self.programs.handlers(),
-            **self.operators.handlers(),
-        }
-        server = PeerServer(self.around.identity, self.around.key, handlers)
+        server = PeerServer(
+            self.around.identity, self.around.key, self.parts.handlers()
+        )
         port = await self.around.nursery.start(
             server.serve, settings.peer_host, settings.peer_port
         )
@@ -105,7 +106,9 @@
     async def hand_over(self) -> None:
         """Stop taking programs, then release each when its calls are done."""
         self.is_ready = False
-        self.programs.taker.is_draining = True
+        # While the accounts of other callers are still owned here.
+        await self.parts.budgets.wallet.give_back_all()
+        self.programs.slots.taker.is_draining = True
         await self.around.fleet.leave()
         await trio.sleep(self.settings.unready_seconds)
         with trio.move_on_after(self.settings.grace_seconds):
@@ -116,13 +119,11 @@
 async def run_entry(settings: EntrySettings, stop: trio.Event) -> None:
     """Run an entry until stop."""
     async with open_surroundings(settings) as around:
-        scheduler = open_scheduler(around)
-        operators = open_operator_side(settings, around, scheduler)
-        operators.member.drain = stop.set
-        programs = open_programs(around, scheduler)
-        entry = EntryProcess(settings, around, programs, operators)
+        parts = open_parts(settings, around, stop)
+        entry = EntryProcess(settings, parts)
         await entry.start()
-        await entry.serve(stop)
+        async with parts.budgets.wallet:
+            await entry.serve(stop)
         await around.fleet.depart()
 
 
--- /dev/null
+++ b/src/jasminewheel/_internal/program/spending.py
@@ -0,0 +1,50 @@
+"""Reserve tokens for each attempt of a call."""
+
+from contextlib import AsyncExitStack
+
+from attrs import define, field
+
+from jasminewheel._internal.program.job import CallJob
+from jasminewheel._internal.program.ports import Reservation, Wallet
+from jasminewheel.errors import CallError
+from jasminewheel.models.call import CallOutcome
+from jasminewheel.models.verdict import Verdict
+
+
+@define(eq=False)
+class CallSpending:
+    """Hold the reservations of one call within the stack."""
+
+    wallet: Wallet
+    job: CallJob
+    stack: AsyncExitStack
+    current: Reservation = field(init=False)
+
+    async def reserve(self) -> None:
+        """Reserve the most that one attempt may spend."""
+        self.current = await self.stack.enter_async_context(
+            self.wallet.reserve(
+                self.job.plan.caller.name,
+                self.job.reserved_tokens(),
+                self.job.clock(),
+            ),
+        )
+
+    async def retry(self, error: CallError) -> None:
+        """Spend what a failed attempt may have used; reserve the next one."""
+        if error.verdict is not Verdict.not_run:
+            self.current.settle(self.job.reserved_tokens())
+            await self.reserve()
+
+    def settle(self, tokens: int) -> None:
+        """Spend what the last attempt used."""
+        self.current.settle(tokens)
+
+
+def spent_tokens(job: CallJob, outcome: CallOutcome) -> int:
+    """Return the tokens to charge; all that were reserved if unknown."""
+    if outcome.succeeded:
+        return outcome.prompt_tokens + outcome.completion_tokens
+    if outcome.verdict is Verdict.not_run:
+        return 0
+    return job.reserved_tokens()
--- a/src/jasminewheel/_internal/scheduling/waiting.py
+++ b/src/jasminewheel/_internal/scheduling/waiting.py
@@ -1,14 +1,21 @@
 """Keep one target's waiting calls and wake each when it is placed."""
 
+from collections import Counter
+
 import trio
 from attrs import define, field
 
 from jasminewheel._internal.scheduling.admission import Throughput
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
+from jasminewheel._internal.scheduling.retry_budget import RetryBudget
 from jasminewheel._internal.scheduling.view import Choice
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.queue import ProgramQueue, QueuedCall
 
+# A call that waits for one runner is weighed again after this, or when a call
+# ends there.
+REWEIGH_SECONDS = 0.1
+
 
 @define(eq=False)
 class Waiter:
@@ -18,8 +25,17 @@
     turn: trio.Event = field(factory=trio.Event)
     decision: PlacementDecision | None = None
     choice: Choice | None = None
+    # The runner that the call waits for while others are free.
+    wanted: str = ''
+    weighed_at: float = 0
     displaced: bool = False
 
+    def rests(self, freed: str, now: float) -> bool:
+        """Return whether weighing the call again would change nothing."""
+        if not self.wanted or self.wanted == freed:
+            return False
+        return now - self.weighed_at < REWEIGH_SECONDS
+
     def place(self, decision: PlacementDecision) -> None:
         """Wake the waiting task with its runner."""
         self.decision = decision
@@ -38,7 +54,10 @@
     queue: ProgramQueue = field(factory=ProgramQueue)
     waiters: dict[QueuedCall, Waiter] = field(factory=dict)
     rates: TargetRates = field(factory=new_rates)
+    pumped_at: float = 0
     throughput: Throughput = field(factory=Throughput)
+    wanted: Counter[str] = field(factory=Counter)
+    retries: RetryBudget = field(factory=RetryBudget)
 
     def push(self, waiter: Waiter) -> None:
         """Queue a waiter."""
@@ -49,6 +68,15 @@
         """Take a waiter out of the queue if it is there."""
         if self.queue.remove(waiter.call):
             self.waiters.pop(waiter.call, None)
+            self.want(waiter, '')
+
+    def want(self, waiter: Waiter, runner: str) -> None:
+        """Count the call among those that wait for one runner, or none."""
+        if waiter.wanted:
+            self.wanted[waiter.wanted] -= 1
+        if runner:
+            self.wanted[runner] += 1
+        waiter.wanted = runner
 
     def displace_last(self, before: QueuedCall) -> bool:
         """Refuse the last call if it ranks behind the given one."""
