Explain what becomes of paused programs' prefixes

Cause: every decision is to be explained. Change: the keeper records the numbers weighed. Conclusion: shown by jasminewheelctl explain with the placements.

--- a/src/jasminewheel/_internal/scheduling/dispatch.py
+++ b/src/jasminewheel/_internal/scheduling/dispatch.py
@@ -68,7 +68,7 @@
         self.rules = make_rules(CheapestRunner())
         self.explanations = ExplanationBook()
         self.waited = WaitedBook()
-        self.keeper = RetentionKeeper()
+        self.keeper = RetentionKeeper(self.explanations)
         self.ledger = OutcomeLedger(
             self.runners,
             self.fleets,
--- a/src/jasminewheel/_internal/scheduling/retention.py
+++ b/src/jasminewheel/_internal/scheduling/retention.py
@@ -10,8 +10,13 @@
 
 from jasminewheel._internal.events import scheduling as events
 from jasminewheel._internal.scheduling.decision import PlacementDecision
+from jasminewheel._internal.scheduling.explanations import (
+    ExplanationBook,
+    Explanation,
+)
 from jasminewheel._internal.scheduling.pause import (
     LONGEST_HOLD_SECONDS,
+    PauseDecision,
     PauseLearner,
     PauseSituation,
     Retention,
@@ -30,6 +35,7 @@
 # Pins are not ordered among owners: they expire by themselves, and a lost
 # one costs a recompute only.
 PIN_FENCE = 1
+NO_ROOM = PauseDecision(Retention.drop, 0, 0, 0, 0)
 
 
 class PinningEngine(Protocol):
@@ -80,6 +86,7 @@
 class RetentionKeeper:
     """Decide what paused programs keep, and tell the engines."""
 
+    explanations: ExplanationBook
     learner: PauseLearner = field(factory=PauseLearner)
     longest_seconds: float = LONGEST_HOLD_SECONDS
     programs: OrderedDict[str, PausedProgram] = field(factory=OrderedDict)
@@ -120,15 +127,14 @@
     ) -> None:
         """Decide what becomes of the prefix of the call that just ended."""
         request = decision.request
-        hold_seconds = self._hold_seconds(
-            decision, cache, prefill_seconds_per_token
-        )
+        chosen = self._decide(decision, cache, prefill_seconds_per_token)
+        self.explanations.record(explain_retention(decision, chosen, now))
         before = self.programs.get(request.program_id)
         paused = PausedProgram(now, request.caller)
         if before is not None:
             self._release(before)
-        if hold_seconds:
-            paused.pin = self._pin(decision, hold_seconds, now)
+        if chosen.retention is Retention.keep:
+            paused.pin = self._pin(decision, chosen.hold_seconds, now)
         self._remember(request.program_id, paused)
 
     def ended(self, program_id: str) -> None:
@@ -137,17 +143,17 @@
         if paused is not None:
             self._release(paused)
 
-    def _hold_seconds(
+    def _decide(
         self,
         decision: PlacementDecision,
         cache: CacheState,
         prefill_seconds_per_token: float,
-    ) -> float:
+    ) -> PauseDecision:
         request = decision.request
         tokens = request.prompt_tokens
         pinned = self.pinned_tokens.get(decision.url, 0) + tokens
         if pinned > PINNED_SHARE * cache.capacity_tokens:
-            return 0
+            return NO_ROOM
         situation = PauseSituation(
             tool=request.caller,
             prefix_tokens=tokens,
@@ -156,8 +162,7 @@
             cache_occupied=cache.used_tokens / cache.capacity_tokens,
             cache_capacity_tokens=cache.capacity_tokens,
         )
-        chosen = decide_retention(self.learner, situation, self.longest_seconds)
-        return chosen.hold_seconds * (chosen.retention is Retention.keep)
+        return decide_retention(self.learner, situation, self.longest_seconds)
 
     def _pin(
         self, decision: PlacementDecision, hold_seconds: float, now: float
@@ -193,6 +198,31 @@
             self.send.send_nowait(order)
 
 
+def explain_retention(
+    decision: PlacementDecision, chosen: PauseDecision, now: float
+) -> Explanation:
+    """Return why a paused program's prefix is kept or not."""
+    numbers = (
+        ('returns with probability', chosen.return_probability),
+        ('within s', chosen.hold_seconds),
+        ('saving weighed s', chosen.value_seconds),
+        ('against s of memory', chosen.price_seconds),
+    )
+    reason = ', '.join(f'{name} {round(number, 3)}' for name, number in numbers)
+    return Explanation(
+        at=now,
+        program_id=decision.request.program_id,
+        request_id=decision.request.request_id,
+        target=decision.request.target,
+        decision=chosen.retention.value,
+        runner=decision.runner,
+        reason=reason,
+        waited_seconds=0,
+        calls_ahead=0,
+        options=(),
+    )
+
+
 async def _carry_out(order: PinOrder, clients: EngineClients) -> None:
     engine = clients.engine(order.pin.url)
     try:
--- a/tests/functional/test_scheduler.py
+++ b/tests/functional/test_scheduler.py
@@ -291,6 +291,9 @@
                 decision.finished(usage, 1)
             await wait_all_tasks_blocked()
             assert 0 < engine.pinned['a'] <= 64
+            explained = scheduler.explainer.explain_program('p')[-1]
+            assert explained.decision == 'keep'
+            assert 'probability' in explained.reason
             scheduler.program_ended('p')
             await wait_all_tasks_blocked()
             assert not engine.pinned
