--- a/src/jasminewheel/commands/experiment.py
+++ b/src/jasminewheel/commands/experiment.py
@@ -49,9 +49,12 @@
     """Run all, write the results, return 1 if a promise broke."""
     _check_variants(options.variants)
     console = Console(file=sys.stdout, width=CONSOLE_COLUMNS)
-    runs = list(_run_all(load, options, console))
-    _write_results(load, options, runs)
-    return 1 if any(run.report.breaches for run in runs) else 0
+    runs: list[Run] = []
+    for run in _run_all(load, options, console):
+        runs.append(run)
+        # What was measured so far is kept if a later run is stopped.
+        _write_results(load, options, runs)
+    return 1 if any(one.report.breaches for one in runs) else 0
 
 
 def _write_results(
