--- /dev/null
+++ b/src/jasminewheel/_internal/operations/joined.py
@@ -0,0 +1,62 @@
+"""Open a member that has no callers and operators of its own."""
+
+import time
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.fleet.fleet import Fleet, FleetAddresses
+from jasminewheel._internal.fleet.gauges import run_metrics
+from jasminewheel._internal.fleet.opening import identity_of, open_fleet
+from jasminewheel._internal.membership.member import Member
+from jasminewheel._internal.observability.event_ring import keep_events
+from jasminewheel._internal.operations.member import MemberOperations
+from jasminewheel._internal.peer.server import Handler, PeerServer
+
+
+@frozen
+class JoinedMember:
+    """Hold a member's part in the fleet and what it tells operators."""
+
+    fleet: Fleet
+    operations: MemberOperations
+    key: bytes
+
+    def server(self, handlers: Mapping[type, Handler]) -> PeerServer:
+        """Return the server of these handlers and of the fleet's."""
+        return PeerServer(
+            identity_of(self.fleet.membership.own),
+            self.key,
+            {
+                **handlers,
+                **self.fleet.handlers(),
+                **self.operations.handlers(),
+            },
+        )
+
+    async def run(self, statsd: str) -> None:
+        """Take part in the fleet and send metrics until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.fleet.run)
+            nursery.start_soon(run_metrics, self.fleet, statsd)
+
+
+@asynccontextmanager
+async def open_member(
+    member: Member,
+    key: bytes,
+    store_url: str,
+    addresses: FleetAddresses,
+    stop: trio.Event,
+) -> AsyncIterator[JoinedMember]:
+    """Give a member; a drain request sets stop."""
+    async with open_fleet(member, key, store_url, addresses) as fleet:
+        operations = MemberOperations(
+            fleet,
+            keep_events(),
+            time.time(),
+            drain=stop.set,
+        )
+        yield JoinedMember(fleet, operations, key)
--- a/src/jasminewheel/_internal/program/flow.py
+++ b/src/jasminewheel/_internal/program/flow.py
@@ -1,8 +1,8 @@
 """Run the calls of hosted programs, one at a time a program."""
 
 import logging
-import math
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from typing import Protocol
 
 import trio
@@ -21,6 +21,7 @@
 from jasminewheel._internal.program.job import CallJob, Clock
 from jasminewheel._internal.program.plan import make_plan
 from jasminewheel._internal.program.ports import Wallet
+from jasminewheel._internal.program.spending import CallSpending, spent_tokens
 from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
 from jasminewheel.errors import (
     CallError,
@@ -151,25 +152,24 @@
 
     async def run_reserved(self, job: CallJob) -> CallOutcome:
         """Run a call within the caller's budget and record its outcome."""
-        reserved = job.reserved_tokens()
-        caller = job.plan.caller.name
-        async with self.wallet.reserve(
-            caller, reserved, self.clock()
-        ) as reservation:
+        async with AsyncExitStack() as stack:
+            job.spending = CallSpending(self.wallet, job, stack)
+            await job.spending.reserve()
             try:
                 outcome = await self.outcome_of(job)
                 await record(job.hosted, job.request, outcome, self.clock())
             except MovedError:
-                reservation.settle(reserved if job.has_started else 0)
+                reserved = job.reserved_tokens() if job.has_started else 0
+                job.spending.settle(reserved)
                 raise
-            reservation.settle(spent_tokens(job, outcome))
+            job.spending.settle(spent_tokens(job, outcome))
         return outcome
 
     async def wait_for_turn(self, turn: Turn, request: CallRequest) -> None:
         """Wait for the calls before; raise DeadlineError if that is long."""
         deadline_at = turn.hosted.program.deadline_of(request)
         patience = (
-            max(0, deadline_at - self.clock()) if deadline_at else math.inf
+            max(0, deadline_at - self.clock()) if deadline_at else float('inf')
         )
         try:
             with trio.fail_after(patience):
@@ -224,15 +224,6 @@
     await hosted.append(finish_record(request.request_id, outcome, now))
 
 
-def spent_tokens(job: CallJob, outcome: CallOutcome) -> int:
-    """Return the tokens to charge; all that were reserved if unknown."""
-    if outcome.succeeded:
-        return outcome.prompt_tokens + outcome.completion_tokens
-    if outcome.verdict is Verdict.not_run:
-        return 0
-    return job.reserved_tokens()
-
-
 def _weakened(error: CallError) -> CallError:
     """Return the error with the verdict that something may have run."""
     if error.verdict is not Verdict.not_run:
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -67,9 +67,10 @@
             for member in members:
                 nursery.start_soon(self.start, member)
 
-    def replicas(self) -> list[str]:
+    def replicas(self, *members: str) -> list[str]:
         """Return the names under which placements list the disks."""
-        return [history.replica for history in self.histories.values()]
+        chosen = members or self.histories
+        return [self.histories[member].replica for member in chosen]
 
     async def serve(
         self,
