Keep new work from runners on leaving VMs

Cause: the list of leaving VMs was not read by anything. Ruled out: writing what the list says into the configuration (racing writers and a store write a change). Change: each entry reads the list and lets the scheduler see such runners as draining, until they are listed as live again.

--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -118,7 +118,7 @@
 async def run_entry(settings: EntrySettings, stop: trio.Event) -> None:
     """Run an entry until stop."""
     async with open_surroundings(settings) as around:
-        scheduler = open_scheduler(around)
+        scheduler = open_scheduler(settings, around)
         operators = open_operator_side(settings, around, scheduler)
         operators.member.drain = stop.set
         programs = open_programs(around, scheduler)
--- a/src/jasminewheel/_internal/entry/scheduling.py
+++ b/src/jasminewheel/_internal/entry/scheduling.py
@@ -10,13 +10,21 @@
 from jasminewheel._internal.scheduling.decision_events import DecisionEvents
 from jasminewheel._internal.scheduling.feeds import FeedFollower
 from jasminewheel._internal.scheduling.scheduler import Scheduler
+from jasminewheel._internal.targets.vms import (
+    ServingConfiguration,
+    VmListFollower,
+)
 
 
-def open_scheduler(around: Surroundings) -> Scheduler:
-    """Return the scheduler, kept fresh by the feeds of all runners."""
+def open_scheduler(settings: EntrySettings, around: Surroundings) -> Scheduler:
+    """Return the scheduler, kept fresh by feeds and the list of VMs."""
     view = around.fleet.view
-    scheduler = Scheduler(view, around.region, salt=around.identity.member)
+    serving = ServingConfiguration(view)
+    scheduler = Scheduler(serving, around.region, salt=around.identity.member)
     around.nursery.start_soon(FeedFollower(view, scheduler).run)
+    if settings.vms_url:
+        follower = VmListFollower(settings.vms_url, serving)
+        around.nursery.start_soon(follower.run)
     return scheduler
 
 
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -78,6 +78,7 @@
     tool_settings: dict = field(factory=dict)
     target_fields: dict = field(factory=dict)
     caller_fields: dict = field(factory=dict)
+    entry_fields: dict = field(factory=dict)
     servers: dict = field(factory=dict)
     relays: Relays = field(factory=Relays)
 
@@ -140,6 +141,7 @@
             'http_port_file': str(self.folder / f'{name}.port'),
             'peer_port_file': str(self.folder / f'{name}.peer'),
             'trace_file': str(self.folder / f'{name}.spans'),
+            **self.entry_fields,
             **fields,
         }
         path = self.write(f'{name}.json', settings)
