--- a/src/jasminewheel/_internal/entry/parts.py
+++ b/src/jasminewheel/_internal/entry/parts.py
@@ -51,7 +51,7 @@
     """Return the parts, wired together but not running."""
     slots = open_slots(around)
     budgets = open_budgets(around, slots)
-    scheduler = open_scheduler(around)
+    scheduler = open_scheduler(settings, around)
     flow = open_flow(around, budgets.wallet, scheduler)
     operators = open_operator_side(settings, around, scheduler)
     operators.member.drain = stop.set
