--- a/src/jasminewheel/_internal/events/targets.py
+++ b/src/jasminewheel/_internal/events/targets.py
@@ -11,3 +11,7 @@
     'the list of VMs cannot be read; the last one stays in force',
     'check vms_url in the settings and the list of the platform',
 )
+PIN_LOST = Event(1702, logging.INFO, 'an engine does not hold a prefix')
+PIN_LEFT = Event(
+    1703, logging.INFO, 'a pin could not be ended; it lapses by itself'
+)
