--- a/src/jasminewheel/_internal/entry/scheduling.py
+++ b/src/jasminewheel/_internal/entry/scheduling.py
@@ -3,6 +3,7 @@
 import time
 
 from jasminewheel._internal.entry.settings import EntrySettings
+from jasminewheel._internal.entry.slots import Slots
 from jasminewheel._internal.entry.surroundings import Surroundings
 from jasminewheel._internal.http.operator_side import OperatorSide
 from jasminewheel._internal.observability.event_ring import keep_events
@@ -16,15 +17,20 @@
 )
 
 
-def open_scheduler(settings: EntrySettings, around: Surroundings) -> Scheduler:
+def open_scheduler(around: Surroundings, slots: Slots) -> Scheduler:
     """Return the scheduler, kept fresh by feeds and the list of VMs."""
     view = around.fleet.view
     serving = ServingConfiguration(view)
     scheduler = Scheduler(serving, around.region, salt=around.identity.member)
     around.nursery.start_soon(FeedFollower(view, scheduler).run)
-    if settings.vms_url:
-        follower = VmListFollower(settings.vms_url, serving)
+    if around.vms:
+        follower = VmListFollower(around.vms, serving)
         around.nursery.start_soon(follower.run)
+    around.nursery.start_soon(
+        scheduler.run,
+        around.clients,
+        lambda program_id: slots.table.slot_with(program_id) is not None,
+    )
     return scheduler
 
 
@@ -33,7 +39,7 @@
 ) -> OperatorSide:
     """Return the operators' side of this entry."""
     member = MemberOperations(around.fleet, keep_events(), time.time())
-    member.deciders.append(DecisionEvents(scheduler))
+    member.deciders.append(DecisionEvents(scheduler.explainer))
     return OperatorSide.open(
         around.fleet, around.pool, member, settings.operator_keys
     )
--- /dev/null
+++ b/tests/functional/test_retention.py
@@ -0,0 +1,146 @@
+"""Check that engines hold prefixes of living programs only."""
+
+from functools import partial
+
+import pytest
+import trio
+from attrs import define
+from stand_ins import serving
+
+from jasminewheel._internal.fakes.engine import FakeEngine, FakeEngineSettings
+from jasminewheel._internal.scheduling.retention import (
+    PIN_TTL_SECONDS,
+    PausedProgram,
+    Pin,
+    PinOrder,
+    RetentionKeeper,
+)
+from jasminewheel._internal.targets.clients import ClientPool
+from jasminewheel._internal.targets.engine import EngineRequest
+from jasminewheel._internal.targets.prefix import chain
+
+MESSAGES = ({'role': 'user', 'content': 'jute sacks, lot 7'},)
+BLOCK = chain(MESSAGES)[-1].block
+
+
+@define
+class Bench:
+    """Hold an engine, a keeper that serves it, and what it owns."""
+
+    engine: FakeEngine
+    keeper: RetentionKeeper
+    now: float = 1000
+    is_owned: bool = True
+
+    async def pause(self, url, seconds):
+        """Let a program pause with its prefix pinned."""
+        pin = Pin(url, BLOCK, 8, self.now + seconds)
+        self.keeper.programs['p'] = PausedProgram(self.now, 'tool', pin)
+        self.keeper.pinned_tokens[url] = 8
+        self.keeper.send.send_nowait(PinOrder(pin, seconds))
+        await self.wait_for_pins(1)
+
+    async def wait_for_pins(self, count):
+        """Wait until the engine holds so many pins."""
+        with trio.fail_after(5):
+            while len(self.engine.cache.pins) != count:
+                await trio.sleep(0.01)
+
+    def pin_expiry(self):
+        """Return when the engine lets go of the prefix."""
+        cache = self.engine.cache
+        return cache.pins[BLOCK].expires_at
+
+    def renew(self):
+        """Renew as after some seconds."""
+        self.keeper.renew(lambda _: self.is_owned, self.now)
+
+
+async def with_bench(check):
+    """Run check with an engine that has computed the prefix."""
+    engine = FakeEngine(FakeEngineSettings())
+    keeper = RetentionKeeper()
+    async with serving(engine) as url, ClientPool() as clients:
+        request = EngineRequest('one', 'm', MESSAGES, 2)
+        async with clients.engine(url).generate(request) as answer:
+            parts = [part async for part in answer]
+        assert parts
+        async with trio.open_nursery() as nursery:
+            bench = Bench(engine, keeper)
+            nursery.start_soon(
+                keeper.run,
+                clients,
+                lambda _: bench.is_owned,
+                lambda: bench.now,
+            )
+            await check(bench, url)
+            nursery.cancel_scope.cancel()
+
+
+def run(check):
+    """Run a check."""
+    trio.run(partial(with_bench, check))
+
+
+async def check_death(bench, url):
+    """Hold for long, and die."""
+    await bench.pause(url, 300)
+    left = bench.pin_expiry() - trio.current_time()
+    assert left <= PIN_TTL_SECONDS
+
+
+def test_owner_dies():
+    """What a dead owner holds lapses soon, however long the pause."""
+    run(check_death)
+
+
+async def check_renewal(bench, url):
+    """Renew within the pause, not after it."""
+    await bench.pause(url, 300)
+    first = bench.pin_expiry()
+    bench.now += 10
+    bench.renew()
+    with trio.fail_after(5):
+        while bench.pin_expiry() <= first:
+            await trio.sleep(0.01)
+    bench.now += 300
+    bench.renew()
+    assert bench.keeper.programs['p'].pin is None
+    assert not bench.keeper.pinned_tokens[url]
+
+
+def test_renewal():
+    """A pin is renewed while its pause may last."""
+    run(check_renewal)
+
+
+async def check_lost_slot(bench, url):
+    """Lose the program to another owner."""
+    await bench.pause(url, 300)
+    bench.is_owned = False
+    bench.renew()
+    assert bench.keeper.programs['p'].pin is None
+    assert not bench.keeper.pinned_tokens[url]
+    # The new owner may hold the same prefix.
+    assert len(bench.engine.cache.pins) == 1
+
+
+def test_lost_slot():
+    """The pin of a program that is owned elsewhere is not renewed."""
+    run(check_lost_slot)
+
+
+@pytest.mark.parametrize('mode', ['ok', 'error'])
+def test_end(mode):
+    """The end of a program releases its pin, or lets it lapse."""
+
+    async def check(bench, url):
+        await bench.pause(url, 300)
+        bench.engine.faults.install({'mode': mode, 'path_part': 'pins'})
+        bench.keeper.ended('p')
+        if mode == 'ok':
+            await bench.wait_for_pins(0)
+        assert not bench.keeper.pinned_tokens[url]
+        assert 'p' not in bench.keeper.programs
+
+    run(check)
