--- a/tests/functional/test_budget_fleet.py
+++ b/tests/functional/test_budget_fleet.py
@@ -95,6 +95,7 @@
     assert used > BUDGET.tokens - len(spenders) * CALL_TOKENS
 
 
+@pytest.mark.timeout(300)
 def test_budget_over_broken_streams(fleet):
     """Attempts that break off and are tried again stay in the budget too."""
     fleet['engine-0'].fault(mode='cut_streams', after_tokens=9)
