--- a/tests/functional/test_retention.py
+++ b/tests/functional/test_retention.py
@@ -8,6 +8,7 @@
 from stand_ins import serving
 
 from jasminewheel._internal.fakes.engine import FakeEngine, FakeEngineSettings
+from jasminewheel._internal.scheduling.explanations import ExplanationBook
 from jasminewheel._internal.scheduling.retention import (
     PIN_TTL_SECONDS,
     PausedProgram,
@@ -59,7 +60,7 @@
 async def with_bench(check):
     """Run check with an engine that has computed the prefix."""
     engine = FakeEngine(FakeEngineSettings())
-    keeper = RetentionKeeper()
+    keeper = RetentionKeeper(ExplanationBook())
     async with serving(engine) as url, ClientPool() as clients:
         request = EngineRequest('one', 'm', MESSAGES, 2)
         async with clients.engine(url).generate(request) as answer:
