--- a/src/jasminewheel/_internal/entry/surroundings.py
+++ b/src/jasminewheel/_internal/entry/surroundings.py
@@ -12,7 +12,7 @@
 from jasminewheel._internal.fleet.fleet import Fleet, FleetAddresses
 from jasminewheel._internal.fleet.gauges import run_metrics
 from jasminewheel._internal.membership.member import ENTRY, Member
-from jasminewheel._internal.membership.vm_list import open_vms
+from jasminewheel._internal.membership.vm_list import VmList, open_vms
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.key import load_key
 from jasminewheel._internal.peer.pool import PeerPool
@@ -32,6 +32,7 @@
     pool: PeerPool
     fleet: Fleet
     clients: ClientPool
+    vms: VmList | None
     nursery: trio.Nursery
 
 
@@ -59,6 +60,7 @@
                 FleetAddresses(settings.peers, vms),
             ),
             await enter(ClientPool()),
+            vms,
             await enter(trio.open_nursery()),
         )
         around.nursery.start_soon(run_metrics, around.fleet, settings.statsd)
--- a/src/jasminewheel/_internal/scheduling/retention.py
+++ b/src/jasminewheel/_internal/scheduling/retention.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Protocol
 
@@ -35,6 +36,10 @@
 # Pins are not ordered among owners: they expire by themselves, and a lost
 # one costs a recompute only.
 PIN_FENCE = 1
+# An engine frees a pin that its owner has not renewed for so long, so that
+# the death of an owner holds memory no longer.
+PIN_TTL_SECONDS = 15
+RENEW_SECONDS = 5
 NO_ROOM = PauseDecision(Retention.drop, 0, 0, 0, 0)
 
 
@@ -100,11 +105,34 @@
         self.send = channel[0]
         self.receive = channel[1]
 
-    async def run(self, clients: EngineClients) -> None:
-        """Carry out orders until cancelled."""
-        async for order in self.receive:
-            with trio.move_on_after(ORDER_SECONDS):
-                await _carry_out(order, clients)
+    async def run(
+        self,
+        clients: EngineClients,
+        is_owned: Callable[[str], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        """Renew pins and carry out orders until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._carry_out_orders, clients)
+            while True:
+                await trio.sleep(RENEW_SECONDS)
+                self.renew(is_owned, clock())
+
+    def renew(self, is_owned: Callable[[str], bool], now: float) -> None:
+        """Order pins anew before they lapse; let go of the others.
+
+        What a program of another owner holds is left to lapse, since that
+        owner may keep the same prefix.
+        """
+        for program_id, paused in self.programs.items():
+            pin = paused.pin
+            if pin is None:
+                continue
+            if now < pin.expires_at and is_owned(program_id):
+                self._order(PinOrder(pin, pin.expires_at - now))
+            else:
+                paused.pin = None
+                self._count(pin, -pin.tokens)
 
     def resumed(self, program_id: str, now: float) -> None:
         """Learn how long the program paused."""
@@ -143,6 +171,11 @@
         if paused is not None:
             self._release(paused)
 
+    async def _carry_out_orders(self, clients: EngineClients) -> None:
+        async for order in self.receive:
+            with trio.move_on_after(ORDER_SECONDS):
+                await _carry_out(order, clients)
+
     def _decide(
         self,
         decision: PlacementDecision,
@@ -227,7 +260,8 @@
     engine = clients.engine(order.pin.url)
     try:
         if order.hold_seconds:
-            await engine.pin(order.pin.block, order.hold_seconds, PIN_FENCE)
+            seconds = min(order.hold_seconds, PIN_TTL_SECONDS)
+            await engine.pin(order.pin.block, seconds, PIN_FENCE)
         else:
             await engine.unpin(order.pin.block)
     except JasminewheelError as error:
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -89,9 +89,11 @@
         if self.runners.forget(runner):
             events.RUNNER_FORGOTTEN.log(LOGGER, runner=runner)
 
-    async def run(self, clients: EngineClients) -> None:
-        """Keep and release prefixes in engines until cancelled."""
-        await self.dispatcher.keeper.run(clients)
+    async def run(
+        self, clients: EngineClients, is_owned: Callable[[str], bool]
+    ) -> None:
+        """Keep prefixes of owned programs in engines until cancelled."""
+        await self.dispatcher.keeper.run(clients, is_owned, self.clock)
 
     def program_ended(self, program_id: str) -> None:
         """Release what engines keep for a program that ended."""
--- a/src/jasminewheel/_internal/targets/vms.py
+++ b/src/jasminewheel/_internal/targets/vms.py
@@ -1,34 +1,21 @@
 """Follow the platform's list of VMs, so that leaving runners get no work."""
 
 import logging
-from collections.abc import Iterable, Mapping
-from typing import Any
+from collections.abc import Iterable
 from urllib.parse import urlsplit
 
 import trio
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.configuration.view import ConfigurationView
 from jasminewheel._internal.events import targets as events
-from jasminewheel._internal.targets.connection import TargetConnection
-from jasminewheel._internal.targets.failures import target_errors
-from jasminewheel.errors import CallError
+from jasminewheel._internal.membership.vm_list import ListedVm, VmList
+from jasminewheel.errors import UnavailableError
 from jasminewheel.models.target import Runner, Target
 
 _LOGGER = logging.getLogger(__name__)
 _POLL_SECONDS = 1.0
-_STALL_SECONDS = 5.0
-_LEAVING = 'leaving'
-
-
-@frozen
-class ListedVm:
-    """Hold one line of the list; address is `ip:port` or `ip`."""
-
-    member: str
-    address: str
-    is_leaving: bool
 
 
 @define
@@ -46,7 +33,7 @@
         names = set(self.names)
         for vm in vms:
             known = {vm.member, vm.address}
-            names = names | known if vm.is_leaving else names - known
+            names = names | known if vm.leaving else names - known
         changed = names != self.names
         self.names = frozenset(names)
         return changed
@@ -110,30 +97,14 @@
 class VmListFollower:
     """Read the list again and again."""
 
-    url: str
+    vms: VmList
     configuration: ServingConfiguration
 
     async def run(self) -> None:
         """Follow until cancelled; keep what is known while it is away."""
-        async with TargetConnection(self.url, _STALL_SECONDS) as connection:
-            while True:
-                try:
-                    self.configuration.observe(await read_vms(connection))
-                except CallError as error:
-                    events.VM_LIST_AWAY.log(_LOGGER, problem=error)
-                await trio.sleep(_POLL_SECONDS)
-
-
-async def read_vms(connection: TargetConnection) -> list[ListedVm]:
-    """Return the list; raise TargetFailedError if it cannot be read."""
-    listed = await connection.ask('GET', '/v1/vms')
-    with target_errors(connection.url):
-        return [_listed_vm(fields) for fields in listed]
-
-
-def _listed_vm(fields: Mapping[str, Any]) -> ListedVm:
-    return ListedVm(
-        str(fields['member']),
-        str(fields['address']),
-        fields['state'] == _LEAVING,
-    )
+        while True:
+            try:
+                self.configuration.observe(await self.vms.rows())
+            except UnavailableError as error:
+                events.VM_LIST_AWAY.log(_LOGGER, problem=error)
+            await trio.sleep(_POLL_SECONDS)
--- a/tests/unit/test_leaving_vms.py
+++ b/tests/unit/test_leaving_vms.py
@@ -4,9 +4,9 @@
 
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.configuration.view import ConfigurationView
+from jasminewheel._internal.membership.vm_list import ListedVm
 from jasminewheel._internal.targets.vms import (
     LeavingVms,
-    ListedVm,
     ServingConfiguration,
 )
 from jasminewheel.models.target import Runner, Target
