End overdue programs and drop the logs of ended ones

Cause: an ended or forgotten program kept its log and memory for ever. Conclusion: the end of a program frees what it held 600 s later.

--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -78,8 +78,7 @@
         )
         fleet.listens_at(settings.peer_address(port))
         write_port_to(settings.peer_port_file, port)
-        self.around.nursery.start_soon(self.programs.watch.run)
-        self.around.nursery.start_soon(self.programs.keeper.run)
+        self.programs.start(self.around.nursery)
         await self.around.nursery.start(fleet.run)
 
     async def serve(self, stop: trio.Event) -> None:
--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Mapping
 
+import trio
 from attrs import frozen
 
 from jasminewheel._internal.entry.slots import Slots
@@ -15,6 +16,7 @@
 from jasminewheel._internal.program.liveness import LivenessWatch
 from jasminewheel._internal.program.opening import ProgramOpening
 from jasminewheel._internal.program.operations import ProgramOperations
+from jasminewheel._internal.program.retention import Retention
 from jasminewheel._internal.program.routing import Router
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
@@ -30,6 +32,13 @@
     router: Router
     keeper: SlotKeeper
     watch: LivenessWatch
+    retention: Retention
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Run what works in the background."""
+        nursery.start_soon(self.watch.run)
+        nursery.start_soon(self.keeper.run)
+        nursery.start_soon(self.retention.run)
 
     def handlers(self) -> Mapping[type, Handler]:
         """Return what peers may ask about programs."""
@@ -59,12 +68,8 @@
     """Return the parts, wired together."""
     membership = around.fleet.membership
     watch = LivenessWatch(membership)
-    router = Router(
-        slots.finder,
-        around.pool,
-        open_operations(around, slots, flow),
-        watch,
-        time.time,
-    )
+    operations = open_operations(around, slots, flow)
+    router = Router(slots.finder, around.pool, operations, watch, time.time)
     keeper = SlotKeeper(slots.table, membership, time.time)
-    return Programs(slots, router, keeper, watch)
+    retention = Retention(operations.host, operations.ending, time.time)
+    return Programs(slots, router, keeper, watch, retention)
--- a/src/jasminewheel/_internal/program/plan.py
+++ b/src/jasminewheel/_internal/program/plan.py
@@ -8,7 +8,6 @@
     parse_json,
     structure_body,
 )
-from jasminewheel._internal.wire.gen.program.ttypes import ProgramOpened
 from jasminewheel.errors import (
     BadRequestError,
     ForbiddenError,
@@ -87,11 +86,6 @@
     return opened + min(asked_seconds or allowed, allowed)
 
 
-def is_late(opened: ProgramOpened, now: float) -> bool:
-    """Return whether the program's deadline has passed."""
-    return bool(opened.deadline_at) and now >= opened.deadline_at
-
-
 def _model_plan(
     caller: Caller, target: Target, request: CallRequest
 ) -> CallPlan:
--- a/src/jasminewheel/_internal/program/slot_table.py
+++ b/src/jasminewheel/_internal/program/slot_table.py
@@ -1,6 +1,7 @@
 """Keep the slots that this entry owns, with their programs in memory."""
 
 import logging
+import math
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 
@@ -10,9 +11,12 @@
 from jasminewheel._internal.events import program as events
 from jasminewheel._internal.program.hosted import HostedProgram, Holding
 from jasminewheel._internal.program.ports import SlotLog, SlotOwnership
+from jasminewheel._internal.program.program import Program
 
 _LOGGER = logging.getLogger(__name__)
 IDLE_PROGRAM_SECONDS = 60.0
+# Retries of a request get the recorded answer for this long after the end.
+RETENTION_SECONDS = 600.0
 
 
 @define(eq=False)
@@ -25,6 +29,8 @@
     locks: dict[str, trio.Lock] = field(factory=dict)
     holding: Holding = field(factory=Holding)
     is_closing: bool = False
+    due: dict[str, float] = field(factory=dict)
+    dropped: set[str] = field(factory=set)
 
     @property
     def is_idle(self) -> bool:
@@ -40,11 +46,27 @@
         if not lock.statistics().tasks_waiting:
             self.locks.pop(program_id, None)
 
+    def due_programs(self, now: float) -> list[str]:
+        """Return programs to end or drop, and those never looked at."""
+        for program_id, hosted in self.programs.items():
+            self.due[program_id] = due_time(hosted.program)
+        logged = filter(_is_program, self.log.log_ids)
+        unknown = set(logged) - self.due.keys() - self.dropped
+        overdue = [name for name, at in self.due.items() if at <= now]
+        return sorted([*unknown, *overdue])
+
+    def forget(self, program_id: str) -> None:
+        """Forget a program whose log is dropped."""
+        self.programs.pop(program_id, None)
+        self.due.pop(program_id, None)
+        self.dropped.add(program_id)
+
     def evict_idle(self, now: float) -> None:
         """Forget programs not used for long; their logs remain."""
         for program_id, hosted in list(self.programs.items()):
             unused_seconds = now - hosted.used_at
             if hosted.is_idle and unused_seconds > IDLE_PROGRAM_SECONDS:
+                self.due[program_id] = due_time(hosted.program)
                 self.programs.pop(program_id)
 
 
@@ -99,3 +121,17 @@
         self.slots.pop(hosted_slot.slot, None)
         self.ownership.release(hosted_slot.slot)
         events.SLOT_RELEASED.log(_LOGGER, slot=hosted_slot.slot)
+
+
+def due_time(program: Program) -> float:
+    """Return when a program is to be ended or its log dropped."""
+    if program.ended:
+        return program.ended.ended_at + RETENTION_SECONDS
+    if program.opened and program.opened.deadline_at:
+        return program.opened.deadline_at
+    return math.inf
+
+
+def _is_program(log_id: str) -> bool:
+    """Return whether a log is a program's; other parts use prefixes."""
+    return ':' not in log_id
--- a/tests/unit/test_call_flow.py
+++ b/tests/unit/test_call_flow.py
@@ -1,12 +1,17 @@
 """Check how the owner runs calls, with faults at its interfaces."""
 
-import json
 from itertools import repeat
-from types import MappingProxyType
 
 import pytest
 import trio
 from program_configuration import make_snapshot
+from program_operations import (
+    ASK,
+    LOOKUP,
+    SEND_TEXT,
+    opened,
+    perform,
+)
 from program_parts import (
     TEXT,
     MemoryLogs,
@@ -16,11 +21,7 @@
 )
 from trio.testing import MockClock, wait_all_tasks_blocked
 
-from jasminewheel._internal.wire.gen.program.ttypes import (
-    Operation,
-    OperationEventKind,
-    OperationKind,
-)
+from jasminewheel._internal.wire.gen.program.ttypes import OperationKind
 from jasminewheel.errors import (
     ConflictError,
     DeadlineError,
@@ -31,71 +32,6 @@
 )
 from jasminewheel.models.verdict import Verdict
 
-ASK = MappingProxyType(
-    {
-        'target': 'helper-models',
-        'input': {
-            'messages': [{'role': 'user', 'content': 'the kettle hums'}],
-            'max_tokens': 100,
-        },
-    }
-)
-SEND_TEXT = MappingProxyType(
-    {
-        'target': 'ticket-desk',
-        'operation': 'text',
-        'input': {'to': 'owner'},
-    }
-)
-LOOKUP = MappingProxyType({**SEND_TEXT, 'operation': 'lookup'})
-
-
-def operation(kind, request_id='', body=None, program='p', **fields):
-    """Return an operation of the cafe."""
-    return Operation(
-        kind=kind,
-        caller=fields.pop('caller', 'cafe'),
-        program=program,
-        request_id=request_id,
-        body=json.dumps(dict(body or {})).encode(),
-        **fields,
-    )
-
-
-class Received:
-    """Assemble what a reader gets."""
-
-    def __init__(self, text=''):
-        """Start with the text received before."""
-        self.text = text
-        self.restarts = 0
-        self.done = None
-
-    async def __call__(self, event):
-        """Take an event the way a caller does."""
-        if event.kind == OperationEventKind.RESTART:
-            self.text = ''
-            self.restarts += 1
-        elif event.kind == OperationEventKind.TOKEN:
-            assert event.offset == len(self.text)
-            self.text += event.text
-        else:
-            self.done = event
-
-    @property
-    def body(self):
-        """Return the body of the last event."""
-        return json.loads(self.done.body)
-
-
-async def perform(owner, kind, request_id='', body=None, **fields):
-    """Perform an operation and return what was received."""
-    received = Received(TEXT[: fields.get('offset', 0)])
-    await owner.operations.perform(
-        operation(kind, request_id, body, **fields), received
-    )
-    return received
-
 
 async def start_in_order(owner, nursery, names):
     """Send texts one after the other, without waiting for answers."""
@@ -105,12 +41,6 @@
         await wait_all_tasks_blocked()  # noqa: WPS476
 
 
-async def opened(owner):
-    """Open the program."""
-    received = await perform(owner, OperationKind.OPEN, 'open-1')
-    assert received.body == {'program': 'p'}
-
-
 def run(test):
     """Run an asynchronous test."""
     trio.run(test)
--- /dev/null
+++ b/tests/unit/test_retention.py
@@ -0,0 +1,68 @@
+"""Check that overdue programs end and ended ones are dropped."""
+
+import trio
+from program_operations import LOOKUP, opened, perform
+from program_parts import MemoryLogs, MemoryTargets, owning
+
+from jasminewheel._internal.program.retention import Retention
+from jasminewheel._internal.program.slot_table import RETENTION_SECONDS
+from jasminewheel._internal.wire.gen.program.ttypes import OperationKind
+
+
+class Clock:
+    """Tell a time that the test sets."""
+
+    def __init__(self):
+        """Start at a time."""
+        self.now = 1000
+
+    def __call__(self):
+        """Return the time."""
+        return self.now
+
+
+def retention_of(owner, clock):
+    """Return the sweeper of an owner."""
+    return Retention(owner.host, owner.operations.ending, clock)
+
+
+def test_overdue_program_is_ended_then_dropped():
+    """A program whose caller never came back frees its log in the end."""
+
+    async def check():
+        clock = Clock()
+        logs = MemoryLogs()
+        async with owning(logs, MemoryTargets(), clock=clock) as owner:
+            await opened(owner, deadline_at=2000)
+            await retention_of(owner, clock).sweep()
+            assert len(logs.records['p']) == 1
+            clock.now = 2000
+            await retention_of(owner, clock).sweep()
+            view = await perform(owner, OperationKind.VIEW)
+            assert view.body['ended'] == 'its deadline passed'
+            clock.now += RETENTION_SECONDS
+            await retention_of(owner, clock).sweep()
+        assert not logs.records
+
+    trio.run(check)
+
+
+def test_next_owner_sweeps_what_is_on_disk():
+    """A program that nobody asks for is found through its log."""
+
+    async def check():
+        clock = Clock()
+        logs = MemoryLogs()
+        async with owning(logs, MemoryTargets(), clock=clock) as owner:
+            await opened(owner, deadline_at=2000)
+            await perform(owner, OperationKind.CALL, 'a', LOOKUP)
+        clock.now = 3000
+        async with owning(logs, MemoryTargets(), clock=clock) as owner:
+            slot = owner.host.table.slot(0)
+            await retention_of(owner, clock).sweep()
+            slot.evict_idle(clock.now)
+            assert not slot.programs
+            view = await perform(owner, OperationKind.VIEW)
+        assert view.body['ended']
+
+    trio.run(check)
