Take lookups out of the histories' path and share certificates

Cause: one profile of an entry under 16 callers showed 13.6 ms of processor time for a plain lookup, most of it in four majority appends, and 47 ms for each target's client, spent on a TLS context of its own. Ruled out: fewer records for calls that may not be repeated (each is needed). Change: a plain call of a service that may be repeated runs where it arrives, without a record; all clients share one TLS context; a service call reserves no tokens.

--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -18,6 +18,7 @@
 from jasminewheel._internal.program.operations import ProgramOperations
 from jasminewheel._internal.program.retention import Retention
 from jasminewheel._internal.program.routing import Router
+from jasminewheel._internal.program.unrecorded import UnrecordedCalls
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
     SlotQuestion,
@@ -69,7 +70,10 @@
     membership = around.fleet.membership
     watch = LivenessWatch(membership)
     operations = open_operations(around, slots, flow)
-    router = Router(slots.finder, around.pool, operations, watch, time.time)
+    unrecorded = UnrecordedCalls(flow, around.nursery)
+    router = Router(
+        slots.finder, around.pool, operations, unrecorded, watch, time.time
+    )
     keeper = SlotKeeper(slots.table, membership, time.time)
     retention = Retention(operations.host, operations.ending, time.time)
     return Programs(slots, router, keeper, watch, retention)
--- a/src/jasminewheel/_internal/program/flow.py
+++ b/src/jasminewheel/_internal/program/flow.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 import trio
@@ -20,7 +21,8 @@
 from jasminewheel._internal.program.hosted import HostedProgram, Turn
 from jasminewheel._internal.program.job import CallJob, Clock
 from jasminewheel._internal.program.plan import make_plan
-from jasminewheel._internal.program.ports import Wallet
+from jasminewheel._internal.program.ports import Reservation, Wallet
+from jasminewheel._internal.program.wallet import UnlimitedWallet
 from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
 from jasminewheel.errors import (
     CallError,
@@ -152,10 +154,7 @@
     async def run_reserved(self, job: CallJob) -> CallOutcome:
         """Run a call within the caller's budget and record its outcome."""
         reserved = job.reserved_tokens()
-        caller = job.plan.caller.name
-        async with self.wallet.reserve(
-            caller, reserved, self.clock()
-        ) as reservation:
+        async with self.reservation(job) as reservation:
             try:
                 outcome = await self.outcome_of(job)
                 await record(job.hosted, job.request, outcome, self.clock())
@@ -165,6 +164,14 @@
             reservation.settle(spent_tokens(job, outcome))
         return outcome
 
+    def reservation(
+        self, job: CallJob
+    ) -> AbstractAsyncContextManager[Reservation]:
+        """Reserve what a call may spend; a service spends no tokens."""
+        wallet = self.wallet if job.plan.model_input else UnlimitedWallet()
+        caller = job.plan.caller.name
+        return wallet.reserve(caller, job.reserved_tokens(), self.clock())
+
     async def wait_for_turn(self, turn: Turn, request: CallRequest) -> None:
         """Wait for the calls before; raise DeadlineError if that is long."""
         deadline_at = turn.hosted.program.deadline_of(request)
--- a/src/jasminewheel/_internal/program/handover.py
+++ b/src/jasminewheel/_internal/program/handover.py
@@ -9,8 +9,8 @@
 
 from jasminewheel._internal.events import program as events
 from jasminewheel._internal.membership.member import Member
-from jasminewheel._internal.program.slot_table import HostedSlot, SlotTable
 from jasminewheel._internal.program.job import Clock
+from jasminewheel._internal.program.slot_table import HostedSlot, SlotTable
 
 _LOGGER = logging.getLogger(__name__)
 CHECK_SECONDS = 1.0
--- a/src/jasminewheel/_internal/program/program.py
+++ b/src/jasminewheel/_internal/program/program.py
@@ -5,11 +5,11 @@
 
 from attrs import Factory, define
 
-from jasminewheel._internal.program.call import Call
 from jasminewheel._internal.program.admission import (
     check_deadline,
     check_digest,
 )
+from jasminewheel._internal.program.call import Call
 from jasminewheel._internal.program.order import check_order, wrong_order
 from jasminewheel._internal.program.records import Record
 from jasminewheel._internal.wire.gen.program.ttypes import (
--- a/src/jasminewheel/_internal/program/routing.py
+++ b/src/jasminewheel/_internal/program/routing.py
@@ -13,10 +13,11 @@
 from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.program.job import Clock
 from jasminewheel._internal.program.liveness import LivenessWatch
-from jasminewheel._internal.program.owner_finder import OwnerFinder
 from jasminewheel._internal.program.operations import ProgramOperations
+from jasminewheel._internal.program.owner_finder import OwnerFinder
 from jasminewheel._internal.program.ports import EventSink
 from jasminewheel._internal.program.route import Route
+from jasminewheel._internal.program.unrecorded import UnrecordedCalls
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
     OperationEvent,
@@ -39,6 +40,7 @@
     finder: OwnerFinder
     pool: PeerPool
     operations: ProgramOperations
+    unrecorded: UnrecordedCalls
     watch: LivenessWatch
     clock: Clock
     running: int = 0
@@ -64,6 +66,9 @@
 
         Trying again is safe: the log of the program decides what has run.
         """
+        if self.unrecorded.takes(operation):
+            await self.unrecorded.perform(operation, sink)
+            return
         route = Route(operation, sink, self.clock())
         while not route.is_done:
             with suppress(MovedError):
--- a/src/jasminewheel/_internal/program/slot_table.py
+++ b/src/jasminewheel/_internal/program/slot_table.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from jasminewheel._internal.events import program as events
-from jasminewheel._internal.program.hosted import HostedProgram, Holding
+from jasminewheel._internal.program.hosted import Holding, HostedProgram
 from jasminewheel._internal.program.ports import SlotLog, SlotOwnership
 from jasminewheel._internal.program.program import Program
 
--- a/src/jasminewheel/_internal/program/wallet.py
+++ b/src/jasminewheel/_internal/program/wallet.py
@@ -1,4 +1,4 @@
-"""Let every call pass where no budget is kept."""
+"""Let calls pass that spend no tokens."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
--- a/src/jasminewheel/_internal/replication/slot.py
+++ b/src/jasminewheel/_internal/replication/slot.py
@@ -27,7 +27,6 @@
     NotFoundError,
 )
 
-
 DIGEST_BYTES = 16
 
 
--- a/src/jasminewheel/_internal/scheduling/waiting.py
+++ b/src/jasminewheel/_internal/scheduling/waiting.py
@@ -4,10 +4,10 @@
 from attrs import define, field
 
 from jasminewheel._internal.scheduling.admission import Throughput
-from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
-from jasminewheel._internal.scheduling.view import Choice
 from jasminewheel._internal.scheduling.decision import PlacementDecision
 from jasminewheel._internal.scheduling.queue import ProgramQueue, QueuedCall
+from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
+from jasminewheel._internal.scheduling.view import Choice
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/targets/connection.py
+++ b/src/jasminewheel/_internal/targets/connection.py
@@ -1,11 +1,13 @@
 """Send requests to one target over its own connection pool."""
 
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
     asynccontextmanager,
 )
+from functools import cache
 from typing import Any
 
 import httpx
@@ -21,6 +23,12 @@
 STALL_SECONDS = 60
 
 
+@cache
+def trusted_certificates() -> ssl.SSLContext:
+    """Return the context that all targets share; making one takes long."""
+    return httpx.create_ssl_context()
+
+
 @define
 class TargetConnection(AbstractAsyncContextManager['TargetConnection']):
     """Ask one target; each failure raises an error with its verdict."""
@@ -37,6 +45,7 @@
                 self.stall_seconds,
                 connect=_CONNECT_SECONDS,
             ),
+            verify=trusted_certificates(),
             # Requests are bounded by the scheduler, not by the pool.
             limits=httpx.Limits(max_connections=None),
         )
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -6,6 +6,11 @@
 import httpx
 from attrs import define, field
 
+# Making a client is slow; connections are not kept, since entries die.
+HTTP = httpx.Client(
+    verify=False, limits=httpx.Limits(max_keepalive_connections=0)
+)
+
 
 @define
 class Stream:
@@ -66,7 +71,7 @@
         }
         if request_id:
             headers['Idempotency-Key'] = request_id
-        return httpx.request(
+        return HTTP.request(
             method,
             f'{self.url}{path}',
             json=body,
@@ -89,7 +94,7 @@
     @contextmanager
     def stream(self, program, request_id, body):
         """Make a call whose answer is streamed; give its lines."""
-        with httpx.stream(
+        with HTTP.stream(
             'POST',
             f'{self.url}/v1/programs/{program}/calls',
             json={**body, 'stream': True},
@@ -110,7 +115,7 @@
     def resumed(self, program, request_id, received):
         """Read the rest of an answer after what was received."""
         path = f'/v1/programs/{program}/calls/{request_id}/stream'
-        with httpx.stream(
+        with HTTP.stream(
             'GET',
             f'{self.url}{path}',
             headers={
--- a/tests/unit/test_call_flow.py
+++ b/tests/unit/test_call_flow.py
@@ -1,5 +1,6 @@
 """Check how the owner runs calls, with faults at its interfaces."""
 
+from contextlib import asynccontextmanager
 from itertools import repeat
 
 import pytest
@@ -9,7 +10,9 @@
     ASK,
     LOOKUP,
     SEND_TEXT,
+    Received,
     opened,
+    operation,
     perform,
 )
 from program_parts import (
@@ -21,8 +24,10 @@
 )
 from trio.testing import MockClock, wait_all_tasks_blocked
 
+from jasminewheel._internal.program.unrecorded import UnrecordedCalls
 from jasminewheel._internal.wire.gen.program.ttypes import OperationKind
 from jasminewheel.errors import (
+    BudgetError,
     ConflictError,
     DeadlineError,
     ForbiddenError,
@@ -417,3 +422,56 @@
         assert last.body['verdict'] == 'ran'
 
     run(check)
+
+
+def test_budget_refusal_has_not_run():
+    """A call that the budget cannot cover leaves no record."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as owner:
+            await opened(owner)
+            owner.operations.flow.wallet = EmptyWallet()
+            with pytest.raises(BudgetError) as caught:
+                await perform(owner, OperationKind.CALL, 'a', ASK)
+            # A service spends no tokens.
+            sent = await perform(owner, OperationKind.CALL, 'b', SEND_TEXT)
+        assert caught.value.verdict is Verdict.not_run
+        assert sent.done.verdict == Verdict.ran.value
+        assert targets.runs == ['text p:b']
+
+    run(check)
+
+
+class EmptyWallet:
+    """Refuse every reservation."""
+
+    @asynccontextmanager
+    async def reserve(self, caller, tokens, now):
+        """Refuse."""
+        raise BudgetError('exhausted')
+        yield
+
+
+def test_plain_lookup_needs_no_record():
+    """A plain call that may be repeated runs without a majority."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as owner:
+            calls = UnrecordedCalls(
+                owner.operations.flow, owner.operations.nursery
+            )
+            lookup = operation(OperationKind.CALL, 'a', LOOKUP, plain=True)
+            text = operation(OperationKind.CALL, 'b', SEND_TEXT, plain=True)
+            assert not calls.takes(text)
+            assert calls.takes(lookup)
+            received = Received()
+            await calls.perform(lookup, received)
+        assert received.body['status'] == 200
+        assert targets.runs == ['lookup p:a']
+        assert not logs.records
+
+    run(check)
