--- a/src/jasminewheel/_internal/entry/slots.py
+++ b/src/jasminewheel/_internal/entry/slots.py
@@ -2,12 +2,12 @@
 
 from attrs import frozen
 
+from jasminewheel._internal.entry.ownership import open_ownership
 from jasminewheel._internal.entry.surroundings import Surroundings
 from jasminewheel._internal.program.last_owner import HistoryOwners
 from jasminewheel._internal.program.owner_finder import OwnerFinder
 from jasminewheel._internal.program.slot_table import SlotTable
 from jasminewheel._internal.program.takeover import SlotTaker
-from jasminewheel._internal.replication.ownership import Ownership
 
 
 @frozen
@@ -23,9 +23,7 @@
     """Return the parts, owning no slot yet."""
     membership = around.fleet.membership
     placements = around.fleet.placements
-    ownership = Ownership(
-        around.pool, around.identity, placements, membership.address_of
-    )
+    ownership = open_ownership(around)
     table = SlotTable(
         ownership, lambda log_id: placements.current.slot_of(log_id)
     )
