--- a/src/jasminewheel/_internal/membership/bootstrap.py
+++ b/src/jasminewheel/_internal/membership/bootstrap.py
@@ -7,8 +7,8 @@
 from attrs import define, field
 
 from jasminewheel._internal.events import membership as events
-from jasminewheel._internal.membership.chosen import is_chosen
 from jasminewheel._internal.membership.heartbeats import Heartbeats
+from jasminewheel._internal.membership.chosen import is_chosen
 from jasminewheel._internal.membership.lease import (
     MEMBER_PREFIX,
     parse_member,
--- a/src/jasminewheel/_internal/program/flow.py
+++ b/src/jasminewheel/_internal/program/flow.py
@@ -4,7 +4,6 @@
 import math
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
-from typing import Protocol
 
 import trio
 from attrs import define
@@ -13,44 +12,26 @@
 from jasminewheel._internal.events import program as events
 from jasminewheel._internal.observability.tracing import hop
 from jasminewheel._internal.program.answer import Answer
-from jasminewheel._internal.program.call import (
-    Call,
-    failed_outcome,
-    finish_record,
-)
+from jasminewheel._internal.program.call import Call, failed_outcome
 from jasminewheel._internal.program.hosted import HostedProgram, Turn
 from jasminewheel._internal.program.job import CallJob, Clock
+from jasminewheel._internal.program.outcomes import (
+    record,
+    spent_tokens,
+    unexpected,
+    weakened,
+)
 from jasminewheel._internal.program.plan import make_plan
 from jasminewheel._internal.program.ports import Reservation, Wallet
+from jasminewheel._internal.program.target_calls import TargetCalls
 from jasminewheel._internal.program.wallet import UnlimitedWallet
 from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
-from jasminewheel.errors import (
-    CallError,
-    DeadlineError,
-    MovedError,
-    UnavailableError,
-)
+from jasminewheel.errors import CallError, DeadlineError, MovedError
 from jasminewheel.models.call import CallOutcome, CallRequest
-from jasminewheel.models.verdict import Verdict
 
 _LOGGER = logging.getLogger(__name__)
 
 
-class TargetCalls(Protocol):
-    """Run calls of one kind of target."""
-
-    async def run(self, job: CallJob) -> CallOutcome:
-        """Return the outcome; raise the error of the last runner tried."""
-
-    async def take_up(
-        self, job: CallJob, start: CallStarted
-    ) -> CallOutcome | None:
-        """Return the outcome of an attempt that is already under way."""
-
-    async def abandon(self, job: CallJob) -> None:
-        """Stop a call that nobody waits for any more."""
-
-
 @define(eq=False)
 class CallFlow:
     """Take each call from its place in the order to its recorded outcome."""
@@ -113,7 +94,7 @@
                 except Exception:
                     events.CALL_FAULT.log(_LOGGER, request=request.request_id)
                     _LOGGER.exception('call %s', request.request_id)
-                    turn.answer.fail(_unexpected())
+                    turn.answer.fail(unexpected())
                 else:
                     turn.answer.finish(outcome)
             turn.leave()
@@ -130,7 +111,7 @@
             job = self.make_job(turn, request)
         except CallError as error:
             # The target or the caller is gone, but the call is on record.
-            outcome = failed_outcome(_weakened(error), start.generation)
+            outcome = failed_outcome(weakened(error), start.generation)
             await record(turn.hosted, request, outcome, self.clock())
             return outcome
         return await self.run_on(job, start)
@@ -213,45 +194,9 @@
             if isinstance(error, DeadlineError):
                 await self.calls_of(job).abandon(job)
             if job.may_have_run:
-                error = _weakened(error)
+                error = weakened(error)
             return failed_outcome(error, job.answer.generation)
 
     def calls_of(self, job: CallJob) -> TargetCalls:
         """Return what runs calls of the job's kind of target."""
         return self.models if job.plan.model_input else self.services
-
-
-async def record(
-    hosted: HostedProgram,
-    request: CallRequest,
-    outcome: CallOutcome,
-    now: float,
-) -> None:
-    """Append the outcome, so that any later owner answers the same."""
-    await hosted.append(finish_record(request.request_id, outcome, now))
-
-
-def spent_tokens(job: CallJob, outcome: CallOutcome) -> int:
-    """Return the tokens to charge; all that were reserved if unknown."""
-    if outcome.succeeded:
-        return outcome.prompt_tokens + outcome.completion_tokens
-    if outcome.verdict is Verdict.not_run:
-        return 0
-    return job.reserved_tokens()
-
-
-def _weakened(error: CallError) -> CallError:
-    """Return the error with the verdict that something may have run."""
-    if error.verdict is not Verdict.not_run:
-        return error
-    return type(error)(
-        error.message, verdict=Verdict.may_have_run, remedy=error.remedy
-    )
-
-
-def _unexpected() -> UnavailableError:
-    return UnavailableError(
-        'the call failed unexpectedly',
-        verdict=Verdict.may_have_run,
-        remedy='ask for the status of the request',
-    )
--- /dev/null
+++ b/src/jasminewheel/_internal/program/outcomes.py
@@ -0,0 +1,45 @@
+"""Record how calls end and what they cost."""
+
+from jasminewheel._internal.program.call import finish_record
+from jasminewheel._internal.program.hosted import HostedProgram
+from jasminewheel._internal.program.job import CallJob
+from jasminewheel.errors import CallError, UnavailableError
+from jasminewheel.models.call import CallOutcome, CallRequest
+from jasminewheel.models.verdict import Verdict
+
+
+async def record(
+    hosted: HostedProgram,
+    request: CallRequest,
+    outcome: CallOutcome,
+    now: float,
+) -> None:
+    """Append the outcome, so that any later owner answers the same."""
+    await hosted.append(finish_record(request.request_id, outcome, now))
+
+
+def spent_tokens(job: CallJob, outcome: CallOutcome) -> int:
+    """Return the tokens to charge; all that were reserved if unknown."""
+    if outcome.succeeded:
+        return outcome.prompt_tokens + outcome.completion_tokens
+    if outcome.verdict is Verdict.not_run:
+        return 0
+    return job.reserved_tokens()
+
+
+def weakened(error: CallError) -> CallError:
+    """Return the error with the verdict that something may have run."""
+    if error.verdict is not Verdict.not_run:
+        return error
+    return type(error)(
+        error.message, verdict=Verdict.may_have_run, remedy=error.remedy
+    )
+
+
+def unexpected() -> UnavailableError:
+    """Return the error for a fault that no rule foresees."""
+    return UnavailableError(
+        'the call failed unexpectedly',
+        verdict=Verdict.may_have_run,
+        remedy='ask for the status of the request',
+    )
--- /dev/null
+++ b/src/jasminewheel/_internal/program/target_calls.py
@@ -0,0 +1,22 @@
+"""Describe what runs the calls of one kind of target."""
+
+from typing import Protocol
+
+from jasminewheel._internal.program.job import CallJob
+from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
+from jasminewheel.models.call import CallOutcome
+
+
+class TargetCalls(Protocol):
+    """Run calls of one kind of target."""
+
+    async def run(self, job: CallJob) -> CallOutcome:
+        """Return the outcome; raise the error of the last runner tried."""
+
+    async def take_up(
+        self, job: CallJob, start: CallStarted
+    ) -> CallOutcome | None:
+        """Return the outcome of an attempt that is already under way."""
+
+    async def abandon(self, job: CallJob) -> None:
+        """Stop a call that nobody waits for any more."""
--- a/src/jasminewheel/_internal/replication/record.py
+++ b/src/jasminewheel/_internal/replication/record.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+
 # The kind of the record that ends a log; its replicas may then free it.
 DROPPED_KIND = 'dropped'
 
--- a/tests/unit/test_call_flow.py
+++ b/tests/unit/test_call_flow.py
@@ -1,6 +1,5 @@
 """Check how the owner runs calls, with faults at its interfaces."""
 
-from contextlib import asynccontextmanager
 from itertools import repeat
 
 import pytest
@@ -447,11 +446,9 @@
 class EmptyWallet:
     """Refuse every reservation."""
 
-    @asynccontextmanager
-    async def reserve(self, caller, tokens, now):
+    def reserve(self, caller, tokens, now):
         """Refuse."""
         raise BudgetError('exhausted')
-        yield
 
 
 def test_plain_lookup_needs_no_record():
