--- a/src/jasminewheel/_internal/entry/process.py
+++ b/src/jasminewheel/_internal/entry/process.py
@@ -105,6 +105,8 @@
     async def hand_over(self) -> None:
         """Stop taking programs, then release each when its calls are done."""
         self.is_ready = False
+        # While the accounts of other callers are still owned here.
+        await self.parts.budgets.wallet.give_back_all()
         self.programs.slots.taker.is_draining = True
         await self.around.fleet.leave()
         await trio.sleep(self.settings.unready_seconds)
--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -1,7 +1,7 @@
 """Wire the parts that host programs and route to them."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import trio
 from attrs import frozen
@@ -50,7 +50,10 @@
 
 
 def open_operations(
-    around: Surroundings, slots: Slots, flow: CallFlow
+    around: Surroundings,
+    slots: Slots,
+    flow: CallFlow,
+    released: Callable[[str], None],
 ) -> ProgramOperations:
     """Return what carries out operations on hosted programs."""
     host = ProgramHost(slots.table, flow, around.nursery, time.time)
@@ -58,18 +61,21 @@
         host,
         flow,
         ProgramOpening(host, time.time),
-        ProgramEnding(host, time.time),
+        ProgramEnding(host, time.time, released),
         around.nursery,
     )
 
 
 def open_programs(
-    around: Surroundings, slots: Slots, flow: CallFlow
+    around: Surroundings,
+    slots: Slots,
+    flow: CallFlow,
+    released: Callable[[str], None],
 ) -> Programs:
     """Return the parts, wired together."""
     membership = around.fleet.membership
     watch = LivenessWatch(membership)
-    operations = open_operations(around, slots, flow)
+    operations = open_operations(around, slots, flow, released)
     unrecorded = UnrecordedCalls(flow, around.nursery)
     router = Router(
         slots.finder, around.pool, operations, unrecorded, watch, time.time
--- a/src/jasminewheel/_internal/program/flow.py
+++ b/src/jasminewheel/_internal/program/flow.py
@@ -1,9 +1,8 @@
 """Run the calls of hosted programs, one at a time a program."""
 
 import logging
-import math
 from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager
+from contextlib import AsyncExitStack
 
 import trio
 from attrs import define
@@ -17,14 +16,13 @@
 from jasminewheel._internal.program.job import CallJob, Clock
 from jasminewheel._internal.program.outcomes import (
     record,
-    spent_tokens,
     unexpected,
     weakened,
 )
 from jasminewheel._internal.program.plan import make_plan
-from jasminewheel._internal.program.ports import Reservation, Wallet
+from jasminewheel._internal.program.ports import Wallet
+from jasminewheel._internal.program.spending import CallSpending, spent_tokens
 from jasminewheel._internal.program.target_calls import TargetCalls
-from jasminewheel._internal.program.wallet import UnlimitedWallet
 from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
 from jasminewheel.errors import CallError, DeadlineError, MovedError
 from jasminewheel.models.call import CallOutcome, CallRequest
@@ -134,30 +132,24 @@
 
     async def run_reserved(self, job: CallJob) -> CallOutcome:
         """Run a call within the caller's budget and record its outcome."""
-        reserved = job.reserved_tokens()
-        async with self.reservation(job) as reservation:
+        async with AsyncExitStack() as stack:
+            job.spending = CallSpending(self.wallet, job, stack)
+            await job.spending.reserve()
             try:
                 outcome = await self.outcome_of(job)
                 await record(job.hosted, job.request, outcome, self.clock())
             except MovedError:
-                reservation.settle(reserved if job.has_started else 0)
+                reserved = job.reserved_tokens() if job.has_started else 0
+                job.spending.settle(reserved)
                 raise
-            reservation.settle(spent_tokens(job, outcome))
+            job.spending.settle(spent_tokens(job, outcome))
         return outcome
 
-    def reservation(
-        self, job: CallJob
-    ) -> AbstractAsyncContextManager[Reservation]:
-        """Reserve what a call may spend; a service spends no tokens."""
-        wallet = self.wallet if job.plan.model_input else UnlimitedWallet()
-        caller = job.plan.caller.name
-        return wallet.reserve(caller, job.reserved_tokens(), self.clock())
-
     async def wait_for_turn(self, turn: Turn, request: CallRequest) -> None:
         """Wait for the calls before; raise DeadlineError if that is long."""
         deadline_at = turn.hosted.program.deadline_of(request)
         patience = (
-            max(0, deadline_at - self.clock()) if deadline_at else math.inf
+            max(0, deadline_at - self.clock()) if deadline_at else float('inf')
         )
         try:
             with trio.fail_after(patience):
--- a/src/jasminewheel/_internal/program/outcomes.py
+++ b/src/jasminewheel/_internal/program/outcomes.py
@@ -1,8 +1,7 @@
-"""Record how calls end and what they cost."""
+"""Record how calls end."""
 
 from jasminewheel._internal.program.call import finish_record
 from jasminewheel._internal.program.hosted import HostedProgram
-from jasminewheel._internal.program.job import CallJob
 from jasminewheel.errors import CallError, UnavailableError
 from jasminewheel.models.call import CallOutcome, CallRequest
 from jasminewheel.models.verdict import Verdict
@@ -18,15 +17,6 @@
     await hosted.append(finish_record(request.request_id, outcome, now))
 
 
-def spent_tokens(job: CallJob, outcome: CallOutcome) -> int:
-    """Return the tokens to charge; all that were reserved if unknown."""
-    if outcome.succeeded:
-        return outcome.prompt_tokens + outcome.completion_tokens
-    if outcome.verdict is Verdict.not_run:
-        return 0
-    return job.reserved_tokens()
-
-
 def weakened(error: CallError) -> CallError:
     """Return the error with the verdict that something may have run."""
     if error.verdict is not Verdict.not_run:
