--- a/src/jasminewheel/_internal/entry/programs.py
+++ b/src/jasminewheel/_internal/entry/programs.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Mapping
 
+import trio
 from attrs import frozen
 
 from jasminewheel._internal.entry.slots import Slots
@@ -15,7 +16,9 @@
 from jasminewheel._internal.program.liveness import LivenessWatch
 from jasminewheel._internal.program.opening import ProgramOpening
 from jasminewheel._internal.program.operations import ProgramOperations
+from jasminewheel._internal.program.retention import Retention
 from jasminewheel._internal.program.routing import Router
+from jasminewheel._internal.program.unrecorded import UnrecordedCalls
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
     SlotQuestion,
@@ -30,6 +33,13 @@
     router: Router
     keeper: SlotKeeper
     watch: LivenessWatch
+    retention: Retention
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Run what works in the background."""
+        nursery.start_soon(self.watch.run)
+        nursery.start_soon(self.keeper.run)
+        nursery.start_soon(self.retention.run)
 
     def handlers(self) -> Mapping[type, Handler]:
         """Return what peers may ask about programs."""
@@ -65,12 +75,11 @@
     """Return the parts, wired together."""
     membership = around.fleet.membership
     watch = LivenessWatch(membership)
+    operations = open_operations(around, slots, flow, released)
+    unrecorded = UnrecordedCalls(flow, around.nursery)
     router = Router(
-        slots.finder,
-        around.pool,
-        open_operations(around, slots, flow, released),
-        watch,
-        time.time,
+        slots.finder, around.pool, operations, unrecorded, watch, time.time
     )
     keeper = SlotKeeper(slots.table, membership, time.time)
-    return Programs(slots, router, keeper, watch)
+    retention = Retention(operations.host, operations.ending, time.time)
+    return Programs(slots, router, keeper, watch, retention)
--- a/src/jasminewheel/_internal/program/spending.py
+++ b/src/jasminewheel/_internal/program/spending.py
@@ -6,6 +6,7 @@
 
 from jasminewheel._internal.program.job import CallJob
 from jasminewheel._internal.program.ports import Reservation, Wallet
+from jasminewheel._internal.program.wallet import UnlimitedWallet
 from jasminewheel.errors import CallError
 from jasminewheel.models.call import CallOutcome
 from jasminewheel.models.verdict import Verdict
@@ -22,8 +23,10 @@
 
     async def reserve(self) -> None:
         """Reserve the most that one attempt may spend."""
+        # A service spends no tokens.
+        wallet = self.wallet if self.job.plan.model_input else UnlimitedWallet()
         self.current = await self.stack.enter_async_context(
-            self.wallet.reserve(
+            wallet.reserve(
                 self.job.plan.caller.name,
                 self.job.reserved_tokens(),
                 self.job.clock(),
--- a/tests/unit/test_call_flow.py
+++ b/tests/unit/test_call_flow.py
@@ -1,12 +1,19 @@
 """Check how the owner runs calls, with faults at its interfaces."""
 
-import json
 from itertools import repeat
-from types import MappingProxyType
 
 import pytest
 import trio
 from program_configuration import make_snapshot
+from program_operations import (
+    ASK,
+    LOOKUP,
+    SEND_TEXT,
+    Received,
+    opened,
+    operation,
+    perform,
+)
 from program_parts import (
     TEXT,
     MemoryLogs,
@@ -16,12 +23,10 @@
 )
 from trio.testing import MockClock, wait_all_tasks_blocked
 
-from jasminewheel._internal.wire.gen.program.ttypes import (
-    Operation,
-    OperationEventKind,
-    OperationKind,
-)
+from jasminewheel._internal.program.unrecorded import UnrecordedCalls
+from jasminewheel._internal.wire.gen.program.ttypes import OperationKind
 from jasminewheel.errors import (
+    BudgetError,
     ConflictError,
     DeadlineError,
     ForbiddenError,
@@ -31,71 +36,6 @@
 )
 from jasminewheel.models.verdict import Verdict
 
-ASK = MappingProxyType(
-    {
-        'target': 'helper-models',
-        'input': {
-            'messages': [{'role': 'user', 'content': 'the kettle hums'}],
-            'max_tokens': 100,
-        },
-    }
-)
-SEND_TEXT = MappingProxyType(
-    {
-        'target': 'ticket-desk',
-        'operation': 'text',
-        'input': {'to': 'owner'},
-    }
-)
-LOOKUP = MappingProxyType({**SEND_TEXT, 'operation': 'lookup'})
-
-
-def operation(kind, request_id='', body=None, program='p', **fields):
-    """Return an operation of the cafe."""
-    return Operation(
-        kind=kind,
-        caller=fields.pop('caller', 'cafe'),
-        program=program,
-        request_id=request_id,
-        body=json.dumps(dict(body or {})).encode(),
-        **fields,
-    )
-
-
-class Received:
-    """Assemble what a reader gets."""
-
-    def __init__(self, text=''):
-        """Start with the text received before."""
-        self.text = text
-        self.restarts = 0
-        self.done = None
-
-    async def __call__(self, event):
-        """Take an event the way a caller does."""
-        if event.kind == OperationEventKind.RESTART:
-            self.text = ''
-            self.restarts += 1
-        elif event.kind == OperationEventKind.TOKEN:
-            assert event.offset == len(self.text)
-            self.text += event.text
-        else:
-            self.done = event
-
-    @property
-    def body(self):
-        """Return the body of the last event."""
-        return json.loads(self.done.body)
-
-
-async def perform(owner, kind, request_id='', body=None, **fields):
-    """Perform an operation and return what was received."""
-    received = Received(TEXT[: fields.get('offset', 0)])
-    await owner.operations.perform(
-        operation(kind, request_id, body, **fields), received
-    )
-    return received
-
 
 async def start_in_order(owner, nursery, names):
     """Send texts one after the other, without waiting for answers."""
@@ -105,12 +45,6 @@
         await wait_all_tasks_blocked()  # noqa: WPS476
 
 
-async def opened(owner):
-    """Open the program."""
-    received = await perform(owner, OperationKind.OPEN, 'open-1')
-    assert received.body == {'program': 'p'}
-
-
 def run(test):
     """Run an asynchronous test."""
     trio.run(test)
@@ -487,3 +421,54 @@
         assert last.body['verdict'] == 'ran'
 
     run(check)
+
+
+def test_budget_refusal_has_not_run():
+    """A call that the budget cannot cover leaves no record."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as owner:
+            await opened(owner)
+            owner.operations.flow.wallet = EmptyWallet()
+            with pytest.raises(BudgetError) as caught:
+                await perform(owner, OperationKind.CALL, 'a', ASK)
+            # A service spends no tokens.
+            sent = await perform(owner, OperationKind.CALL, 'b', SEND_TEXT)
+        assert caught.value.verdict is Verdict.not_run
+        assert sent.done.verdict == Verdict.ran.value
+        assert targets.runs == ['text p:b']
+
+    run(check)
+
+
+class EmptyWallet:
+    """Refuse every reservation."""
+
+    def reserve(self, caller, tokens, now):
+        """Refuse."""
+        raise BudgetError('exhausted')
+
+
+def test_plain_lookup_needs_no_record():
+    """A plain call that may be repeated runs without a majority."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as owner:
+            calls = UnrecordedCalls(
+                owner.operations.flow, owner.operations.nursery
+            )
+            lookup = operation(OperationKind.CALL, 'a', LOOKUP, plain=True)
+            text = operation(OperationKind.CALL, 'b', SEND_TEXT, plain=True)
+            assert not calls.takes(text)
+            assert calls.takes(lookup)
+            received = Received()
+            await calls.perform(lookup, received)
+        assert received.body['status'] == 200
+        assert targets.runs == ['lookup p:a']
+        assert not logs.records
+
+    run(check)
