--- a/src/jasminewheel/_internal/capacity/slope.py
+++ b/src/jasminewheel/_internal/capacity/slope.py
@@ -83,7 +83,9 @@
     """Return all slopes of the result files in a folder, by name."""
     found = {}
     for path in sorted(folder.glob('*.json')):
-        for raw in json.loads(path.read_text(encoding='utf-8'))['slopes']:
+        stored = json.loads(path.read_text(encoding='utf-8'))
+        # A file of another shape, such as single points, has no slopes.
+        for raw in stored.get('slopes', ()):
             raw['points'] = tuple(tuple(point) for point in raw['points'])
             slope = Slope(**raw)
             found[slope.name] = slope
--- a/src/jasminewheel/commands/capacity.py
+++ b/src/jasminewheel/commands/capacity.py
@@ -11,14 +11,20 @@
     program_points,
     turn_points,
 )
-from jasminewheel._internal.capacity.slope import Measurement, fit
+from jasminewheel._internal.capacity.page import rewrite_page
+from jasminewheel._internal.capacity.slope import (
+    Measurement,
+    fit,
+    read_slopes,
+)
 
 _COMMAND = 'jasminewheel-load capacity'
 _RESULT_FILE = 'entry.json'
+_PAGE = 'CAPACITY.md'
 
 
 def measure_capacity(folder: Path) -> int:
-    """Measure this machine's slopes; write the result file into the folder."""
+    """Measure this machine's slopes into the folder and rewrite the page."""
     slopes = (
         fit('caller-memory', 'MB', 'caller', caller_points()),
         fit('program-memory', 'MB', 'program of 4 turns', program_points()),
@@ -28,4 +34,5 @@
     Measurement(_COMMAND, slopes).write(folder / _RESULT_FILE)
     for slope in slopes:
         sys.stdout.write(f'{slope.describe()}\n')
+    rewrite_page(folder.parent / _PAGE, read_slopes(folder))
     return 0
