Run attempts of calls in one place, and grants by one router

Cause: models' and services' calls repeated the same loop and the same placing; two parts had each written what brings a grant to its account's owner, and only the tests used one of them. Ruled out: keeping the other router; the entry wires the one beside the owner finder.

--- a/src/jasminewheel/_internal/program/job.py
+++ b/src/jasminewheel/_internal/program/job.py
@@ -1,7 +1,11 @@
 """Hold one call while its owner runs it."""
 
-from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import (
+    AbstractContextManager,
+    asynccontextmanager,
+    contextmanager,
+)
 
 import trio
 from attrs import define, field
@@ -11,12 +15,12 @@
 from jasminewheel._internal.program.answer import Answer
 from jasminewheel._internal.program.hosted import HostedProgram
 from jasminewheel._internal.program.plan import CallPlan
-from jasminewheel._internal.program.ports import Decision, Spending
+from jasminewheel._internal.program.ports import Decision, Placer, Spending
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.targets.prefix import PrefixBlock, chain
 from jasminewheel._internal.wire.gen.program.ttypes import CallStarted
 from jasminewheel.errors import DeadlineError, TargetFailedError
-from jasminewheel.models.call import CallRequest
+from jasminewheel.models.call import CallOutcome, CallRequest
 from jasminewheel.models.verdict import Verdict
 
 Clock = Callable[[], float]
@@ -164,3 +168,27 @@
         except TargetFailedError:
             decision.failed(self.clock())
             raise
+
+
+async def run_attempts(
+    job: CallJob, attempt: Callable[[CallJob], Awaitable[CallOutcome]]
+) -> CallOutcome:
+    """Return the outcome; raise the error of the last runner tried."""
+    while True:
+        try:
+            return await attempt(job)
+        except TargetFailedError as error:
+            job.count_failure(error)
+            await job.spending.retry(error)
+
+
+@asynccontextmanager
+async def started_attempt(
+    job: CallJob, placer: Placer
+) -> AsyncIterator[Decision]:
+    """Place the call and record its start; report how the runner does."""
+    now = job.clock()
+    async with placer.place(job.placement(now), now) as decision:
+        await job.record_start(decision.runner)
+        with job.reported(decision), job.dispatch_hop(decision):
+            yield decision
--- a/src/jasminewheel/_internal/program/model_calls.py
+++ b/src/jasminewheel/_internal/program/model_calls.py
@@ -7,7 +7,11 @@
 import trio
 from attrs import define
 
-from jasminewheel._internal.program.job import CallJob
+from jasminewheel._internal.program.job import (
+    CallJob,
+    run_attempts,
+    started_attempt,
+)
 from jasminewheel._internal.program.ports import (
     Decision,
     Engine,
@@ -38,22 +42,14 @@
 
     async def run(self, job: CallJob) -> CallOutcome:
         """Return the outcome; raise the error of the last runner tried."""
-        while True:
-            try:
-                return await self.attempt(job)
-            except TargetFailedError as error:
-                job.count_failure(error)
-                await job.spending.retry(error)
+        return await run_attempts(job, self.attempt)
 
     async def attempt(self, job: CallJob) -> CallOutcome:
         """Place the call, record its start, then send what is missing."""
-        now = job.clock()
-        async with self.placer.place(job.placement(now), now) as decision:
-            await job.record_start(decision.runner)
-            with job.reported(decision), job.dispatch_hop(decision):
-                usage = await self.generate(job, decision)
+        async with started_attempt(job, self.placer) as decision:
+            usage = await self.generate(job, decision)
             decision.finished(usage, job.clock())
-            return make_outcome(job, usage)
+        return make_outcome(job, usage)
 
     async def generate(self, job: CallJob, decision: Decision) -> EngineUsage:
         """Stream the rest of the text from the chosen runner."""
--- a/src/jasminewheel/_internal/program/service_calls.py
+++ b/src/jasminewheel/_internal/program/service_calls.py
@@ -5,7 +5,11 @@
 import trio
 from attrs import define
 
-from jasminewheel._internal.program.job import CallJob
+from jasminewheel._internal.program.job import (
+    CallJob,
+    run_attempts,
+    started_attempt,
+)
 from jasminewheel._internal.program.ports import (
     Decision,
     Placer,
@@ -29,22 +33,14 @@
 
     async def run(self, job: CallJob) -> CallOutcome:
         """Return the outcome; raise the error of the last runner tried."""
-        while True:
-            try:
-                return await self.attempt(job)
-            except TargetFailedError as error:
-                job.count_failure(error)
-                await job.spending.retry(error)
+        return await run_attempts(job, self.attempt)
 
     async def attempt(self, job: CallJob) -> CallOutcome:
         """Place the call, record its start, then send it."""
-        now = job.clock()
-        async with self.placer.place(job.placement(now), now) as decision:
-            await job.record_start(decision.runner)
-            with job.reported(decision), job.dispatch_hop(decision):
-                answer = await self.send(job, decision)
+        async with started_attempt(job, self.placer) as decision:
+            answer = await self.send(job, decision)
             decision.finished(None, job.clock())
-            return make_outcome(answer)
+        return make_outcome(answer)
 
     async def abandon(self, job: CallJob) -> None:
         """Leave the call to the service, which cannot stop it."""
--- a/tests/functional/test_budget_owners.py
+++ b/tests/functional/test_budget_owners.py
@@ -9,12 +9,14 @@
 
 from jasminewheel._internal.budget.account import BudgetLimit
 from jasminewheel._internal.budget.asker import GrantAsker
-from jasminewheel._internal.budget.owner import AccountOwners, TakenSlots
 from jasminewheel._internal.budget.service import BudgetService
 from jasminewheel._internal.budget.wallet import Wallet
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.program.grants import AccountSlots, GrantRouter
+from jasminewheel._internal.program.owner_finder import OwnerFinder
+from jasminewheel._internal.program.slot_table import SlotTable
 from jasminewheel._internal.replication.ownership import Ownership
 from jasminewheel._internal.replication.placement import PlacementView
 from jasminewheel.errors import BudgetError, UnavailableError
@@ -50,18 +52,23 @@
     """Seal a slot when asked to."""
 
     ownership: Ownership
+    entries: list[Address]
 
     async def take(self, slot, _unreachable):
         """Own the slot."""
         await self.ownership.own(slot)
 
+    async def is_reachable(self, owner, _slot):
+        """Return whether the entry runs."""
+        return owner in self.entries
+
 
 @define
 class Entry:
     """Run the budget's parts of one entry."""
 
     address: Address
-    owners: AccountOwners
+    service: BudgetService
     wallet: Wallet
     scope: trio.CancelScope = field(factory=trio.CancelScope)
     stopping: trio.Event = field(factory=trio.Event)
@@ -102,7 +109,7 @@
             pool = await stack.enter_async_context(PeerPool(identity, KEY))
             entry = self.make(address, identity, pool)
             entry.scope = scope
-            server = PeerServer(identity, KEY, entry.owners.service.handlers())
+            server = PeerServer(identity, KEY, entry.service.handlers())
             serving = await stack.enter_async_context(trio.open_nursery())
             port = await serving.start(server.serve, '127.0.0.1', 0)
             address.peer_address = f'127.0.0.1:{port}'
@@ -119,12 +126,16 @@
             PlacementView(placement),
             self.histories.addresses.__getitem__,
         )
-        slots = TakenSlots(ownership, placement.slot_of, Taker(ownership))
+        finder = OwnerFinder(
+            Ranking(address, self.addresses),
+            SlotTable(ownership, placement.slot_of),
+            Taker(ownership, self.addresses),
+        )
+        slots = AccountSlots(finder)
         service = BudgetService(slots, lambda _: LIMIT, lambda: NOW)
-        ranking = Ranking(address, self.addresses)
-        owners = AccountOwners(service, slots, ranking, pool)
-        asker = GrantAsker(owners, address.member, lambda: NOW)
-        return Entry(address, owners, Wallet(asker, lambda: NOW))
+        router = GrantRouter(finder, pool, service)
+        asker = GrantAsker(router, address.member, lambda: NOW)
+        return Entry(address, service, Wallet(asker, lambda: NOW))
 
     def kill(self, entry):
         """Kill an entry; the others notice."""
