Audit the histories of whole fleets

Cause: records of real runs are checked against the specification's rules, also those of the end-to-end tests. Change: jasminewheelctl audit-histories; each fleet of processes is audited when its test leaves. A folder without a log is an error, not zero violations.

--- a/src/jasminewheel/_internal/replication/audit.py
+++ b/src/jasminewheel/_internal/replication/audit.py
@@ -51,6 +51,11 @@
     The torn end that a crash leaves in the last segment is passed over.
     """
     numbers = segment_numbers(folder)
+    if not numbers:
+        raise DamagedError(
+            f'{folder} holds no disk log',
+            remedy='name the data folder of a history process',
+        )
     for number in numbers:
         segment = Segment.open(folder, number)
         entries = _entries(segment, torn_end=number == numbers[-1])
--- a/src/jasminewheel/cli/ctl.py
+++ b/src/jasminewheel/cli/ctl.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 from cyclopts import App, CycloptsError, Parameter
 
+from jasminewheel.cli.histories import histories_app
 from jasminewheel.commands.ctl.client import OperatorClient, read_key
 from jasminewheel.commands.ctl.errors import CommandError
 from jasminewheel.commands.ctl.exit_codes import ExitCode
@@ -28,6 +29,7 @@
     ),
 )
 app.register_install_completion_command()
+app.command(histories_app)
 
 Files = Annotated[
     tuple[Path, ...],
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -13,6 +13,8 @@
 from processes import STOP_SECONDS, Process, start, wait_for_port
 from relay import Relays
 
+from jasminewheel.commands.ctl.histories import audit_folders
+
 KEYS = ('cafe', 'yard')
 READY_SECONDS = 40
 ZONES = (('north', 'n-1'), ('north', 'n-2'), ('south', 's-1'))
@@ -226,6 +228,14 @@
         self.relays.close()
 
 
+def audit_histories(fleet):
+    """Check what the histories stored against the specification."""
+    names = [f'history-{number}' for number in range(fleet.histories)]
+    report = audit_folders([fleet.folder / name for name in names])
+    assert report.entries
+    assert not report.problems, report.problems
+
+
 @contextmanager
 def running_fleet(folder, **fields):
     """Run a fleet until the test leaves."""
@@ -234,3 +244,5 @@
         stack.callback(fleet.end_all)
         fleet.start_all()
         yield fleet
+        fleet.end_all()
+        audit_histories(fleet)
--- a/tests/unit/test_audit.py
+++ b/tests/unit/test_audit.py
@@ -3,9 +3,14 @@
 import pytest
 
 from jasminewheel._internal.history.entry import Entry
-from jasminewheel._internal.replication.audit import StoredOn, audit_records
+from jasminewheel._internal.replication.audit import (
+    StoredOn,
+    audit_records,
+    read_folder,
+)
 from jasminewheel._internal.replication.fence import Fence
 from jasminewheel._internal.wire.gen.history.ttypes import StoredKind
+from jasminewheel.errors import DamagedError
 
 LOW = Fence(1, 1, 'a', '1')
 HIGH = Fence(1, 2, 'b', '1')
@@ -25,6 +30,12 @@
     return entry.payload.decode() if entry.kind == 'started' else None
 
 
+def test_folder_without_a_log_is_an_error(tmp_path):
+    """Nothing to check is not the same as no violation."""
+    with pytest.raises(DamagedError, match='holds no disk log'):
+        list(read_folder(tmp_path))
+
+
 def test_sound_records_pass():
     """A take-over that rewrites the last record breaks no rule."""
     stored = [
