Take back a caller's limit of open programs, which nothing enforced

Cause: max_open_programs was accepted from operators and read nowhere; programs of a caller are spread over all owners, so counting them needs an account as budgets have. Conclusion: what is accepted is in force.

--- a/src/jasminewheel/models/caller.py
+++ b/src/jasminewheel/models/caller.py
@@ -41,7 +41,6 @@
     targets: Annotated[tuple[Name, ...], AtMost(1000)]
     priority: Annotated[int, Between(LOWEST_PRIORITY, HIGHEST_PRIORITY)] = 0
     max_turns: Count = 200
-    max_open_programs: Count = 1000
     deadline_seconds: Seconds = 3600.0
 
     def may_call(self, target: str) -> bool:
