Cut and slow links and the store in the fault matrix

Cause: the matrix ended or froze processes only; links and the store's other faults had no rows. Ruled out: proofs by the system's own word; cells assert by the tools' counts and the caller's text as before. Change: five rows by eight columns over relayed links; bytes held back by a cut arrive late when it heals. The cells of the default run stay, with each fourth of the new ones.

--- a/tests/functional/faults.py
+++ b/tests/functional/faults.py
@@ -6,6 +6,8 @@
 from processes import STOP_SECONDS
 
 TAKE_OVER_SECONDS = 45
+LINK_DELAY_SECONDS = 0.05
+STORE_DELAY_SECONDS = 1.0
 
 
 def kill_owner(cell):
@@ -45,13 +47,18 @@
 
 def thaw_after_take_over(cell):
     """Let the old owner go on when another entry has served the request."""
+    wait_for_take_over(cell)
+    cell.fleet[cell.owner].thaw()
+
+
+def wait_for_take_over(cell):
+    """Wait until another entry has served the request."""
     request = cell.requests[-1]
     poll(
         lambda: not request.thread.is_alive(),
         seconds=TAKE_OVER_SECONDS,
-        message='nobody took over from the frozen owner',
+        message='nobody took over from the lost owner',
     )
-    cell.fleet[cell.owner].thaw()
 
 
 def stop_owner(cell):
@@ -64,6 +71,45 @@
     assert cell.fleet[cell.owner].popen.wait(STOP_SECONDS) == 0
 
 
+def cut_owner(cell):
+    """Let nothing through between the owner and the other members."""
+    for name in others(cell):
+        cell.fleet.relays.links.cut(cell.owner, name)
+
+
+def mute_owner(cell):
+    """Let nothing through from the owner, but all of it to the owner."""
+    for name in others(cell):
+        cell.fleet.relays.links.cut(cell.owner, name, both=False)
+
+
+def others(cell):
+    """Return the names of all members but the owner."""
+    relayed = cell.fleet.relays.relays
+    return [name for name in relayed if name != cell.owner]
+
+
+def heal_after_take_over(cell):
+    """Deliver what was held back when another entry has served the request."""
+    wait_for_take_over(cell)
+    cell.fleet.relays.links.heal()
+
+
+def slow_links(cell):
+    """Delay all that members send to each other."""
+    cell.fleet.relays.links.slow(LINK_DELAY_SECONDS)
+
+
+def slow_store(cell):
+    """Let the store answer late."""
+    cell.fleet['store'].fault(mode='slow', delay_seconds=STORE_DELAY_SECONDS)
+
+
+def lose_store_answers(cell):
+    """Let the store take effect without an answer."""
+    cell.fleet['store'].fault(mode='lose_answers', probability=1)
+
+
 def nothing(cell):
     """Add nothing to the fault."""
 
@@ -71,6 +117,7 @@
 def heal(fleet):
     """Start what is dead and wait until all serve again."""
     fleet['store'].fault(mode='ok')
+    fleet.relays.links.heal()
     for name in list(fleet.servers):
         fleet[name].thaw()
         kind, _, number = name.partition('-')
--- a/tests/functional/test_fault_matrix.py
+++ b/tests/functional/test_fault_matrix.py
@@ -15,6 +15,7 @@
 from attrs import frozen
 from callers import CallerClient, service
 from process_fleet import running_fleet
+from relay import Links, Relays
 
 from jasminewheel._internal.fakes.answers import make_answer
 
@@ -60,6 +61,17 @@
         'stop-owner': Row(faults.stop_owner, faults.wait_for_exit),
     }
 )
+# Faults of links and of the store, which end no process.
+LINK_ROWS = MappingProxyType(
+    {
+        'cut-owner': Row(faults.cut_owner, faults.heal_after_take_over),
+        'mute-owner': Row(faults.mute_owner, faults.heal_after_take_over),
+        'slow-links': Row(faults.slow_links),
+        'store-slow': Row(faults.slow_store),
+        'store-loses-answers': Row(faults.lose_store_answers),
+    }
+)
+ALL_ROWS = MappingProxyType({**ROWS, **LINK_ROWS})
 # The default run takes these rows whole, and of the others each fourth cell.
 DEFAULT_ROWS = frozenset(('kill-owner',))
 DEFAULT_STEP = 4
@@ -67,7 +79,16 @@
 WEAK_COLUMNS = frozenset(('starting', 'started', 'dispatched', 'finishing'))
 # These rows cut nothing off, so each verdict is the strong one, unless the
 # tool itself is what hangs.
-GENTLE_ROWS = frozenset(('kill-entry', 'kill-history', 'stop-owner'))
+GENTLE_ROWS = frozenset(
+    (
+        'kill-entry',
+        'kill-history',
+        'stop-owner',
+        'slow-links',
+        'store-slow',
+        'store-loses-answers',
+    )
+)
 HUNG_COLUMNS = frozenset(('started', 'dispatched'))
 
 
@@ -78,6 +99,7 @@
         tmp_path_factory.mktemp('matrix'),
         entries=ENTRIES,
         engine_settings={'speed': {'step_seconds': 0.03}},
+        relays=Relays(Links()),
     ) as running:
         yield running
 
@@ -138,8 +160,8 @@
 def strike(cell, column, row):
     """Bring the request to its step, strike, and wait for its fate."""
     with COLUMNS[column].step(cell):
-        ROWS[row].strike(cell)
-    ROWS[row].after(cell)
+        ALL_ROWS[row].strike(cell)
+    ALL_ROWS[row].after(cell)
     for request in cell.requests:
         request.join()
 
@@ -155,17 +177,17 @@
     check_order(cell)
 
 
-def cells():
+def cells(rows):
     """Return all cells; the default run takes a bounded part of them."""
     listed = []
-    for position, (column, row) in enumerate(product(COLUMNS, ROWS)):
+    for position, (column, row) in enumerate(product(COLUMNS, rows)):
         is_default = row in DEFAULT_ROWS or position % DEFAULT_STEP == 0
         marks = () if is_default else (pytest.mark.long,)
         listed.append(pytest.param(column, row, marks=marks))
     return listed
 
 
-@pytest.mark.parametrize(('column', 'row'), cells())
+@pytest.mark.parametrize(('column', 'row'), [*cells(ROWS), *cells(LINK_ROWS)])
 def test_promises_hold(fleet, column, row):
     """Nothing runs twice, nothing is lost, and the program goes on."""
     cell = make_cell(fleet, COLUMNS[column], f'{column}-{row}')
