--- /dev/null
+++ b/tests/functional/test_full_disk.py
@@ -0,0 +1,67 @@
+"""Check that full disks refuse records and lose none."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from jasminewheel.errors import DiskFullError, QuorumError
+from tests.histories import append_patiently, fleet, placement_of
+
+THREE = ('h1', 'h2', 'h3')
+PLACEMENT = placement_of(*THREE)
+
+
+def run(scenario, folder):
+    """Run a scenario with a deadline."""
+
+    async def bounded():
+        with trio.fail_after(30):
+            await scenario(folder)
+
+    trio.run(bounded)
+
+
+def test_disk_full_is_refused_and_freed_by_drops(tmp_path):
+    """A full disk refuses records, keeps what it has, and recovers."""
+
+    async def scenario(folder):
+        big = b'x' * 100_000
+        limits = {'quota_bytes': 3 << 20, 'segment_bytes': 1 << 19}
+        async with fleet(folder, *THREE, **limits) as running:
+            async with running.owner('a', PLACEMENT) as owner:
+                slot = await owner.own(3)
+                count = await fill(partial(slot.append, 'p'), big)
+                assert count > 5
+            async with running.owner('b', PLACEMENT) as owner:
+                slot = await owner.own(3)
+                assert len(await slot.read('p')) in {count, count + 1}
+                await slot.drop('p')
+                await append_patiently(slot, 'q', 0, 'turn', big)
+
+    run(scenario, tmp_path)
+
+
+async def fill(append, payload):
+    """Append until refused; return how many records were taken."""
+    count = 0
+    while True:
+        try:
+            await append(count, 'turn', payload)
+        except (DiskFullError, QuorumError) as error:
+            assert 'full' in str(error)
+            return count
+        count += 1
+
+
+def test_refusal_names_the_full_disk(tmp_path):
+    """The refusal of one replica names the cause."""
+
+    async def scenario(folder):
+        async with fleet(folder, 'h1', quota_bytes=1 << 20) as running:
+            async with running.owner('a', placement_of('h1')) as owner:
+                slot = await owner.own(3)
+                with pytest.raises(DiskFullError, match='is full'):
+                    await slot.append('p', 0, 'turn', b'x' * 2000)
+
+    run(scenario, tmp_path)
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -20,6 +20,7 @@
     Placement,
     PlacementView,
 )
+from jasminewheel.errors import DiskFullError, QuorumError
 
 KEY = b'k' * 32
 QUOTA_BYTES = 1 << 30
@@ -131,3 +132,12 @@
 def placement_of(*members: str, epoch: int = 1, slots: int = 16) -> Placement:
     """Return a placement with one replica set."""
     return Placement(epoch, slots, (members,))
+
+
+async def append_patiently(slot, *record):
+    """Append the same record until a majority holds it."""
+    while True:
+        try:
+            return await slot.append(*record)
+        except (DiskFullError, QuorumError):
+            await trio.sleep(0.05)
