Share the bounded run of history tests

Change: it stands once in tests/histories.py; both modules call it, with the same bound and assertions.

--- a/tests/functional/test_full_disk.py
+++ b/tests/functional/test_full_disk.py
@@ -3,25 +3,14 @@
 from functools import partial
 
 import pytest
-import trio
 
 from jasminewheel.errors import DiskFullError, QuorumError
-from tests.histories import append_patiently, fleet, placement_of
+from tests.histories import append_patiently, fleet, placement_of, run
 
 THREE = ('h1', 'h2', 'h3')
 PLACEMENT = placement_of(*THREE)
 
 
-def run(scenario, folder):
-    """Run a scenario with a deadline."""
-
-    async def bounded():
-        with trio.fail_after(30):
-            await scenario(folder)
-
-    trio.run(bounded)
-
-
 def test_disk_full_is_refused_and_freed_by_drops(tmp_path):
     """A full disk refuses records, keeps what it has, and recovers."""
 
--- a/tests/functional/test_ownership.py
+++ b/tests/functional/test_ownership.py
@@ -12,22 +12,12 @@
     NotFoundError,
     QuorumError,
 )
-from tests.histories import append_patiently, fleet, placement_of
+from tests.histories import append_patiently, fleet, placement_of, run
 
 THREE = ('h1', 'h2', 'h3')
 PLACEMENT = placement_of(*THREE)
 
 
-def run(scenario, folder):
-    """Run a scenario with a deadline."""
-
-    async def bounded():
-        with trio.fail_after(30):
-            await scenario(folder)
-
-    trio.run(bounded)
-
-
 def test_append_and_read_by_a_new_owner(tmp_path):
     """A new owner reads all that the old one appended, in order."""
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -141,3 +141,13 @@
             return await slot.append(*record)
         except (DiskFullError, QuorumError):
             await trio.sleep(0.05)
+
+
+def run(scenario, folder):
+    """Run a scenario with a deadline."""
+
+    async def bounded():
+        with trio.fail_after(30):
+            await scenario(folder)
+
+    trio.run(bounded)
