--- /dev/null
+++ b/idl/conversation.thrift
@@ -0,0 +1,85 @@
+// What entries ask of the replicas that keep turns and token budgets.
+namespace py conversation
+
+// One finished turn; it never changes once it is written.
+struct TurnRecord {
+  1: string turn_id,
+  2: string previous_id,       // empty at the start of a chain
+  3: string program_id,
+  4: binary prompt,            // what the turn added to the conversation
+  5: binary output,            // what the runner said, a line for each event
+  6: string runner,
+  7: i64 tokens,               // handed to the caller
+  8: double retention_seconds,
+  9: list<string> ancestors,   // kept as long as this turn
+}
+
+// What one turn may take, or has taken, of its program's budget.
+struct TokenReservation {
+  1: string turn_id,
+  2: string program_id,
+  3: i64 tokens,
+  4: bool settled,             // tokens is what was handed out, for good
+  5: double retention_seconds,
+}
+
+// Every request names the disk it is meant for and the replica set it uses.
+struct ReplicaScope {
+  1: string replica,
+  2: i64 set_revision,
+}
+
+struct ReserveTokens {
+  1: ReplicaScope scope,
+  2: TokenReservation reservation,
+}
+
+struct ReadProgramTokens {
+  1: ReplicaScope scope,
+  2: string program_id,
+}
+
+struct ProgramTokens {
+  1: bool accepted,            // false: the asker's replica set is outdated
+  2: i64 set_revision,
+  3: list<TokenReservation> reservations,
+}
+
+struct CommitTurn {
+  1: ReplicaScope scope,
+  2: TurnRecord turn,
+}
+
+struct SettleTokens {
+  1: ReplicaScope scope,
+  2: TokenReservation reservation,
+}
+
+struct Stored {
+  1: bool accepted,
+  2: i64 set_revision,
+}
+
+struct ReadChain {
+  1: ReplicaScope scope,
+  2: string turn_id,
+}
+
+struct ChainRead {
+  1: bool accepted,
+  2: i64 set_revision,
+  3: list<TurnRecord> turns,   // newest first; empty: the turn is not here
+}
+
+// Answered by a stream of RecordPage with what is not among the known.
+struct ReadMissingRecords {
+  1: ReplicaScope scope,
+  2: list<string> known_turns,
+}
+
+struct RecordPage {
+  1: bool accepted,
+  2: i64 set_revision,
+  3: list<TurnRecord> turns,
+  4: list<TokenReservation> reservations,
+}
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/catch_up.py
@@ -0,0 +1,117 @@
+"""Copy to this disk what a majority of the others holds."""
+
+import logging
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.conversation.journal import (
+    Journal,
+    reservation_entry,
+    revision_entry,
+    turn_entry,
+)
+from jasminewheel._internal.conversation.replica_set import (
+    Replica,
+    ReplicaSet,
+)
+from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import JasminewheelError, QuorumError
+
+# One replica's records are not waited for any longer.
+COPY_SECONDS = 20.0
+_LOGGER = logging.getLogger(__name__)
+
+
+@frozen
+class CatchUp:
+    """Copy records for one change of the replica set.
+
+    Each replica asked first stores the change's revision. From then on it
+    refuses writes under older sets, so nothing can be missed.
+    """
+
+    disk_id: str
+    journal: Journal
+    pool: PeerPool
+
+    async def run(self, replica_set: ReplicaSet) -> None:
+        """Copy from a majority; raise QuorumError if too few answer."""
+        await self.note_revision(replica_set.revision)
+        copied: set[str] = set()
+        async with trio.open_nursery() as nursery:
+            copying = _Copying(replica_set, copied, nursery.cancel_scope)
+            for replica in replica_set.members:
+                nursery.start_soon(self.copy, replica, copying)
+        if not replica_set.is_majority(copied):
+            raise QuorumError(f'copied from {len(copied)} replicas only')
+        events.CAUGHT_UP.log(
+            _LOGGER,
+            revision=replica_set.revision,
+            turns=len(self.journal.state.turns),
+        )
+
+    async def note_revision(self, revision: int) -> None:
+        """Refuse older sets here as well."""
+        state = self.journal.state
+        state.set_revision = max(state.set_revision, revision)
+        await self.journal.store(revision_entry(state.set_revision))
+
+    async def copy(self, replica: Replica, copying: '_Copying') -> None:
+        """Copy from one replica and note when that succeeded."""
+        if replica.disk_id == self.disk_id:
+            copying.note(replica)
+            return
+        request = wire.ReadMissingRecords(
+            scope=wire.ReplicaScope(
+                replica=replica.disk_id,
+                set_revision=copying.replica_set.revision,
+            ),
+            known_turns=list(self.journal.state.turns),
+        )
+        try:
+            with trio.fail_after(COPY_SECONDS):
+                await self.take_pages(replica, request)
+        except (JasminewheelError, trio.TooSlowError) as error:
+            events.CATCH_UP_FAILED.log(_LOGGER, vm=replica.vm, problem=error)
+        else:
+            copying.note(replica)
+
+    async def take_pages(
+        self, replica: Replica, request: wire.ReadMissingRecords
+    ) -> None:
+        """Store page after page."""
+        async with self.pool.stream(
+            replica.address, request, wire.RecordPage
+        ) as pages:
+            async for page in pages:
+                if not page.accepted:
+                    raise QuorumError('the replica set changed meanwhile')
+                await self.store(page)
+
+    async def store(self, page: wire.RecordPage) -> None:
+        """Keep the records of a page durably."""
+        now = trio.current_time()
+        for turn in page.turns:
+            self.journal.state.add_turn(turn, now)
+        for taken in page.reservations:
+            self.journal.state.add_reservation(taken, now)
+        await self.journal.store(
+            *map(turn_entry, page.turns),
+            *map(reservation_entry, page.reservations),
+        )
+
+
+@frozen
+class _Copying:
+    replica_set: ReplicaSet
+    copied: set[str]
+    scope: trio.CancelScope
+
+    def note(self, replica: Replica) -> None:
+        """Note a replica that was copied; a majority is enough."""
+        self.copied.add(replica.disk_id)
+        if self.replica_set.is_majority(self.copied):
+            self.scope.cancel()
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/client.py
@@ -0,0 +1,218 @@
+"""Read and write conversations for the requests of one entry."""
+
+from collections import OrderedDict
+
+import trio
+from attrs import define, evolve, field, frozen
+
+from jasminewheel._internal.conversation.ledger import (
+    ProgramLedger,
+    fits,
+    needs_second_look,
+)
+from jasminewheel._internal.conversation.quorum import (
+    FoundOrAbsent,
+    Question,
+    QuorumClient,
+)
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import (
+    BudgetError,
+    NotFoundError,
+    QuorumError,
+    UnavailableError,
+)
+
+# 2 MiB of the newest turns that this entry wrote or read.
+CACHE_BYTES = 2097152
+RETRY_AFTER_SECONDS = 0.3
+# Settling what a broken-off turn took is tried again this often and long.
+SETTLE_PAUSE_SECONDS = 0.5
+SETTLE_TRIES = 20
+
+
+@frozen
+class Reservation:
+    """Hold what one turn may take of its program's budget."""
+
+    turn_id: str
+    program_id: str
+    tokens: int
+    retention_seconds: float
+    settled: bool = False
+
+    def to_wire(self) -> wire.TokenReservation:
+        """Return the reservation as it is sent."""
+        return wire.TokenReservation(
+            turn_id=self.turn_id,
+            program_id=self.program_id,
+            tokens=self.tokens,
+            settled=self.settled,
+            retention_seconds=self.retention_seconds,
+        )
+
+    def settled_at(self, tokens: int) -> 'Reservation':
+        """Return what the turn has taken for good."""
+        return evolve(self, tokens=tokens, settled=True)
+
+
+@define(eq=False)
+class TurnCache:
+    """Hold the newest turns; they never change, so none is ever stale."""
+
+    limit_bytes: int = CACHE_BYTES
+    turns: OrderedDict[str, wire.TurnRecord] = field(factory=OrderedDict)
+    held_bytes: int = 0
+
+    def put(self, turn: wire.TurnRecord) -> None:
+        """Keep a turn as the newest."""
+        if turn.turn_id not in self.turns:
+            self.held_bytes += _size(turn)
+        self.turns[turn.turn_id] = turn
+        self.turns.move_to_end(turn.turn_id)
+        while self.held_bytes > self.limit_bytes:
+            _, dropped = self.turns.popitem(last=False)
+            self.held_bytes -= _size(dropped)
+
+    def chain(self, turn_id: str) -> list[wire.TurnRecord]:
+        """Return the turn and those before it that are here, newest first."""
+        found: list[wire.TurnRecord] = []
+        turn = self.turns.get(turn_id)
+        while turn:
+            found.append(turn)
+            turn = self.turns.get(turn.previous_id)
+        return found
+
+
+@frozen
+class ConversationClient:
+    """Continue conversations within their budgets."""
+
+    quorum: QuorumClient
+    nursery: trio.Nursery
+    cache: TurnCache = field(factory=TurnCache)
+
+    async def chain(self, turn_id: str) -> list[wire.TurnRecord]:
+        """Return the turn's whole chain, oldest first.
+
+        Raise NotFoundError if there certainly is no such turn, and
+        UnavailableError if that is not certain.
+        """
+        newest_first: list[wire.TurnRecord] = []
+        wanted = turn_id
+        while wanted:
+            found = self.cache.chain(wanted) or await self.read(wanted)
+            newest_first.extend(found)
+            wanted = found[-1].previous_id
+        for turn in newest_first:
+            self.cache.put(turn)
+        return list(reversed(newest_first))
+
+    async def read(self, turn_id: str) -> list[wire.TurnRecord]:
+        """Return what one replica holds of a chain, newest first."""
+        replies = await self.ask(
+            Question(
+                lambda scope: wire.ReadChain(scope=scope, turn_id=turn_id),
+                wire.ChainRead,
+                FoundOrAbsent(),
+            ),
+        )
+        longest = max((reply.turns for reply in replies), key=len)
+        if not longest:
+            raise NotFoundError(f'there is no turn {turn_id}')
+        return longest
+
+    async def reserve(self, reservation: Reservation, budget: int) -> None:
+        """Take tokens from the program's budget.
+
+        Raise BudgetError if they are not left, and UnavailableError if that
+        could not be learned.
+        """
+        try:
+            within = await self.fits_after(reservation, budget)
+        except BaseException:
+            self.settle_later(reservation.settled_at(0))
+            raise
+        if not within:
+            self.settle_later(reservation.settled_at(0))
+            raise BudgetError(
+                f'the budget of {budget} tokens does not hold'
+                f' {reservation.tokens} more',
+            )
+
+    async def fits_after(self, reservation: Reservation, budget: int) -> bool:
+        """Store a reservation; tell whether all of them fit the budget."""
+        taken = reservation.to_wire()
+        ledger = await self.ledger(
+            Question(
+                lambda scope: wire.ReserveTokens(
+                    scope=scope, reservation=taken
+                ),
+                wire.ProgramTokens,
+            ),
+        )
+        if needs_second_look(ledger, budget):
+            program_id = reservation.program_id
+            ledger = await self.ledger(
+                Question(
+                    lambda scope: wire.ReadProgramTokens(
+                        scope=scope, program_id=program_id
+                    ),
+                    wire.ProgramTokens,
+                ),
+            )
+        return fits(ledger, budget)
+
+    async def ledger(self, question: Question) -> ProgramLedger:
+        """Return what the replicas that answer know of a program."""
+        ledger = ProgramLedger()
+        for reply in await self.ask(question):
+            ledger.merge_all(reply.reservations)
+        return ledger
+
+    async def commit(self, turn: wire.TurnRecord) -> None:
+        """Keep a finished turn; raise UnavailableError if that is unsure."""
+        await self.ask(
+            Question(
+                lambda scope: wire.CommitTurn(scope=scope, turn=turn),
+                wire.Stored,
+            ),
+        )
+        self.cache.put(turn)
+
+    def settle_later(self, reservation: Reservation) -> None:
+        """Settle a reservation without holding up the caller."""
+        self.nursery.start_soon(self.settle, reservation)
+
+    async def settle(self, reservation: Reservation) -> None:
+        """Settle a reservation; what is not settled stays reserved."""
+        taken = reservation.to_wire()
+        question = Question(
+            lambda scope: wire.SettleTokens(scope=scope, reservation=taken),
+            wire.Stored,
+        )
+        tries_left = SETTLE_TRIES
+        while tries_left and not await self.stored(question):
+            tries_left -= 1
+            await trio.sleep(SETTLE_PAUSE_SECONDS)
+
+    async def stored(self, question: Question) -> bool:
+        """Tell whether a quorum stored something."""
+        try:
+            await self.ask(question)
+        except UnavailableError:
+            return False
+        return True
+
+    async def ask(self, question: Question) -> list:
+        """Ask the replicas; nothing has run if too few answer."""
+        try:
+            return await self.quorum.ask(question)
+        except QuorumError as error:
+            raise UnavailableError(
+                error.message, retry_after_seconds=RETRY_AFTER_SECONDS
+            ) from error
+
+
+def _size(turn: wire.TurnRecord) -> int:
+    return len(turn.prompt) + len(turn.output)
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/log_file.py
@@ -0,0 +1,106 @@
+"""Append checked entries to files and read them back after a crash."""
+
+import os
+import struct
+import zlib
+from collections.abc import Iterable, Iterator
+from enum import IntEnum
+from pathlib import Path
+
+from attrs import define, frozen
+
+from jasminewheel._internal.history.segment import FILE_MODE, sync_folder
+
+_HEAD = struct.Struct('>IIB')
+_NAME = 'turns-{0:010d}.log'
+_PATTERN = 'turns-*.log'
+
+
+class EntryKind(IntEnum):
+    """Say what an entry holds."""
+
+    turn = 1
+    reservation = 2
+    set_revision = 3
+
+
+@frozen
+class LogEntry:
+    """Hold one entry."""
+
+    kind: EntryKind
+    payload: bytes
+
+    def to_bytes(self) -> bytes:
+        """Return the entry after its checksum and length."""
+        body = bytes((self.kind,)) + self.payload
+        checksum = zlib.crc32(body)
+        head = _HEAD.pack(checksum, len(self.payload), self.kind)
+        return head + self.payload
+
+
+@define(eq=False)
+class LogFile:
+    """Hold one open file."""
+
+    path: Path
+    descriptor: int
+    size: int
+
+    @classmethod
+    def create(cls, folder: Path, number: int) -> 'LogFile':
+        """Create an empty file with a durable name."""
+        path = folder / _NAME.format(number)
+        flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        descriptor = os.open(path, flags, FILE_MODE)
+        sync_folder(folder)
+        return cls(path, descriptor, 0)
+
+    @property
+    def number(self) -> int:
+        """Return the file's number."""
+        return file_number(self.path)
+
+    def append(self, block: bytes) -> None:
+        """Write the block durably after the last one."""
+        written = 0
+        while written < len(block):
+            written += os.pwrite(
+                self.descriptor, block[written:], self.size + written
+            )
+        os.fdatasync(self.descriptor)
+        self.size += len(block)
+
+    def close(self) -> None:
+        """Close the file."""
+        os.close(self.descriptor)
+
+
+def join_entries(entries: Iterable[LogEntry]) -> bytes:
+    """Return the entries one after the other."""
+    return b''.join(entry.to_bytes() for entry in entries)
+
+
+def read_entries(path: Path) -> Iterator[LogEntry]:
+    """Yield the whole entries before the first that is not."""
+    stored = path.read_bytes()
+    offset = 0
+    while offset + _HEAD.size <= len(stored):
+        checksum, length, kind = _HEAD.unpack_from(stored, offset)
+        start = offset + _HEAD.size
+        payload = stored[start : start + length]
+        body = bytes((kind,)) + payload
+        if len(payload) < length or zlib.crc32(body) != checksum:
+            return
+        yield LogEntry(EntryKind(kind), payload)
+        offset = start + length
+
+
+def log_files(folder: Path) -> list[Path]:
+    """Return the files in the folder, oldest first."""
+    return sorted(folder.glob(_PATTERN))
+
+
+def file_number(path: Path) -> int:
+    """Return the number in a file's name."""
+    return int(path.stem.partition('-')[2])
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -0,0 +1,168 @@
+"""Answer entries and other replicas from one disk."""
+
+import logging
+from collections.abc import Iterator
+from typing import Any
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.conversation.journal import (
+    Journal,
+    reservation_entry,
+    revision_entry,
+    turn_entry,
+)
+from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.peer.server import Exchange, Handler
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import PeerError
+
+PAGE_RECORDS = 64
+_LOGGER = logging.getLogger(__name__)
+
+
+@frozen
+class ReplicaService:
+    """Keep turns and reservations for whoever uses the newest replica set."""
+
+    disk_id: str
+    journal: Journal
+
+    def handlers(self) -> dict[type, Handler]:
+        """Return the handler of each message."""
+        return {
+            wire.ReserveTokens: self.reserve,
+            wire.ReadProgramTokens: self.read_program,
+            wire.SettleTokens: self.settle,
+            wire.CommitTurn: self.commit,
+            wire.ReadChain: self.read_chain,
+            wire.ReadMissingRecords: self.read_missing,
+        }
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the newest replica set seen here."""
+        return self.journal.state.set_revision
+
+    async def admit(self, scope: wire.ReplicaScope) -> bool:
+        """Tell whether the asker's replica set is the newest seen here."""
+        if scope.replica != self.disk_id:
+            raise PeerError(f'the disk here is {self.disk_id}')
+        if scope.set_revision < self.revision:
+            events.STALE_SET_REFUSED.log(
+                _LOGGER, used=scope.set_revision, newest=self.revision
+            )
+            return False
+        if scope.set_revision > self.revision:
+            self.journal.state.set_revision = scope.set_revision
+            await self.journal.store(revision_entry(scope.set_revision))
+        return True
+
+    async def reserve(
+        self, exchange: Exchange, request: wire.ReserveTokens
+    ) -> wire.ProgramTokens:
+        """Store a reservation and return all of its program."""
+        accepted = await self.admit(request.scope)
+        if accepted:
+            await self.store_reservation(request.reservation)
+        return self.program_tokens(accepted, request.reservation.program_id)
+
+    async def read_program(
+        self, exchange: Exchange, request: wire.ReadProgramTokens
+    ) -> wire.ProgramTokens:
+        """Return all reservations of a program."""
+        accepted = await self.admit(request.scope)
+        return self.program_tokens(accepted, request.program_id)
+
+    def program_tokens(
+        self, accepted: bool, program_id: str
+    ) -> wire.ProgramTokens:
+        """Return what is known of a program's budget."""
+        ledger = self.journal.state.programs.get(program_id)
+        return wire.ProgramTokens(
+            accepted=accepted,
+            set_revision=self.revision,
+            reservations=list(ledger.reservations.values()) if ledger else [],
+        )
+
+    async def settle(
+        self, exchange: Exchange, request: wire.SettleTokens
+    ) -> wire.Stored:
+        """Store what a turn has taken for good."""
+        accepted = await self.admit(request.scope)
+        if accepted:
+            await self.store_reservation(request.reservation)
+        return wire.Stored(accepted=accepted, set_revision=self.revision)
+
+    async def commit(
+        self, exchange: Exchange, request: wire.CommitTurn
+    ) -> wire.Stored:
+        """Store a finished turn and what it has taken."""
+        accepted = await self.admit(request.scope)
+        if accepted:
+            await self.store_turn(request.turn)
+        return wire.Stored(accepted=accepted, set_revision=self.revision)
+
+    async def read_chain(
+        self, exchange: Exchange, request: wire.ReadChain
+    ) -> wire.ChainRead:
+        """Return a turn and what is here of those before it."""
+        accepted = await self.admit(request.scope)
+        turns = self.journal.state.chain(request.turn_id) if accepted else []
+        return wire.ChainRead(
+            accepted=accepted, set_revision=self.revision, turns=turns
+        )
+
+    async def read_missing(
+        self, exchange: Exchange, request: wire.ReadMissingRecords
+    ) -> wire.RecordPage:
+        """Give all reservations and the turns that the asker lacks."""
+        accepted = await self.admit(request.scope)
+        state = self.journal.state
+        known = frozenset(request.known_turns)
+        turns = tuple(state.missing_turns(known)) if accepted else ()
+        taken = tuple(state.reservations()) if accepted else ()
+        pages = [self.page(accepted, turns=some) for some in _pages(turns)]
+        pages.extend(
+            self.page(accepted, reservations=some) for some in _pages(taken)
+        )
+        while pages:
+            await exchange.reply(pages.pop())
+        return self.page(accepted)
+
+    def page(self, accepted: bool, **records: Any) -> wire.RecordPage:
+        """Return one page of records."""
+        held = {'turns': [], 'reservations': [], **records}
+        return wire.RecordPage(
+            accepted=accepted, set_revision=self.revision, **held
+        )
+
+    async def store_turn(self, turn: wire.TurnRecord) -> None:
+        """Keep a turn durably, with its tokens settled."""
+        now = trio.current_time()
+        settled = settled_tokens(turn)
+        self.journal.state.add_turn(turn, now)
+        self.journal.state.add_reservation(settled, now)
+        await self.journal.store(turn_entry(turn), reservation_entry(settled))
+
+    async def store_reservation(self, taken: wire.TokenReservation) -> None:
+        """Keep a reservation durably."""
+        self.journal.state.add_reservation(taken, trio.current_time())
+        await self.journal.store(reservation_entry(taken))
+
+
+def settled_tokens(turn: wire.TurnRecord) -> wire.TokenReservation:
+    """Return what a finished turn took of its program's budget."""
+    return wire.TokenReservation(
+        turn_id=turn.turn_id,
+        program_id=turn.program_id,
+        tokens=turn.tokens,
+        settled=True,
+        retention_seconds=turn.retention_seconds,
+    )
+
+
+def _pages(records: tuple[Any, ...]) -> Iterator[list[Any]]:
+    for start in range(0, len(records), PAGE_RECORDS):
+        yield list(records[start : start + PAGE_RECORDS])
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/set_change.py
@@ -0,0 +1,146 @@
+"""Decide the next step of the replica set from what is known."""
+
+from collections.abc import Iterable, Mapping
+
+from attrs import define, field, frozen
+
+from jasminewheel._internal.conversation.replica_set import (
+    NO_SET,
+    Replica,
+    ReplicaSet,
+)
+
+# How long a first start waits for all disks that should take part.
+FORMING_SECONDS = 6.0
+# A disk VM away for this long may be replaced by one that is free.
+ABSENT_SECONDS = 1.5
+
+
+@frozen
+class Candidate:
+    """Hold a disk whose process runs, and the change it has copied for."""
+
+    replica: Replica
+    copied_revision: int = 0
+
+
+@frozen
+class SetView:
+    """Hold what decides a change of the replica set."""
+
+    replica_set: ReplicaSet
+    # Live disks by VM.
+    candidates: Mapping[str, Candidate]
+    # Since when a member's process has not been seen, by disk.
+    absent_since: Mapping[str, float]
+    # VMs that are to be emptied.
+    retiring: frozenset[str]
+    wanted_size: int
+    may_form: bool
+    started_at: float
+
+    def free(self) -> list[Replica]:
+        """Return the live disks that take no part, in a fixed order."""
+        taken = self.replica_set.replicas()
+        return [
+            self.candidates[vm].replica
+            for vm in sorted(self.candidates)
+            if vm not in self.retiring
+            and self.candidates[vm].replica not in taken
+        ]
+
+    def is_absent(self, replica: Replica, now: float) -> bool:
+        """Tell whether the disk's process has been away for long."""
+        since = self.absent_since.get(replica.disk_id, now)
+        return now - since >= ABSENT_SECONDS
+
+    def has_copied(self, replica: Replica) -> bool:
+        """Tell whether the disk holds all that came before the change."""
+        candidate = self.candidates.get(replica.vm)
+        return bool(
+            candidate
+            and candidate.replica == replica
+            and candidate.copied_revision == self.replica_set.revision
+        )
+
+
+def next_set(view: SetView, now: float) -> ReplicaSet | None:
+    """Return the set to propose, or None where nothing is to be done."""
+    current = view.replica_set
+    if current.revision == NO_SET.revision:
+        return _formed(view, now)
+    if current.joining:
+        return _advanced(view, now)
+    return _replaced(view, now) or _grown(view) or _emptied(view)
+
+
+def _formed(view: SetView, now: float) -> ReplicaSet | None:
+    free = view.free()
+    overdue = now - view.started_at > FORMING_SECONDS
+    if not view.may_form or not free:
+        return None
+    if len(free) < view.wanted_size and not overdue:
+        return None
+    return ReplicaSet(0, tuple(_spread(free, view.wanted_size)))
+
+
+def _advanced(view: SetView, now: float) -> ReplicaSet | None:
+    current = view.replica_set
+    if all(view.has_copied(one) for one in current.newcomers()):
+        return current.finished()
+    newcomers = [one for one in current.joining if one not in current.members]
+    replaced_again = any(
+        one.vm in view.candidates and view.candidates[one.vm].replica != one
+        for one in newcomers
+    )
+    given_up = any(view.is_absent(one, now) for one in newcomers)
+    retired = any(one.vm in view.retiring for one in newcomers)
+    if replaced_again or given_up or retired:
+        return current.abandoned()
+    return None
+
+
+def _replaced(view: SetView, now: float) -> ReplicaSet | None:
+    members = view.replica_set.members
+    for free in view.free():
+        same_vm = [one for one in members if one.vm == free.vm]
+        leaving = [one for one in members if one.vm in view.retiring]
+        absent = [one for one in members if view.is_absent(one, now)]
+        gone = same_vm or leaving or absent
+        if gone:
+            joining = [one for one in members if one != gone[0]]
+            return view.replica_set.changed([*joining, free])
+    return None
+
+
+def _grown(view: SetView) -> ReplicaSet | None:
+    members = view.replica_set.members
+    free = view.free()
+    if free and len(members) < view.wanted_size:
+        return view.replica_set.changed([*members, free[0]])
+    return None
+
+
+def _emptied(view: SetView) -> ReplicaSet | None:
+    members = view.replica_set.members
+    staying = [one for one in members if one.vm not in view.retiring]
+    if staying and len(staying) < len(members):
+        return view.replica_set.changed(staying)
+    return None
+
+
+@define(eq=False)
+class _Spread:
+    zones: dict[str, int] = field(factory=dict)
+
+    def use(self, replica: Replica) -> tuple[int, str]:
+        """Return how often the zone is used before this one."""
+        used = self.zones.get(replica.zone, 0)
+        self.zones[replica.zone] = used + 1
+        return used, replica.vm
+
+
+def _spread(replicas: Iterable[Replica], count: int) -> list[Replica]:
+    spread = _Spread()
+    ordered = sorted(replicas, key=spread.use)
+    return ordered[:count]
--- /dev/null
+++ b/src/jasminewheel/_internal/events/conversation.py
@@ -0,0 +1,43 @@
+"""Events 1800 to 1849: replicas of turns and token budgets."""
+
+import logging
+
+from jasminewheel._internal.events.event import Event
+
+LOADED = Event(1800, logging.INFO, 'turns and budgets loaded from disk')
+DISK_FAILED = Event(
+    1801,
+    logging.ERROR,
+    'disk failed, its log is written anew',
+    'replace this disk VM if this goes on',
+)
+SET_ADOPTED = Event(1802, logging.INFO, 'replica set in force')
+SET_PROPOSED = Event(1803, logging.INFO, 'change of the replica set proposed')
+SET_LOST_RACE = Event(
+    1804, logging.INFO, 'another process changed the replica set first'
+)
+CAUGHT_UP = Event(1805, logging.INFO, 'this disk copied what the others hold')
+CATCH_UP_FAILED = Event(
+    1806,
+    logging.WARNING,
+    'this disk could not copy from a majority; it tries again',
+    'see whether the other disk VMs run',
+)
+REPLICA_LOST = Event(
+    1807,
+    logging.WARNING,
+    'a replica does not answer and is asked last',
+    'see whether its VM runs',
+)
+REPLICA_BACK = Event(1808, logging.INFO, 'a replica answers again')
+QUORUM_MISSED = Event(
+    1809,
+    logging.WARNING,
+    'too few replicas answered; the request is refused or cut',
+    'see whether the disk VMs run',
+)
+RETIRE_STATUS = Event(1810, logging.INFO, 'progress of emptying a disk VM')
+STALE_SET_REFUSED = Event(
+    1811, logging.INFO, 'a request under an outdated replica set refused'
+)
+EXPIRED = Event(1812, logging.INFO, 'turns past their retention forgotten')
--- a/src/jasminewheel/_internal/events/frame.py
+++ b/src/jasminewheel/_internal/events/frame.py
@@ -13,3 +13,6 @@
     'settings refused',
     'correct the fields named in the message',
 )
+RELOADED = Event(
+    1004, logging.INFO, 'settings may have changed; those in force stay'
+)
--- /dev/null
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -0,0 +1,39 @@
+"""Events 1870 to 1899: requests of callers and the runners they go to."""
+
+import logging
+
+from jasminewheel._internal.events.event import Event
+
+ENDED = Event(1870, logging.INFO, 'request ended')
+REFUSED = Event(
+    1871, logging.INFO, 'request refused or failed; the verdict says how'
+)
+ATTEMPT_FAILED = Event(
+    1872, logging.INFO, 'a runner refused or failed an attempt'
+)
+ABANDONED = Event(1873, logging.INFO, 'the caller left before the answer')
+STREAM_CUT = Event(
+    1874, logging.INFO, 'a stream was cut before its end, so it is incomplete'
+)
+FAULTY_REQUEST = Event(
+    1875, logging.INFO, 'bytes that are no acceptable request were refused'
+)
+RUNNER_LISTED = Event(1876, logging.INFO, 'runner listed')
+RUNNER_DRAINING = Event(1877, logging.INFO, 'runner gets no new calls')
+RUNNER_GONE = Event(1878, logging.INFO, 'runner not listed any more')
+RUNNER_SKIPPED = Event(
+    1879,
+    logging.WARNING,
+    'entry of a runner cannot be used and is skipped',
+    'see which writer the entry has',
+)
+ROUTES_ADOPTED = Event(1880, logging.INFO, 'configuration in force')
+ROUTES_SKIPPED = Event(
+    1881,
+    logging.WARNING,
+    'configuration cannot be read; the last one stays in force',
+    'write it again',
+)
+READY = Event(1882, logging.INFO, 'readiness of this entry changed')
+DRAINING = Event(1883, logging.INFO, 'stop requested; requests are finished')
+LINES_DROPPED = Event(1884, logging.INFO, 'log lines left out to bound them')
--- /dev/null
+++ b/src/jasminewheel/_internal/events/store.py
@@ -0,0 +1,23 @@
+"""Events 1850 to 1869: the store that operators write to."""
+
+import logging
+
+from jasminewheel._internal.events.event import Event
+
+LOST = Event(
+    1850,
+    logging.WARNING,
+    'the store does not answer; what is known stays in force',
+    'see whether the store runs and this VM reaches it',
+)
+BACK = Event(1851, logging.INFO, 'the store answers again')
+HISTORY_LOST = Event(
+    1852, logging.INFO, 'the store forgot changes; all keys are read anew'
+)
+LEASE_GRANTED = Event(1853, logging.INFO, 'lease granted for this disk')
+LEASE_LOST = Event(
+    1854,
+    logging.WARNING,
+    'lease of this disk not renewed',
+    'see whether the store runs and this VM reaches it',
+)
--- /dev/null
+++ b/src/jasminewheel/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Route callers' requests to runners of targets and stream the answers."""
--- /dev/null
+++ b/src/jasminewheel/_internal/gateway/gateway.py
@@ -0,0 +1,153 @@
+"""Take callers' requests, and give each its one final answer."""
+
+import logging
+from zlib import crc32
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.events import gateway as events
+from jasminewheel._internal.gateway.attempts import CallRecord, failed
+from jasminewheel._internal.gateway.call import Call
+from jasminewheel._internal.gateway.plain_flow import PlainFlow
+from jasminewheel._internal.gateway.routes import (
+    NO_ROUTES,
+    CallKind,
+    Route,
+    RoutingTable,
+    TargetProfile,
+)
+from jasminewheel._internal.gateway.turn_flow import TurnFlow
+from jasminewheel._internal.web.answer_writer import AnswerWriter
+from jasminewheel.errors import (
+    CallError,
+    ConnectionLostError,
+    DeadlineError,
+    NotFoundError,
+    TargetFailedError,
+    UnavailableError,
+)
+from jasminewheel.models.verdict import Verdict
+
+# For a process that knows no configuration yet.
+START_RETRY_SECONDS = 0.5
+_HASH_RANGE = 4294967296
+_LOGGER = logging.getLogger(__name__)
+
+
+@define(eq=False)
+class RoutesHolder:
+    """Hold the newest configuration; an older one never comes back."""
+
+    current: RoutingTable = NO_ROUTES
+
+    def adopt(self, table: RoutingTable) -> bool:
+        """Use the configuration if it is newer; tell whether it was."""
+        if table.version <= self.current.version:
+            return False
+        events.ROUTES_ADOPTED.log(
+            _LOGGER,
+            version=table.version,
+            before=self.current.version,
+            routes=len(table.routes),
+        )
+        self.current = table
+        return True
+
+
+@frozen
+class Gateway:
+    """Answer each call as its route says."""
+
+    routes: RoutesHolder
+    plain: PlainFlow
+    turns: TurnFlow
+    counts: dict[str, int] = field(factory=dict)
+
+    async def serve(self, call: Call, answer: AnswerWriter) -> None:
+        """Answer one call, or raise the CallError that it ends with."""
+        table = self.routes.current
+        route = self.route_of(call, table)
+        share = crc32((call.turn.program_id or call.call_id).encode())
+        record = CallRecord(
+            call,
+            route,
+            route.target_for(share / _HASH_RANGE),
+            min(call.deadline_at, call.arrived_at + route.timeout_seconds),
+        )
+        try:
+            await self.serve_in_time(record, answer, table)
+        except CallError as error:
+            self.note_error(record, table, error)
+            raise
+        events.ENDED.log(_LOGGER, **_fields(record, table))
+
+    async def serve_in_time(
+        self, record: CallRecord, answer: AnswerWriter, table: RoutingTable
+    ) -> None:
+        """Answer until the deadline; raise DeadlineError when it passes."""
+        scope = trio.CancelScope(deadline=record.deadline_at)
+        with scope:
+            try:
+                await self.dispatch(record, answer, table)
+            except ConnectionLostError as error:
+                raise TargetFailedError(
+                    error.message, verdict=Verdict.may_have_run
+                ) from error
+        if scope.cancelled_caught:
+            if record.verdict is Verdict.not_run:
+                raise failed(record, 'the time is up; it has not run')
+            raise DeadlineError('the time is up', verdict=record.verdict)
+
+    async def dispatch(
+        self, record: CallRecord, answer: AnswerWriter, table: RoutingTable
+    ) -> None:
+        """Use the flow of the route's kind."""
+        if record.route.kind is CallKind.streaming:
+            target = table.targets.get(
+                record.target, TargetProfile(record.target)
+            )
+            await self.turns.run(record, answer, target.tokens_per_event)
+        else:
+            await self.plain.run(record, answer)
+
+    def route_of(self, call: Call, table: RoutingTable) -> Route:
+        """Return the call's route; raise if there is none."""
+        if not table.version:
+            raise UnavailableError(
+                'no configuration is known yet',
+                retry_after_seconds=START_RETRY_SECONDS,
+            )
+        route = table.match(call.host, call.path)
+        if route is None:
+            raise NotFoundError(f'no route for {call.host}{call.path}')
+        return route
+
+    def note_error(
+        self, record: CallRecord, table: RoutingTable, error: CallError
+    ) -> None:
+        """Log a call that was refused or failed."""
+        events.REFUSED.log(
+            _LOGGER,
+            **_fields(record, table),
+            code=error.code,
+            problem=error.message,
+            verdict=error.verdict.value,
+        )
+
+
+def _fields(record: CallRecord, table: RoutingTable) -> dict[str, object]:
+    now = trio.current_time()
+    return {
+        'request': record.call.call_id,
+        'route': record.route.name,
+        'version': table.version,
+        'target': record.target,
+        'runner': record.runner,
+        'status': record.status,
+        'attempts': record.attempts,
+        'program': record.call.turn.program_id,
+        'seconds': round(now - record.call.arrived_at, 4),
+        'left': round(record.deadline_at - now, 4),
+        **record.notes,
+    }
--- /dev/null
+++ b/src/jasminewheel/_internal/gateway/ports.py
@@ -0,0 +1,51 @@
+"""Say what the gateway needs of runners, whatever protocol they speak."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol
+
+from attrs import frozen
+
+from jasminewheel._internal.gateway.call import Call
+from jasminewheel._internal.gateway.runners import Runner
+from jasminewheel._internal.targets.load_report import LoadReport
+from jasminewheel._internal.web.headers import Headers
+
+
+@frozen
+class Attempt:
+    """Hold one sending of a call to a runner."""
+
+    call: Call
+    runner: Runner
+    body: bytes
+    # What is left of the caller's time.
+    seconds_left: float
+    repeatable: bool
+    # Lower is more urgent; None leaves it to the runner.
+    priority: int | None = None
+
+
+class RunnerAnswer(Protocol):
+    """Hold a runner's answer while it arrives."""
+
+    status: int
+    headers: Headers
+    # The runner says that it did not run the call.
+    refused: bool
+    load: LoadReport | None
+
+    def parts(self) -> AsyncIterator[bytes]:
+        """Give the body as it arrives; raise ConnectionLostError if cut."""
+
+    async def whole_body(self) -> bytes:
+        """Return the body; raise ConnectionLostError if it is cut."""
+
+
+class RunnerPort(Protocol):
+    """Send calls to runners."""
+
+    def attempt(
+        self, attempt: Attempt
+    ) -> AbstractAsyncContextManager[RunnerAnswer]:
+        """Give the answer; raise ConnectionLostError where none comes."""
--- /dev/null
+++ b/src/jasminewheel/_internal/gateway/routes.py
@@ -0,0 +1,94 @@
+"""Hold the configuration in force: which requests go to which targets."""
+
+from collections.abc import Mapping
+from enum import Enum
+
+from attrs import field, frozen
+
+from jasminewheel._internal.web.request_parser import RequestLimits
+
+
+class CallKind(Enum):
+    """Say how a request may be handled."""
+
+    # May run more than once.
+    safe = 'safe'
+    # Runs at most once.
+    unsafe = 'unsafe'
+    # Runs at most once and answers in events.
+    streaming = 'streaming'
+
+
+@frozen
+class TargetShare:
+    """Give a target a share of a route's programs."""
+
+    target: str
+    weight: float
+
+
+@frozen
+class Route:
+    """Say how requests below a prefix of a host are handled."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: CallKind
+    shares: tuple[TargetShare, ...]
+    timeout_seconds: float
+    objective_seconds: float
+    priority: int
+    max_attempts: int
+    retains_history: bool = False
+    retention_seconds: float = 0
+
+    def target_for(self, point: float) -> str:
+        """Return the target at a point from 0 to 1 of the shares."""
+        total = sum(share.weight for share in self.shares)
+        passed: float = 0
+        for share in self.shares:
+            passed += share.weight
+            if point * total < passed:
+                return share.target
+        return self.shares[-1].target
+
+
+@frozen
+class TargetProfile:
+    """Hold what operators declare of a target."""
+
+    name: str
+    max_connections: int = 0
+    tokens_per_event: int = 1
+
+
+@frozen
+class RoutingTable:
+    """Hold one version of the configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    targets: Mapping[str, TargetProfile]
+    limits: RequestLimits
+    by_host: Mapping[str, list[Route]] = field(init=False)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the host's route with the longest prefix of the path."""
+        routes = self.by_host.get(host, ())
+        return next(
+            (route for route in routes if path.startswith(route.prefix)), None
+        )
+
+    @by_host.default
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        by_host: dict[str, list[Route]] = {}
+        # The longest prefix comes first, so the first match is the best.
+        by_length = sorted(self.routes, key=lambda route: len(route.prefix))
+        for route in reversed(by_length):
+            by_host.setdefault(route.host, []).append(route)
+        return by_host
+
+
+NO_ROUTES = RoutingTable(0, (), {}, RequestLimits())
+
--- a/src/jasminewheel/_internal/http/event_pipe.py
+++ b/src/jasminewheel/_internal/http/event_pipe.py
@@ -6,7 +6,7 @@
 import trio
 from attrs import define
 
-from jasminewheel._internal.observability.tracing import hop
+from jasminewheel._internal.observability.spans import hop
 from jasminewheel._internal.program.routing import Router
 from jasminewheel._internal.wire.gen.program.ttypes import (
     Operation,
--- /dev/null
+++ b/src/jasminewheel/_internal/observability/json_lines.py
@@ -0,0 +1,96 @@
+"""Write log records as JSON lines to standard output, never waiting."""
+
+import json
+import logging
+import os
+import sys
+import time
+
+# Plain successes above this rate are left out and counted.
+LINES_PER_SECOND = 100
+BURST_LINES = 200
+_STDOUT = 1
+
+
+class JsonFormatter(logging.Formatter):
+    """Format a record as one JSON object."""
+
+    def __init__(self, process: str) -> None:
+        """Keep the name of the process."""
+        super().__init__()
+        self.process = process
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        line = {
+            'time': round(record.created, 3),
+            'level': record.levelname,
+            'process': self.process,
+            'logger': record.name,
+        }
+        event = getattr(record, 'event', None)
+        if event is None:
+            line['message'] = record.getMessage()
+        else:
+            line['event'] = event
+            line['message'] = record.args[1]
+            line.update(record.fields)
+        if record.exc_info:
+            line['trace'] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+class LineBound(logging.Filter):
+    """Leave out informative lines above a rate; count them."""
+
+    def __init__(self) -> None:
+        """Start with a full allowance."""
+        super().__init__()
+        self.allowance: float = BURST_LINES
+        self.refilled_at = time.monotonic()
+        self.left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tell whether the record is written."""
+        now = time.monotonic()
+        refill = (now - self.refilled_at) * LINES_PER_SECOND
+        self.allowance = min(BURST_LINES, self.allowance + refill)
+        self.refilled_at = now
+        if self.allowance < 1 and record.levelno < logging.WARNING:
+            self.left_out += 1
+            return False
+        self.allowance -= 1
+        record.left_out = self.left_out
+        return True
+
+
+class StandardOutput(logging.Handler):
+    """Write lines without ever waiting; what does not fit is counted."""
+
+    def __init__(self) -> None:
+        """Make standard output non-blocking."""
+        super().__init__()
+        os.set_blocking(_STDOUT, False)
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write the line of a record."""
+        line = f'{self.format(record)}\n'.encode()
+        try:
+            os.write(_STDOUT, line)
+        except OSError:
+            self.dropped += 1
+
+
+def start_json_logging(process: str, level: str = 'INFO') -> None:
+    """Send all log lines of this process to standard output."""
+    handler = StandardOutput()
+    handler.setFormatter(JsonFormatter(process))
+    handler.addFilter(LineBound())
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    sys.excepthook = _log_exception
+
+
+def _log_exception(kind, error, trace) -> None:
+    exc_info = (kind, error, trace)
+    logging.getLogger(__name__).critical('ended', exc_info=exc_info)
--- a/src/jasminewheel/_internal/observability/tracing.py
+++ b/src/jasminewheel/_internal/observability/tracing.py
@@ -19,6 +19,8 @@
     TraceContextTextMapPropagator,
 )
 
+from jasminewheel._internal.observability.spans import install_tracer
+
 _PROPAGATOR = TraceContextTextMapPropagator()
 _HEADER = 'traceparent'
 
@@ -53,6 +55,7 @@
     if otlp:
         provider.add_span_processor(BatchSpanProcessor(_otlp_exporter(otlp)))
     trace.set_tracer_provider(provider)
+    install_tracer(OpenTelemetryTracer())
 
 
 def stop_tracing() -> None:
@@ -62,24 +65,28 @@
         provider.shutdown()
 
 
-@contextmanager
-def hop(
-    name: str, traceparent: str = '', **fields: Any
-) -> Iterator[trace.Span]:
-    """Open a span under the given trace context, or under the current one."""
-    context = None
-    if traceparent:
-        context = _PROPAGATOR.extract({_HEADER: traceparent})
-    tracer = trace.get_tracer('jasminewheel')
-    with tracer.start_as_current_span(name, context, attributes=fields) as span:
-        yield span
-
-
-def current_traceparent() -> str:
-    """Return the current span as a W3C traceparent, or an empty string."""
-    carrier: dict[str, str] = {}
-    _PROPAGATOR.inject(carrier)
-    return carrier.get(_HEADER, '')
+class OpenTelemetryTracer:
+    """Open spans of OpenTelemetry."""
+
+    @contextmanager
+    def hop(
+        self, name: str, traceparent: str, fields: dict[str, Any]
+    ) -> Iterator[trace.Span]:
+        """Open a span under the trace context, or under the current one."""
+        context = None
+        if traceparent:
+            context = _PROPAGATOR.extract({_HEADER: traceparent})
+        tracer = trace.get_tracer('jasminewheel')
+        with tracer.start_as_current_span(
+            name, context, attributes=fields
+        ) as span:
+            yield span
+
+    def traceparent(self) -> str:
+        """Return the current span as a W3C traceparent, or nothing."""
+        carrier: dict[str, str] = {}
+        _PROPAGATOR.inject(carrier)
+        return carrier.get(_HEADER, '')
 
 
 def _otlp_exporter(endpoint: str) -> SpanExporter:
--- a/src/jasminewheel/_internal/peer/pool.py
+++ b/src/jasminewheel/_internal/peer/pool.py
@@ -9,7 +9,7 @@
 import trio
 from attrs import define, field
 
-from jasminewheel._internal.observability.tracing import current_traceparent
+from jasminewheel._internal.observability.spans import current_traceparent
 from jasminewheel._internal.peer.connection import PeerConnection
 from jasminewheel._internal.peer.hello import greet
 from jasminewheel._internal.peer.identity import PeerIdentity
@@ -95,6 +95,8 @@
                 ) as replies:
                     return await anext(replies)
         except trio.TooSlowError as error:
+            # The connection may have gone silent: the next ask dials anew.
+            self.slots[address].connection = None
             raise PeerError(
                 f'{address} did not answer in {timeout_seconds} s',
                 sent=sent,
@@ -152,7 +154,7 @@
             raise PeerError(
                 f'cannot reach {address}: {error}', sent=False
             ) from error
-        tune(stream)
+        tune(stream.socket)
         try:
             link = await greet(stream, self.identity, self.key, dials=True)
         except BaseException:
--- a/src/jasminewheel/_internal/peer/server.py
+++ b/src/jasminewheel/_internal/peer/server.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from jasminewheel._internal.events import peer as events
-from jasminewheel._internal.observability.tracing import hop
+from jasminewheel._internal.observability.spans import hop
 from jasminewheel._internal.peer.failures import failure_of
 from jasminewheel._internal.peer.frames import BROKEN_ERRORS
 from jasminewheel._internal.peer.hello import PeerLink, greet
@@ -102,7 +102,7 @@
         """Authenticate the peer, then serve its requests."""
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(stream)
-            tune(stream)
+            tune(stream.socket)
             link = await greet(stream, self.identity, self.key, dials=False)
             nursery = await stack.enter_async_context(trio.open_nursery())
             nursery.start_soon(link.writer.run)
--- a/src/jasminewheel/_internal/peer/sockets.py
+++ b/src/jasminewheel/_internal/peer/sockets.py
@@ -1,19 +1,22 @@
-"""Set socket options of connections between peers."""
+"""Set socket options that show silent connections early."""
 
 import socket
 
 import trio
 
 # A peer that acknowledges nothing for this long is taken as gone.
-USER_TIMEOUT_MILLISECONDS = 15000
+USER_TIMEOUT_MILLISECONDS = 3000
+# Two of these probes without an answer end a silent connection.
+PROBE_SECONDS = 1
+PROBES = 2
 
 
-def tune(stream: trio.SocketStream) -> None:
-    """Send small frames at once and notice a peer that vanished."""
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    stream.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        USER_TIMEOUT_MILLISECONDS,
-    )
+def tune(opened: trio.socket.SocketType) -> None:
+    """Send small messages at once and notice a peer that vanished."""
+    tcp = socket.IPPROTO_TCP
+    opened.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_SECONDS)
+    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_SECONDS)
+    opened.setsockopt(tcp, socket.TCP_KEEPCNT, PROBES)
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
--- a/src/jasminewheel/_internal/program/flow.py
+++ b/src/jasminewheel/_internal/program/flow.py
@@ -9,7 +9,7 @@
 
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.events import program as events
-from jasminewheel._internal.observability.tracing import hop
+from jasminewheel._internal.observability.spans import hop
 from jasminewheel._internal.program.answer import Answer
 from jasminewheel._internal.program.call import Call, failed_outcome
 from jasminewheel._internal.program.hosted import HostedProgram, Turn
--- a/src/jasminewheel/_internal/program/job.py
+++ b/src/jasminewheel/_internal/program/job.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 from opentelemetry.trace import Span
 
-from jasminewheel._internal.observability.tracing import hop
+from jasminewheel._internal.observability.spans import hop
 from jasminewheel._internal.program.answer import Answer
 from jasminewheel._internal.program.hosted import HostedProgram
 from jasminewheel._internal.program.plan import CallPlan
--- a/src/jasminewheel/_internal/program/operations.py
+++ b/src/jasminewheel/_internal/program/operations.py
@@ -7,7 +7,7 @@
 import trio
 from attrs import define
 
-from jasminewheel._internal.observability.tracing import current_traceparent
+from jasminewheel._internal.observability.spans import current_traceparent
 from jasminewheel._internal.program.answer import Answer, AnswerReader, done
 from jasminewheel._internal.program.ending import ProgramEnding
 from jasminewheel._internal.program.flow import CallFlow
--- a/src/jasminewheel/_internal/program/routing.py
+++ b/src/jasminewheel/_internal/program/routing.py
@@ -8,7 +8,7 @@
 
 from jasminewheel._internal.events import program as events
 from jasminewheel._internal.membership.member import Member
-from jasminewheel._internal.observability.tracing import hop
+from jasminewheel._internal.observability.spans import hop
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.program.job import Clock
--- a/src/jasminewheel/_internal/program/unrecorded.py
+++ b/src/jasminewheel/_internal/program/unrecorded.py
@@ -3,7 +3,7 @@
 import trio
 from attrs import define
 
-from jasminewheel._internal.observability.tracing import current_traceparent
+from jasminewheel._internal.observability.spans import current_traceparent
 from jasminewheel._internal.program.answer import AnswerReader
 from jasminewheel._internal.program.flow import CallFlow
 from jasminewheel._internal.program.hosted import Holding, HostedProgram
--- a/src/jasminewheel/_internal/scheduling/load.py
+++ b/src/jasminewheel/_internal/scheduling/load.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from jasminewheel._internal.targets.engine import LoadReport
+from jasminewheel._internal.targets.load_report import LoadReport
 
 DEFAULT_LAG_SECONDS = 0.2
 HISTORY_SECONDS = 10
--- a/src/jasminewheel/_internal/scheduling/runners.py
+++ b/src/jasminewheel/_internal/scheduling/runners.py
@@ -5,7 +5,7 @@
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
 from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.prefixes import PrefixIndex
-from jasminewheel._internal.targets.engine import LoadReport
+from jasminewheel._internal.targets.load_report import LoadReport
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/scheduling/scheduler.py
+++ b/src/jasminewheel/_internal/scheduling/scheduler.py
@@ -28,7 +28,8 @@
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.retention import EngineClients
 from jasminewheel._internal.scheduling.waiting import TargetState, Waiter
-from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
+from jasminewheel._internal.targets.engine import CacheEvent
+from jasminewheel._internal.targets.load_report import LoadReport
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
 
 LOGGER = logging.getLogger(__name__)
--- /dev/null
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -0,0 +1,119 @@
+"""Keep a copy of the store's keys up to date by one watch."""
+
+import logging
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.events import store as events
+from jasminewheel._internal.store.port import (
+    StoreChanges,
+    StoreHistoryLostError,
+    StoreItem,
+    WatchedStore,
+)
+from jasminewheel.errors import StoreError
+
+# Changes that come close together cost one call.
+GATHER_SECONDS = 0.15
+RETRY_SECONDS = 0.4
+_LOGGER = logging.getLogger(__name__)
+
+
+class MirrorListener(Protocol):
+    """Take what changed in the store."""
+
+    def items_changed(
+        self, items: Mapping[str, StoreItem], keys: frozenset[str]
+    ) -> None:
+        """Take all items and the keys that were written or removed."""
+
+    def store_lost(self) -> None:
+        """Note that the store does not answer."""
+
+    def store_back(self) -> None:
+        """Note that the store answers again."""
+
+
+@define(eq=False)
+class StoreMirror:
+    """Hold the newest known items; listeners learn of each change."""
+
+    store: WatchedStore
+    listeners: list[MirrorListener] = field(factory=list)
+    items: dict[str, StoreItem] = field(factory=dict)
+    revision: int = 0
+    available: bool = True
+    loaded: trio.Event = field(factory=trio.Event)
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                await self.follow()
+            except StoreHistoryLostError:
+                events.HISTORY_LOST.log(_LOGGER, after=self.revision)
+                self.revision = 0
+            except StoreError as error:
+                self.note_lost(error)
+                await trio.sleep(RETRY_SECONDS)
+
+    async def follow(self) -> None:
+        """Load all items once if needed, then take the next changes."""
+        if self.revision:
+            changes = await self.store.changes(self.revision)
+            self.note_back()
+            self.take_changes(changes)
+            if changes.written or changes.removed:
+                await trio.sleep(GATHER_SECONDS)
+            return
+        snapshot = await self.store.snapshot()
+        self.note_back()
+        self.take_snapshot(snapshot.items, snapshot.revision)
+        self.loaded.set()
+
+    def take_snapshot(self, found: Iterable[StoreItem], revision: int) -> None:
+        """Replace all items."""
+        items = {one.key: one for one in found}
+        changed = {
+            key
+            for key in {*items, *self.items}
+            if items.get(key) != self.items.get(key)
+        }
+        self.items = items
+        self.revision = revision
+        self.tell(changed)
+
+    def take_changes(self, changes: StoreChanges) -> None:
+        """Apply what was written and removed."""
+        for written in changes.written:
+            self.items[written.key] = written
+        for key in changes.removed:
+            self.items.pop(key, None)
+        self.revision = changes.revision
+        self.tell({*(one.key for one in changes.written), *changes.removed})
+
+    def tell(self, keys: set[str]) -> None:
+        """Tell the listeners which keys changed."""
+        if keys:
+            for listener in self.listeners:
+                listener.items_changed(self.items, frozenset(keys))
+
+    def note_lost(self, error: StoreError) -> None:
+        """Note that the store does not answer."""
+        if self.available:
+            events.LOST.log(_LOGGER, problem=error)
+            self.available = False
+        for listener in self.listeners:
+            listener.store_lost()
+
+    def note_back(self) -> None:
+        """Note that the store answers."""
+        if self.available:
+            return
+        events.BACK.log(_LOGGER, revision=self.revision)
+        self.available = True
+        for listener in self.listeners:
+            listener.store_back()
--- /dev/null
+++ b/src/jasminewheel/_internal/store/port.py
@@ -0,0 +1,76 @@
+"""Say what the product needs of a store that can be watched."""
+
+from typing import Protocol
+
+from attrs import frozen
+
+from jasminewheel.errors import StoreError
+
+
+class StoreHistoryLostError(StoreError):
+    """Report that changes since a revision are no longer known."""
+
+    code = 'store-history-lost'
+
+
+@frozen
+class StoreItem:
+    """Hold one value with the revision that wrote it."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@frozen
+class StoreSnapshot:
+    """Hold all values as of a revision."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+
+
+@frozen
+class StoreChanges:
+    """Hold what was written and removed up to a revision."""
+
+    written: tuple[StoreItem, ...]
+    removed: tuple[str, ...]
+    revision: int
+
+
+class WatchedStore(Protocol):
+    """Read, write and watch keys.
+
+    Each method raises StoreUnavailableError if no answer came; a change may
+    then have taken effect, or may yet.
+    """
+
+    async def snapshot(self) -> StoreSnapshot:
+        """Return all values."""
+
+    async def changes(self, after_revision: int) -> StoreChanges:
+        """Wait for changes; raise StoreHistoryLostError if unknown."""
+
+    async def put(
+        self,
+        key: str,
+        written: bytes,
+        *,
+        expected_revision: int | None = None,
+        lease: str = '',
+    ) -> int:
+        """Write a value and return its revision.
+
+        Raise StoreConflictError if the key is at another revision (0 stands
+        for no value) or if the lease has ended.
+        """
+
+    async def grant_lease(self, ttl_seconds: float) -> str:
+        """Return a new lease."""
+
+    async def renew_lease(self, lease: str) -> None:
+        """Extend a lease; raise StoreConflictError if it has ended."""
+
+    async def end_lease(self, lease: str) -> None:
+        """End a lease; its keys go."""
--- a/src/jasminewheel/_internal/targets/engine.py
+++ b/src/jasminewheel/_internal/targets/engine.py
@@ -12,6 +12,7 @@
     TargetConnection,
 )
 from jasminewheel._internal.targets.failures import broken, target_errors
+from jasminewheel._internal.targets.load_report import LoadReport
 
 _ORDER_SECONDS = 600
 _PINS = '/v1/cache/pins'
@@ -86,16 +87,6 @@
     tokens: int
 
 
-@frozen
-class LoadReport:
-    """Report a runner's load, as it was a while ago."""
-
-    running: int
-    waiting: int
-    kv_used_tokens: int = 0
-    kv_capacity_tokens: int = 0
-
-
 Answer = AsyncIterator[EngineToken | EngineUsage]
 FeedEvent = CacheEvent | LoadReport
 
--- a/src/jasminewheel/_internal/targets/service.py
+++ b/src/jasminewheel/_internal/targets/service.py
@@ -13,7 +13,8 @@
 from attrs import define, field, frozen
 
 from jasminewheel._internal.targets.connection import TargetConnection
-from jasminewheel._internal.targets.engine import LoadReport, read_feed
+from jasminewheel._internal.targets.engine import read_feed
+from jasminewheel._internal.targets.load_report import LoadReport
 from jasminewheel._internal.targets.failures import (
     broken,
     status_error,
--- /dev/null
+++ b/src/jasminewheel/_internal/web/answer_writer.py
@@ -0,0 +1,70 @@
+"""Write one answer to a client."""
+
+from http import HTTPStatus
+from types import MappingProxyType
+
+import trio
+from attrs import define
+
+from jasminewheel._internal.web.headers import Headers, header_block
+
+_REASONS = MappingProxyType(
+    {status.value: status.phrase.encode() for status in HTTPStatus}
+)
+_LAST_CHUNK = b'0\r\n\r\n'
+_CLOSE = b'close'
+
+
+@define(eq=False)
+class AnswerWriter:
+    """Write whole answers, or answers in parts as chunks.
+
+    An answer that was started and not finished ends with the connection,
+    without its last chunk, so that no client takes it as whole.
+    """
+
+    stream: trio.abc.SendStream
+    keep_alive: bool
+    idle_seconds: float
+    started: bool = False
+    finished: bool = False
+    sent_bytes: int = 0
+
+    async def send_whole(
+        self, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Send an answer of known length."""
+        self.started = True
+        length = (b'Content-Length', b'%d' % len(body))
+        head = self._head(status, [*headers, length])
+        await self._write(b'%b%b' % (head, body))
+        self.finished = True
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer in parts."""
+        self.started = True
+        chunked = (b'Transfer-Encoding', b'chunked')
+        await self._write(self._head(status, [*headers, chunked]))
+
+    async def send(self, part: bytes) -> None:
+        """Send a part."""
+        if part:
+            await self._write(b'%x\r\n%b\r\n' % (len(part), part))
+
+    async def finish(self) -> None:
+        """End an answer in parts."""
+        await self._write(_LAST_CHUNK)
+        self.finished = True
+
+    async def _write(self, block: bytes) -> None:
+        self.sent_bytes += len(block)
+        await self.stream.send_all(block)
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        line = b'HTTP/1.1 %d %b\r\n' % (status, _REASONS.get(status, b''))
+        connection = [(b'Connection', _CLOSE)]
+        if self.keep_alive:
+            timeout = b'timeout=%d' % int(self.idle_seconds)
+            connection = [(b'Keep-Alive', timeout)]
+        block = header_block([*headers, *connection])
+        return b'%b%b\r\n' % (line, block)
--- /dev/null
+++ b/src/jasminewheel/_internal/web/response_parser.py
@@ -0,0 +1,87 @@
+"""Parse the responses that arrive on one connection."""
+
+from collections import deque
+
+import httptools
+from attrs import define, field
+
+from jasminewheel._internal.web.headers import Headers, field_value
+
+_FIRST_FINAL_STATUS = 200
+_BODILESS = frozenset((204, 304))
+
+
+@define(eq=False)
+class HttpResponse:
+    """Hold what has arrived of one response."""
+
+    status: int
+    headers: Headers
+    parts: deque[bytes] = field(factory=deque)
+    complete: bool = False
+
+    def ends_with_connection(self) -> bool:
+        """Tell whether only the end of the connection ends the body."""
+        if self.status in _BODILESS:
+            return False
+        framed = field_value(self.headers, b'content-length') is not None
+        coding = field_value(self.headers, b'transfer-encoding')
+        return not framed and coding is None
+
+
+@define(eq=False)
+class ResponseParser:
+    """Collect responses in order; interim ones are dropped."""
+
+    responses: deque[HttpResponse] = field(factory=deque)
+    broken: bool = False
+    ended: bool = False
+    keep_alive: bool = True
+    parser: httptools.HttpResponseParser = field(init=False)
+    headers: Headers = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Start before the first response."""
+        self.parser = httptools.HttpResponseParser(self)
+
+    def feed(self, received: bytes) -> None:
+        """Take received bytes; none stand for the end of the connection."""
+        if not received:
+            self._end()
+            return
+        try:
+            self.parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.broken = True
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        self.headers = []
+
+    def on_header(self, name: bytes, found: bytes) -> None:
+        """Take a header field."""
+        self.headers.append((name, found))
+
+    def on_headers_complete(self) -> None:
+        """Keep the head of a final response."""
+        status = self.parser.get_status_code()
+        self.keep_alive = self.parser.should_keep_alive()
+        if status >= _FIRST_FINAL_STATUS:
+            self.responses.append(HttpResponse(status, self.headers))
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of the body."""
+        self.responses[-1].parts.append(part)
+
+    def on_message_complete(self) -> None:
+        """Note that a response is whole."""
+        if self.parser.get_status_code() >= _FIRST_FINAL_STATUS:
+            self.responses[-1].complete = True
+
+    def _end(self) -> None:
+        last = self.responses[-1] if self.responses else None
+        if last and not last.complete and last.ends_with_connection():
+            last.complete = not self.broken
+        self.keep_alive = False
+        self.ended = True
+        self.broken = self.broken or not last or not last.complete
--- /dev/null
+++ b/src/jasminewheel/_internal/web/server.py
@@ -0,0 +1,201 @@
+"""Serve the connections of clients, one request of each at a time."""
+
+import logging
+import math
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.web.answer_writer import AnswerWriter
+from jasminewheel._internal.web.request_parser import (
+    HttpRequest,
+    RequestLimits,
+    RequestParser,
+)
+from jasminewheel.errors import RequestError, SlowRequestError
+
+CHUNK_BYTES = 65536
+# Requests read ahead of the one that is answered.
+READ_AHEAD = 2
+# How long a refused client may go on sending before the connection ends.
+LINGER_SECONDS = 1.0
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+_LOGGER = logging.getLogger(__name__)
+
+Handler = Callable[[HttpRequest, AnswerWriter], Awaitable[None]]
+
+
+@define(eq=False)
+class ClientConnection:
+    """Read requests and answer them in order; notice when the client goes."""
+
+    server: 'WebServer'
+    stream: trio.SocketStream
+    parser: RequestParser
+    arrival: trio.Event = field(factory=trio.Event)
+    room: trio.Event = field(factory=trio.Event)
+    reading: trio.CancelScope = field(factory=trio.CancelScope)
+    answering: trio.CancelScope | None = None
+    ended: bool = False
+    idle_since: float = field(factory=trio.current_time)
+
+    async def run(self) -> None:
+        """Serve until either side closes."""
+        async with self.stream, trio.open_nursery() as nursery:
+            nursery.start_soon(self.read)
+            await self.answer_all()
+            nursery.cancel_scope.cancel()
+
+    async def read(self) -> None:
+        """Feed the parser until the client closes or is at fault."""
+        while not self.ended:
+            received = await self.receive()
+            if received:
+                self.parser.feed(received, trio.current_time())
+                await self.invite_body()
+            self.ended = not received or bool(self.parser.fault)
+            self.arrival.set()
+            await self.wait_for_room()
+        if self.answering and not self.parser.fault:
+            self.answering.cancel()
+
+    async def receive(self) -> bytes:
+        """Return received bytes; nothing when the client left or was late."""
+        self.reading = trio.CancelScope(deadline=self.read_deadline())
+        with self.reading:
+            try:
+                return await self.stream.receive_some(CHUNK_BYTES)
+            except _BROKEN:
+                return b''
+        if self.parser.started_at is not None:
+            self.parser.fail(SlowRequestError('the request came too slowly'))
+        return b''
+
+    def read_deadline(self) -> float:
+        """Return until when the next bytes have to come."""
+        limits = self.parser.limits
+        if self.parser.started_at is not None:
+            allowed = limits.header_seconds
+            if not self.parser.in_head:
+                allowed = limits.idle_seconds
+            return self.parser.started_at + allowed
+        if self.is_idle():
+            return self.idle_since + limits.idle_seconds
+        return math.inf
+
+    async def invite_body(self) -> None:
+        """Let a client go on that waits to be asked for its body."""
+        if self.parser.wants_continue and not self.parser.fault:
+            self.parser.wants_continue = False
+            with suppress(*_BROKEN):
+                await self.stream.send_all(_CONTINUE)
+
+    async def wait_for_room(self) -> None:
+        """Stop reading while enough requests wait."""
+        while len(self.parser.complete) >= READ_AHEAD:
+            self.room = trio.Event()
+            await self.room.wait()
+
+    def is_idle(self) -> bool:
+        """Tell whether no request is read, waits or is answered."""
+        busy = self.answering or self.parser.complete
+        return not busy and self.parser.started_at is None
+
+    async def answer_all(self) -> None:
+        """Answer requests in order until the connection ends."""
+        while await self.wait_for_request():
+            request = self.parser.complete.popleft()
+            self.room.set()
+            if not await self.answer(request):
+                return
+        if self.parser.fault:
+            await self.refuse(self.parser.fault)
+
+    async def wait_for_request(self) -> bool:
+        """Wait for a whole request; tell whether there is one."""
+        while not self.parser.complete and not self.ended:
+            self.arrival = trio.Event()
+            await self.arrival.wait()
+        return bool(self.parser.complete)
+
+    async def answer(self, request: HttpRequest) -> bool:
+        """Answer one request; tell whether another one may follow."""
+        keep_alive = request.keep_alive and not self.server.draining
+        answer = AnswerWriter(
+            self.stream, keep_alive, self.parser.limits.idle_seconds
+        )
+        if self.ended and not self.parser.fault:
+            return False
+        self.answering = trio.CancelScope()
+        with self.answering:
+            await self.handle(request, answer)
+        self.answering = None
+        self.idle_since = trio.current_time()
+        self.reading.deadline = self.read_deadline()
+        return answer.finished and answer.keep_alive
+
+    async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
+        """Run the handler; its fault ends only this connection."""
+        try:
+            await self.server.handler(request, answer)
+        except _BROKEN:
+            _LOGGER.debug('a client left while it was answered')
+        except Exception:
+            _LOGGER.exception('handler of %r', request.target)
+
+    async def refuse(self, fault: RequestError) -> None:
+        """Answer what is no request, then end the connection in peace."""
+        answer = AnswerWriter(self.stream, keep_alive=False, idle_seconds=0)
+        self.server.note_fault(fault)
+        with trio.move_on_after(LINGER_SECONDS), suppress(*_BROKEN):
+            await answer.send_whole(fault.status, [], fault.message.encode())
+            await self.stream.send_eof()
+            while await self.stream.receive_some(CHUNK_BYTES):
+                await trio.sleep(0)
+
+
+@define(eq=False)
+class WebServer:
+    """Accept clients and hand their requests to the handler."""
+
+    handler: Handler
+    note_fault: Callable[[RequestError], None]
+    limits: RequestLimits = RequestLimits()
+    draining: bool = False
+    connections: set[ClientConnection] = field(factory=set)
+    listeners: list[trio.SocketListener] = field(factory=list)
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen until cancelled; the started value is the bound port."""
+        self.listeners = await trio.open_tcp_listeners(port, host=host)
+        task_status.started(self.listeners[0].socket.getsockname()[1])
+        await trio.serve_listeners(self.accept, self.listeners)
+
+    async def accept(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        connection = ClientConnection(self, stream, RequestParser(self.limits))
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except* _BROKEN:
+            _LOGGER.debug('a client closed its connection')
+        finally:
+            self.connections.discard(connection)
+
+    def busy_connections(self) -> int:
+        """Return how many connections have a request under way."""
+        return sum(not one.is_idle() for one in self.connections)
+
+    def close_idle(self) -> None:
+        """End the connections without a request, once their client is read."""
+        for connection in self.connections:
+            if connection.is_idle():
+                connection.reading.cancel()
--- /dev/null
+++ b/src/jasminewheel/_internal/wire/gen/conversation/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -85,13 +85,40 @@
     status = 409
 
 
-class TooLargeError(CallError):
+class RequestError(CallError):
+    """Refuse bytes that are no acceptable request, and end the connection."""
+
+    code = 'request-refused'
+    status = 400
+
+
+class TooLargeError(RequestError):
     """Refuse a call whose body is over the limit."""
 
     code = 'too-large'
     status = 413
 
 
+class MalformedRequestError(RequestError):
+    """Refuse a request that breaks the protocol."""
+
+    code = 'malformed-request'
+
+
+class SlowRequestError(RequestError):
+    """Refuse a request that does not arrive in time."""
+
+    code = 'slow-request'
+    status = 408
+
+
+class HeadersTooLargeError(RequestError):
+    """Refuse a request whose header fields are over the limit."""
+
+    code = 'headers-too-large'
+    status = 431
+
+
 class BudgetError(CallError):
     """Refuse a call that the caller's budget cannot cover."""
 
@@ -176,6 +203,12 @@
         self.sent = sent
 
 
+class ConnectionLostError(PeerError):
+    """Report a connection to a server that could not be used to the end."""
+
+    code = 'connection-lost'
+
+
 class DiskFullError(JasminewheelError):
     """Report that a disk takes no more records; those it has are kept."""
 
--- /dev/null
+++ b/src/jasminewheel/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product, and no more."""
--- /dev/null
+++ b/src/jasminewheel/platform/configuration.py
@@ -0,0 +1,86 @@
+"""Decode the operators' configuration."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from jasminewheel._internal.gateway.routes import (
+    CallKind,
+    Route,
+    RoutingTable,
+    TargetProfile,
+    TargetShare,
+)
+from jasminewheel._internal.web.request_parser import RequestLimits
+from jasminewheel.errors import ConfigurationError
+
+CONFIGURATION_KEY = 'op/config'
+_MILLISECONDS = 1000
+# What reading fields of another shape raises.
+DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def decode_configuration(stored: bytes) -> RoutingTable:
+    """Return the configuration; raise ConfigurationError if unreadable."""
+    try:
+        fields = json.loads(stored)
+        return _table(fields)
+    except DECODE_ERRORS as error:
+        raise ConfigurationError(f'not a configuration: {error!r}') from error
+
+
+def _table(fields: Mapping[str, Any]) -> RoutingTable:
+    targets = [_target(one) for one in fields['Services']]
+    return RoutingTable(
+        int(fields['Version']),
+        tuple(_route(one) for one in fields['Routes']),
+        {target.name: target for target in targets},
+        _limits(fields.get('Limits') or {}),
+    )
+
+
+def _route(fields: Mapping[str, Any]) -> Route:
+    return Route(
+        name=str(fields['Name']),
+        host=str(fields['Host']).lower(),
+        prefix=str(fields['Prefix']),
+        kind=CallKind(fields['Kind']),
+        shares=_shares(fields),
+        timeout_seconds=fields['TimeoutMs'] / _MILLISECONDS,
+        objective_seconds=fields['TargetLatencyMs'] / _MILLISECONDS,
+        priority=int(fields.get('Priority', 0)),
+        max_attempts=int(fields.get('MaxAttempts', 1)),
+        retains_history=bool(fields.get('RetainHistory')),
+        retention_seconds=float(fields.get('RetentionS') or 0),
+    )
+
+
+def _shares(fields: Mapping[str, Any]) -> tuple[TargetShare, ...]:
+    split = fields.get('TrafficSplit')
+    if not split:
+        return (TargetShare(str(fields['Service']), 1),)
+    return tuple(
+        TargetShare(str(share['Service']), float(share['Weight']))
+        for share in split
+    )
+
+
+def _target(fields: Mapping[str, Any]) -> TargetProfile:
+    engine = fields.get('Engine') or {}
+    return TargetProfile(
+        str(fields['Name']),
+        int(fields.get('MaxConnections') or 0),
+        int(engine.get('StreamStride') or 1),
+    )
+
+
+def _limits(fields: Mapping[str, Any]) -> RequestLimits:
+    standard = RequestLimits()
+    header_ms = fields.get('HeaderTimeoutMs')
+    idle_ms = fields.get('IdleTimeoutMs')
+    return RequestLimits(
+        int(fields.get('MaxHeaderBytes') or standard.header_bytes),
+        int(fields.get('MaxBodyBytes') or standard.body_bytes),
+        header_ms / _MILLISECONDS if header_ms else standard.header_seconds,
+        idle_ms / _MILLISECONDS if idle_ms else standard.idle_seconds,
+    )
--- /dev/null
+++ b/src/jasminewheel/platform/ingress.py
@@ -0,0 +1,121 @@
+"""Turn the requests of the platform's clients into calls, and errors back."""
+
+from attrs import frozen
+
+from jasminewheel._internal.gateway.call import Call, PromptPart, TurnRequest
+from jasminewheel._internal.gateway.gateway import Gateway
+from jasminewheel._internal.web.answer_writer import AnswerWriter
+from jasminewheel._internal.web.headers import (
+    Headers,
+    end_to_end,
+    field_text,
+    field_values,
+)
+from jasminewheel._internal.web.request_parser import HttpRequest
+from jasminewheel.errors import CallError, MalformedRequestError
+
+MILLISECONDS = 1000
+# For a client that does not say how long it waits.
+DEFAULT_SECONDS = 30.0
+_HEX = 16
+# What the system sets itself, whatever a client sends.
+_OWN_HEADERS = (
+    b'deadline-ms',
+    b'target-instance',
+    b'request-priority',
+    b'expect-version',
+    b'hold',
+    b'pin-ms',
+    b'kv-backup',
+    b'kv-from',
+    b'kv-fetch',
+)
+_CALL_ID = b'request-id'
+
+
+@frozen
+class Ingress:
+    """Serve HTTP requests by the gateway."""
+
+    gateway: Gateway
+
+    async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
+        """Answer one request; one that was cut ends its connection."""
+        try:
+            call = decode_call(request)
+            await self.gateway.serve(call, answer)
+        except CallError as error:
+            if not answer.started:
+                await send_error(request, answer, error)
+
+
+async def send_error(
+    request: HttpRequest, answer: AnswerWriter, error: CallError
+) -> None:
+    """Send the status that says what is known of the call."""
+    headers: Headers = [
+        (b'Content-Type', b'text/plain'),
+        (b'Request-Id', field_text(request.headers, _CALL_ID).encode()),
+    ]
+    if error.retry_after_seconds:
+        headers.append((b'Retry-After', b'%.3f' % error.retry_after_seconds))
+    await answer.send_whole(error.status, headers, error.message.encode())
+
+
+def decode_call(request: HttpRequest) -> Call:
+    """Return the call; raise MalformedRequestError if it is not named."""
+    names = field_values(request.headers, _CALL_ID)
+    if len(names) != 1 or not names[0].strip():
+        raise MalformedRequestError('exactly one request identifier is needed')
+    host = field_text(request.headers, b'host').rpartition(':')
+    waits = _number(request.headers, b'deadline-ms')
+    seconds = DEFAULT_SECONDS if waits is None else waits / MILLISECONDS
+    return Call(
+        call_id=names[0].strip().decode('latin-1'),
+        host=(host[0] or host[2]).lower(),
+        path=request.target.partition(b'?')[0].decode('latin-1'),
+        method=request.method,
+        target=request.target,
+        headers=end_to_end(request.headers, _OWN_HEADERS),
+        body=request.body,
+        arrived_at=request.arrived_at,
+        deadline_at=request.arrived_at + seconds,
+        turn=_turn(request.headers),
+        affinity=field_text(request.headers, b'affinity-key'),
+    )
+
+
+def _turn(headers: Headers) -> TurnRequest:
+    usage = field_text(headers, b'token-usage').split(',')
+    counts = [int(part) for part in usage if part.strip().isdigit()]
+    program_ms = _number(headers, b'program-deadline-ms')
+    return TurnRequest(
+        previous_id=field_text(headers, b'previous-turn'),
+        program_id=field_text(headers, b'program-id'),
+        session_id=field_text(headers, b'session-id'),
+        budget_tokens=_number(headers, b'token-budget'),
+        prompt_tokens=counts[0] if counts else 0,
+        max_output_tokens=counts[1] if len(counts) > 1 else 0,
+        parts=tuple(_parts(field_text(headers, b'prompt-prefix'))),
+        program_seconds_left=(
+            None if program_ms is None else program_ms / MILLISECONDS
+        ),
+    )
+
+
+def _parts(text: str) -> list[PromptPart]:
+    found = []
+    for entry in filter(None, text.split(',')):
+        part_id, _, tokens = entry.strip().partition(':')
+        if tokens.isdigit():
+            found.append(PromptPart(part_id, int(tokens)))
+    return found
+
+
+def _number(headers: Headers, name: bytes) -> int | None:
+    text = field_text(headers, name)
+    if not text:
+        return None
+    if not text.isdigit():
+        raise MalformedRequestError(f'{name.decode()} is not a number')
+    return int(text)
--- /dev/null
+++ b/src/jasminewheel/platform/listener.py
@@ -0,0 +1,67 @@
+"""Hand changes of the platform's keys to the product's models."""
+
+import logging
+from collections.abc import Mapping
+
+import trio
+from attrs import define
+
+from jasminewheel._internal.events import gateway as events
+from jasminewheel._internal.gateway.gateway import RoutesHolder
+from jasminewheel._internal.gateway.runners import RunnerDirectory
+from jasminewheel._internal.store.port import StoreItem
+from jasminewheel._internal.web.server import WebServer
+from jasminewheel.errors import ConfigurationError
+from jasminewheel.platform.configuration import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+)
+from jasminewheel.platform.runner_list import RUNNER_PREFIX, decode_runner
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@define(eq=False)
+class PlatformListener:
+    """Keep routes, limits and runners as the platform's keys say."""
+
+    routes: RoutesHolder
+    directory: RunnerDirectory
+    web: WebServer
+
+    def items_changed(
+        self, items: Mapping[str, StoreItem], keys: frozenset[str]
+    ) -> None:
+        """Take the changed keys."""
+        if CONFIGURATION_KEY in keys and CONFIGURATION_KEY in items:
+            self.take_configuration(items[CONFIGURATION_KEY])
+        for key in keys:
+            if key.startswith(RUNNER_PREFIX):
+                self.take_runner(key, items.get(key))
+
+    def take_configuration(self, stored: StoreItem) -> None:
+        """Adopt the newest configuration."""
+        try:
+            table = decode_configuration(stored.value)
+        except ConfigurationError as error:
+            events.ROUTES_SKIPPED.log(_LOGGER, problem=error)
+            return
+        if self.routes.adopt(table):
+            self.web.limits = table.limits
+
+    def take_runner(self, key: str, stored: StoreItem | None) -> None:
+        """Add, update or remove one runner."""
+        runner = decode_runner(stored) if stored else None
+        if runner is None:
+            runner_id = key.removeprefix(RUNNER_PREFIX)
+            self.directory.remove(runner_id, trio.current_time())
+        else:
+            self.directory.put(runner)
+
+    def store_lost(self) -> None:
+        """Keep runners that may be unlisted only because of the store."""
+        self.directory.note_store(away=True, now=trio.current_time())
+
+    def store_back(self) -> None:
+        """Give unlisted runners a moment to list themselves again."""
+        self.directory.note_store(away=False, now=trio.current_time())
--- /dev/null
+++ b/src/jasminewheel/platform/retire.py
@@ -0,0 +1,58 @@
+"""Read which VMs operators want emptied, and tell them when that is done."""
+
+import json
+import logging
+from collections.abc import Mapping
+
+from attrs import define, field
+
+from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.store.port import StoreItem, WatchedStore
+
+_ASKED_PREFIX = 'op/retire/'
+_STATUS_PREFIX = 'status/retire/'
+_RUNNING = 'running'
+_COMPLETED = 'completed'
+_LOGGER = logging.getLogger(__name__)
+
+
+@define(eq=False)
+class PlatformRetireBoard:
+    """Hold the VMs that are to be emptied."""
+
+    store: WatchedStore
+    asked: set[str] = field(factory=set)
+    reported: dict[str, str] = field(factory=dict)
+
+    def items_changed(
+        self, items: Mapping[str, StoreItem], keys: frozenset[str]
+    ) -> None:
+        """Take the changed keys."""
+        for key in keys:
+            vm = key.removeprefix(_ASKED_PREFIX)
+            if vm != key and key in items:
+                self.asked.add(vm)
+            elif vm != key:
+                self.asked.discard(vm)
+                self.reported.pop(vm, None)
+
+    def store_lost(self) -> None:
+        """Keep what is known."""
+
+    def store_back(self) -> None:
+        """Keep what is known."""
+
+    def retiring(self) -> frozenset[str]:
+        """Return the VMs that are to be emptied."""
+        return frozenset(self.asked)
+
+    async def report(self, vm: str, *, done: bool) -> None:
+        """Report that a VM is being emptied, or is empty."""
+        state = _COMPLETED if done else _RUNNING
+        if self.reported.get(vm) == state:
+            return
+        await self.store.put(
+            _STATUS_PREFIX + vm, json.dumps({'State': state}).encode()
+        )
+        self.reported[vm] = state
+        events.RETIRE_STATUS.log(_LOGGER, vm=vm, state=state)
--- /dev/null
+++ b/src/jasminewheel/platform/runner_list.py
@@ -0,0 +1,61 @@
+"""Decode what runners write of themselves into the store."""
+
+import json
+import logging
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from jasminewheel._internal.events import gateway as events
+from jasminewheel._internal.gateway.runners import Runner
+from jasminewheel._internal.store.port import StoreItem
+from jasminewheel.platform.configuration import DECODE_ERRORS
+
+RUNNER_PREFIX = 'servers/'
+_STATES = ('ready', 'draining')
+_LOGGER = logging.getLogger(__name__)
+
+
+def decode_runner(stored: StoreItem) -> Runner | None:
+    """Return the runner of an entry, or None if it names none to use."""
+    try:
+        return _runner(stored)
+    except DECODE_ERRORS as error:
+        events.RUNNER_SKIPPED.log(_LOGGER, key=stored.key, problem=repr(error))
+        return None
+
+
+def decode_runners(items: Mapping[str, StoreItem]) -> Iterator[Runner]:
+    """Yield the runners that are listed."""
+    for key, stored in items.items():
+        runner = None
+        if key.startswith(RUNNER_PREFIX):
+            runner = decode_runner(stored)
+        if runner:
+            yield runner
+
+
+def _runner(stored: StoreItem) -> Runner:
+    fields = json.loads(stored.value)
+    state = _typed(fields, 'State', str)
+    if state not in _STATES:
+        raise ValueError(f'state {state!r} is not known')
+    address = _typed(fields, 'Address', str)
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError(f'{address!r} is no address')
+    return Runner(
+        runner_id=stored.key.removeprefix(RUNNER_PREFIX),
+        target=_typed(fields, 'Service', str),
+        address=address,
+        zone=_typed(fields, 'Zone', str),
+        draining=state == 'draining',
+        slots=_typed(fields, 'Slots', int),
+        started_ms=int(fields.get('born') or 0),
+    )
+
+
+def _typed(fields: Mapping[str, Any], name: str, kind: type) -> Any:
+    found = fields[name]
+    if not isinstance(found, kind) or isinstance(found, bool):
+        raise TypeError(f'{name} is {found!r}')
+    return found
--- /dev/null
+++ b/src/jasminewheel/platform/runner_protocol.py
@@ -0,0 +1,137 @@
+"""Send calls to runners as the platform's page on them says."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+from attrs import define, frozen
+
+from jasminewheel._internal.gateway.ports import Attempt
+from jasminewheel._internal.targets.load_report import LoadReport
+from jasminewheel._internal.web.client import HttpConnection, OutgoingRequest
+from jasminewheel._internal.web.headers import (
+    Headers,
+    field_text,
+    field_value,
+)
+from jasminewheel._internal.web.pool import ConnectionPool
+from jasminewheel._internal.web.response_parser import HttpResponse
+
+CONNECT_SECONDS = 0.5
+MILLISECONDS = 1000
+WRONG_RUNNER_STATUS = 421
+_MOST_PRIORITY = 9
+
+
+@define(eq=False)
+class PlatformAnswer:
+    """Hold a runner's answer while it arrives."""
+
+    connection: HttpConnection
+    response: HttpResponse
+
+    @property
+    def status(self) -> int:
+        """Return the status."""
+        return self.response.status
+
+    @property
+    def headers(self) -> Headers:
+        """Return the header fields."""
+        return self.response.headers
+
+    @property
+    def refused(self) -> bool:
+        """Tell whether the runner says that it did not run the call."""
+        said = field_value(self.headers, b'not-executed') is not None
+        return said or self.status == WRONG_RUNNER_STATUS
+
+    @property
+    def load(self) -> LoadReport | None:
+        """Return the runner's load if it tells it."""
+        counts = field_text(self.headers, b'server-load').split(',')
+        if len(counts) < 2 or not all(
+            part.strip().isdigit() for part in counts
+        ):
+            return None
+        return LoadReport(int(counts[0]), int(counts[1]))
+
+    def parts(self) -> AsyncIterator[bytes]:
+        """Give the body as it arrives."""
+        return self.connection.parts(self.response)
+
+    async def whole_body(self) -> bytes:
+        """Return the body."""
+        return await self.connection.whole_body(self.response)
+
+
+@frozen
+class PlatformRunners:
+    """Send calls over kept connections."""
+
+    connections: ConnectionPool
+
+    @asynccontextmanager
+    async def attempt(self, attempt: Attempt) -> AsyncIterator[PlatformAnswer]:
+        """Give the answer; raise ConnectionLostError where none comes."""
+        connection = await self.connections.take(
+            attempt.runner.address,
+            trio.current_time(),
+            CONNECT_SECONDS,
+            fresh=not attempt.repeatable,
+        )
+        answer: PlatformAnswer | None = None
+        try:
+            await connection.send(_request(attempt))
+            response = await connection.response(_belongs_to(attempt))
+            answer = PlatformAnswer(connection, response)
+            yield answer
+        finally:
+            self.release(connection, answer)
+
+    def release(
+        self, connection: HttpConnection, answer: PlatformAnswer | None
+    ) -> None:
+        """Keep the connection if its answer was read to the end."""
+        now = trio.current_time()
+        whole = answer and answer.response.complete
+        if whole and connection.finish(answer.response, now):
+            self.connections.give(connection)
+        else:
+            connection.close()
+
+
+def _request(attempt: Attempt) -> OutgoingRequest:
+    left = max(1, int(attempt.seconds_left * MILLISECONDS))
+    headers = [
+        *attempt.call.headers,
+        (b'Deadline-Ms', b'%d' % left),
+        (b'Target-Instance', attempt.runner.runner_id.encode()),
+    ]
+    if attempt.priority is not None:
+        priority = min(_MOST_PRIORITY, max(0, attempt.priority))
+        headers.append((b'Request-Priority', b'%d' % priority))
+    return OutgoingRequest(
+        attempt.call.method, attempt.call.target, headers, attempt.body
+    )
+
+
+@frozen
+class _BelongsTo:
+    call_id: str
+
+    def __call__(self, response: HttpResponse) -> bool:
+        """Tell whether a response answers the call.
+
+        One that names no call may only be a refusal: its runner did not
+        read the call.
+        """
+        named = field_text(response.headers, b'request-id')
+        if named:
+            return named == self.call_id
+        refused = field_value(response.headers, b'not-executed') is not None
+        return refused or response.status == WRONG_RUNNER_STATUS
+
+
+def _belongs_to(attempt: Attempt) -> _BelongsTo:
+    return _BelongsTo(attempt.call.call_id)
--- /dev/null
+++ b/src/jasminewheel/platform/settings.py
@@ -0,0 +1,99 @@
+"""Read the settings file that the platform writes for a process."""
+
+import tomllib
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+from attrs import frozen
+
+from jasminewheel.errors import SettingsError
+
+FILE_VARIABLE = 'JASMINEWHEEL_NODE_FILE'
+_ENTRY_ROLE = 'Front'
+FieldT = TypeVar('FieldT')
+
+
+@frozen
+class NodeSettings:
+    """Hold what a process is told of its VM and of the platform."""
+
+    vm: str
+    ip: str
+    zone: str
+    region: str
+    zone_regions: Mapping[str, str]
+    callers_address: str
+    readiness_address: str
+    peer_port: int
+    metrics_port: int
+    data_folder: Path | None
+    first_start: bool
+    grace_seconds: float
+    disks_lost: int
+    zones_lost: int
+    store_address: str
+
+
+@frozen
+class _Fields:
+    path: Path
+    fields: Mapping[str, Any]
+
+    def take(
+        self, name: str, convert: Callable[[Any], FieldT], default: Any = None
+    ) -> FieldT:
+        """Return a converted field; names with dots are in tables."""
+        found: Any = self.fields
+        for part in name.split('.'):
+            found = found.get(part) if isinstance(found, dict) else None
+        if found is None:
+            found = default
+        if found is None:
+            raise SettingsError(
+                f'{self.path}: {name} is missing',
+                remedy='see the platform page on settings',
+            )
+        try:
+            return convert(found)
+        except (TypeError, ValueError) as error:
+            raise SettingsError(
+                f'{self.path}: {name}: {error}',
+                remedy='see the platform page on settings',
+            ) from error
+
+
+def read_node_settings(path: Path) -> NodeSettings:
+    """Return the file's settings; raise SettingsError if they are wrong."""
+    try:
+        fields = _Fields(path, tomllib.loads(path.read_text(encoding='utf-8')))
+    except (OSError, ValueError) as error:
+        raise SettingsError(
+            f'{path}: {error}', remedy='see the platform page on settings'
+        ) from error
+    ports = fields.take('PortRange', _ports)
+    folder = fields.take('DataDir', str, default='')
+    return NodeSettings(
+        vm=fields.take('NodeName', str),
+        ip=fields.take('Ip', str),
+        zone=fields.take('Zone', str),
+        region=fields.take('Region', str),
+        zone_regions=fields.take('Zones', dict, default={}),
+        callers_address=fields.take(f'Listen.{_ENTRY_ROLE}', str, default=''),
+        readiness_address=fields.take('Listen.Ready', str, default=''),
+        peer_port=ports[0],
+        metrics_port=ports[1],
+        data_folder=Path(folder) if folder else None,
+        first_start=fields.take('Bootstrap', bool, default=False),
+        grace_seconds=fields.take('Bounds.GraceS', float, default=8),
+        disks_lost=fields.take('FaultTolerance.Machines', int, default=1),
+        zones_lost=fields.take('FaultTolerance.Zones', int, default=0),
+        store_address=fields.take('Platform.Address', str),
+    )
+
+
+def _ports(found: Any) -> tuple[int, int]:
+    first, last = found
+    if last < first + 1:
+        raise ValueError('two ports are needed')
+    return int(first), int(first) + 1
--- /dev/null
+++ b/src/jasminewheel/platform/store_client.py
@@ -0,0 +1,251 @@
+"""Speak to the platform's store."""
+
+import json
+from base64 import b64decode, b64encode
+from collections.abc import Callable, Mapping
+from typing import Any
+from urllib.parse import quote
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.store.port import (
+    StoreChanges,
+    StoreHistoryLostError,
+    StoreItem,
+    StoreSnapshot,
+)
+from jasminewheel._internal.web.client import (
+    HttpConnection,
+    OutgoingRequest,
+    open_connection,
+)
+from jasminewheel.errors import (
+    ConnectionLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+
+CONNECT_SECONDS = 1.0
+CALL_SECONDS = 2.0
+# A watch answers after this long at the latest; a silent store is noticed
+# when it does not.
+WATCH_MILLISECONDS = 4000
+WATCH_SLACK_SECONDS = 1.5
+MILLISECONDS = 1000
+_OK = 200
+_NOT_FOUND = 404
+_HISTORY_GONE = 410
+_CONDITION_FAILED = 412
+_REFUSED = (429, 503)
+
+
+@frozen
+class StoreReply:
+    """Hold the status and the decoded body of a reply."""
+
+    status: int
+    fields: Mapping[str, Any]
+
+
+@define(eq=False)
+class PlatformStore:
+    """Make calls one after the other, and watch on a connection of its own."""
+
+    address: str
+    calls: HttpConnection | None = None
+    watching: HttpConnection | None = None
+    lock: trio.Lock = field(factory=trio.Lock)
+
+    async def snapshot(self) -> StoreSnapshot:
+        """Return all values."""
+        found: list[StoreItem] = []
+        revision = 0
+        after = ''
+        more = True
+        while more:
+            path = f'/kv-range?Prefix=&after={quote(after, safe="")}'
+            reply = await self.call('GET', path)
+            found.extend(_items(reply, 'items'))
+            # Changes after the first page are asked for as changes.
+            revision = revision or int(reply.fields['AsOf'])
+            more = bool(reply.fields['HasMore']) and bool(found)
+            after = found[-1].key if found else ''
+        return StoreSnapshot(tuple(found), revision)
+
+    async def changes(self, after_revision: int) -> StoreChanges:
+        """Wait for changes; raise StoreHistoryLostError if unknown."""
+        path = (
+            f'/kv-watch?Prefix=&after={after_revision}'
+            f'&WaitMs={WATCH_MILLISECONDS}'
+        )
+        timeout = WATCH_MILLISECONDS / MILLISECONDS + WATCH_SLACK_SECONDS
+        connection = self.watching
+        self.watching = None
+        connection, reply = await self.exchange(
+            connection, _request('GET', path), timeout
+        )
+        self.watching = connection
+        if reply.status == _HISTORY_GONE:
+            raise StoreHistoryLostError('changes are no longer known')
+        _check(reply)
+        return _readable(reply, _changes)
+
+    async def put(
+        self,
+        key: str,
+        written: bytes,
+        *,
+        expected_revision: int | None = None,
+        lease: str = '',
+    ) -> int:
+        """Write a value and return its revision.
+
+        Raise StoreConflictError if the key is at another revision (0 stands
+        for no value) or if the lease has ended.
+        """
+        conditions = []
+        if expected_revision is not None:
+            conditions = [{'Key': key, 'Revision': expected_revision}]
+        stored = {
+            'Key': key,
+            'Value': b64encode(written).decode(),
+            'Lease': int(lease or 0),
+        }
+        reply = await self.call(
+            'POST',
+            '/kv-txn',
+            {'IfRevision': conditions, 'Puts': [stored], 'Remove': []},
+        )
+        return _readable(reply, lambda fields: int(fields['Revision']))
+
+    async def grant_lease(self, ttl_seconds: float) -> str:
+        """Return a new lease."""
+        wanted = {'TtlMs': int(ttl_seconds * MILLISECONDS)}
+        reply = await self.call('POST', '/kv-lease', wanted)
+        return _readable(reply, lambda fields: str(fields['Lease']))
+
+    async def renew_lease(self, lease: str) -> None:
+        """Extend a lease; raise StoreConflictError if it has ended."""
+        await self.call('POST', f'/kv-keep/{lease}', {})
+
+    async def end_lease(self, lease: str) -> None:
+        """End a lease; its keys go."""
+        await self.call('DELETE', f'/kv-lease-end/{lease}')
+
+    async def call(
+        self, method: str, path: str, fields: Mapping[str, Any] | None = None
+    ) -> StoreReply:
+        """Return a reply; raise StoreError for what callers can't use."""
+        async with self.lock:
+            connection = self.calls
+            self.calls = None
+            connection, reply = await self.exchange(
+                connection, _request(method, path, fields), CALL_SECONDS
+            )
+            self.calls = connection
+        _check(reply)
+        return reply
+
+    async def exchange(
+        self,
+        connection: HttpConnection | None,
+        request: OutgoingRequest,
+        timeout_seconds: float,
+    ) -> tuple[HttpConnection | None, StoreReply]:
+        """Return the reply, and the connection if it may be used again."""
+        now = trio.current_time()
+        if connection and not connection.is_usable(now):
+            connection.close()
+            connection = None
+        try:
+            with trio.fail_after(timeout_seconds):
+                if connection is None:
+                    connection = await open_connection(
+                        self.address, CONNECT_SECONDS
+                    )
+                return await _exchange(connection, self.address, request)
+        except (ConnectionLostError, trio.TooSlowError, ValueError) as error:
+            _close(connection)
+            raise StoreUnavailableError(
+                f'no answer from the store: {error!r}',
+                remedy='the change may have taken effect; read it back',
+            ) from error
+        except BaseException:
+            _close(connection)
+            raise
+
+
+def _close(connection: HttpConnection | None) -> None:
+    if connection:
+        connection.close()
+
+
+async def _exchange(
+    connection: HttpConnection, host: str, request: OutgoingRequest
+) -> tuple[HttpConnection | None, StoreReply]:
+    request.headers.append((b'Host', host.encode()))
+    await connection.send(request)
+    response = await connection.response(bool)
+    body = await connection.whole_body(response)
+    kept: HttpConnection | None = connection
+    if not connection.finish(response, trio.current_time()):
+        connection.close()
+        kept = None
+    fields = json.loads(body) if body.startswith(b'{') else {}
+    return kept, StoreReply(response.status, fields)
+
+
+def _request(
+    method: str, path: str, fields: Mapping[str, Any] | None = None
+) -> OutgoingRequest:
+    headers = []
+    body = b''
+    if fields is not None:
+        headers = [(b'Content-Type', b'application/json')]
+        body = json.dumps(fields).encode()
+    return OutgoingRequest(method.encode(), path.encode(), headers, body)
+
+
+def _check(reply: StoreReply) -> None:
+    if reply.status == _OK:
+        return
+    if reply.status in {_NOT_FOUND, _CONDITION_FAILED}:
+        raise StoreConflictError(f'the store answers {reply.status}')
+    if reply.status in _REFUSED:
+        raise StoreUnavailableError(f'the store refuses with {reply.status}')
+    raise StoreError(f'the store answers {reply.status}')
+
+
+def _readable(
+    reply: StoreReply, read: Callable[[Mapping[str, Any]], Any]
+) -> Any:
+    try:
+        return read(reply.fields)
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreUnavailableError(
+            f'unreadable answer of the store: {error!r}'
+        ) from error
+
+
+def _item(fields: Mapping[str, Any]) -> StoreItem:
+    return StoreItem(
+        str(fields['Key']),
+        b64decode(fields['Value']),
+        int(fields['Revision']),
+    )
+
+
+def _items(reply: StoreReply, name: str) -> list[StoreItem]:
+    return _readable(reply, lambda fields: [_item(one) for one in fields[name]])
+
+
+def _changes(fields: Mapping[str, Any]) -> StoreChanges:
+    # A key may be written and removed within one answer: its last event rules.
+    last = {str(event['Key']): event for event in fields['events']}
+    written = [one for one in last.values() if not one.get('Deleted')]
+    removed = [key for key, one in last.items() if one.get('Deleted')]
+    return StoreChanges(
+        tuple(map(_item, written)), tuple(removed), int(fields['AsOf'])
+    )
--- a/tests/functional/test_scheduler.py
+++ b/tests/functional/test_scheduler.py
@@ -9,7 +9,8 @@
 from jasminewheel._internal.configuration.snapshot import Snapshot
 from jasminewheel._internal.configuration.view import ConfigurationView
 from jasminewheel._internal.scheduling.request import PlacementRequest
-from jasminewheel._internal.targets.engine import EngineUsage, LoadReport
+from jasminewheel._internal.targets.engine import EngineUsage
+from jasminewheel._internal.targets.load_report import LoadReport
 from jasminewheel._internal.targets.prefix import PrefixBlock
 from jasminewheel._internal.scheduling.scheduler import Scheduler
 from jasminewheel.errors import DeadlineError, NotFoundError, OverloadedError
--- a/tests/unit/test_scheduling_rules.py
+++ b/tests/unit/test_scheduling_rules.py
@@ -32,7 +32,8 @@
 from jasminewheel._internal.scheduling.rates import CrowdingSlope
 from jasminewheel._internal.scheduling.request import PlacementRequest
 from jasminewheel._internal.scheduling.view import kept_free_share
-from jasminewheel._internal.targets.engine import CacheEvent, LoadReport
+from jasminewheel._internal.targets.engine import CacheEvent
+from jasminewheel._internal.targets.load_report import LoadReport
 from jasminewheel._internal.targets.prefix import PrefixBlock
 from jasminewheel.models.policy import Policy
 
