--- a/src/jasminewheel/_internal/conversation/set_keeper.py
+++ b/src/jasminewheel/_internal/conversation/set_keeper.py
@@ -53,7 +53,7 @@
 class SetListener:
     """Decode the replica set and the live disks from the store's items."""
 
-    holder: SetHolder
+    holder: SetHolder = field(factory=SetHolder)
     candidates: dict[str, Candidate] = field(factory=dict)
     absent_since: dict[str, float] = field(factory=dict)
 
@@ -154,8 +154,12 @@
 
     async def leave(self) -> None:
         """End the lease, so that others see at once that this one stops."""
-        if self.lease:
+        if not self.lease:
+            return
+        try:
             await self.store.end_lease(self.lease)
+        except StoreError as error:
+            store_events.LEASE_LOST.log(_LOGGER, problem=error)
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/gateway/routes.py
+++ b/src/jasminewheel/_internal/gateway/routes.py
@@ -91,4 +91,3 @@
 
 
 NO_ROUTES = RoutingTable(0, (), {}, RequestLimits())
-
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -42,8 +42,8 @@
         """Count events and keep their data."""
         self.events += len(received)
         for event in received:
-            self.output += event.payload
-            self.output += b'\n'
+            self.output.extend(event.payload)
+            self.output.extend(b'\n')
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/history/folder.py
+++ b/src/jasminewheel/_internal/history/folder.py
@@ -34,7 +34,7 @@
     """Return the identity of the disk; draw it for an empty folder."""
     path = folder / 'disk-id'
     if path.exists():
-        return path.read_text(encoding='ascii').strip()
+        return _stored_disk_id(path)
     if segment_numbers(folder):
         raise DamagedError(
             f'{path} is missing beside existing segments',
@@ -42,7 +42,18 @@
         )
     disk_id = secrets.token_hex(_DISK_ID_BYTES)
     draft = path.with_suffix('.new')
-    draft.write_text(disk_id, encoding='ascii')
+    with draft.open('w', encoding='ascii') as written:
+        written.write(disk_id)
+        written.flush()
+        # The name must never show an identity that a loss of power empties.
+        os.fsync(written.fileno())
     draft.replace(path)
     sync_folder(folder)
     return disk_id
+
+
+def _stored_disk_id(path: Path) -> str:
+    disk_id = path.read_text(encoding='ascii').strip()
+    if not disk_id:
+        raise DamagedError(f'{path} is empty', remedy='replace this disk')
+    return disk_id
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -77,10 +77,9 @@
     def take_snapshot(self, found: Iterable[StoreItem], revision: int) -> None:
         """Replace all items."""
         items = {one.key: one for one in found}
+        known = items.keys() | self.items.keys()
         changed = {
-            key
-            for key in {*items, *self.items}
-            if items.get(key) != self.items.get(key)
+            key for key in known if items.get(key) != self.items.get(key)
         }
         self.items = items
         self.revision = revision
--- a/src/jasminewheel/_internal/web/request_parser.py
+++ b/src/jasminewheel/_internal/web/request_parser.py
@@ -111,6 +111,8 @@
             self.fail(MalformedRequestError('only HTTP/1.1 is spoken'))
         if len(field_values(self.headers, b'host')) != 1:
             self.fail(MalformedRequestError('exactly one host is needed'))
+        if self.parser.should_upgrade():
+            self.fail(MalformedRequestError('upgrades are not offered'))
         if not self.target.startswith(b'/'):
             self.fail(MalformedRequestError('the target is not a path'))
         length = field_value(self.headers, b'content-length') or b'0'
--- a/src/jasminewheel/platform/__main__.py
+++ b/src/jasminewheel/platform/__main__.py
@@ -6,14 +6,15 @@
 from jasminewheel.platform.roles import run_role
 
 _ROLES = ('entry', 'history')
-_USAGE = f'usage: python -m jasminewheel.platform {"|".join(_ROLES)}'
+_EXIT_USAGE = 2
 
 
 def main() -> None:
     """Import only what the role needs, and run it."""
     role = sys.argv[-1]
     if role not in _ROLES:
-        raise SystemExit(_USAGE)
+        sys.stderr.write('usage: python -m jasminewheel.platform ROLE\n')
+        sys.exit(_EXIT_USAGE)
     module = import_module(f'jasminewheel.platform.{role}')
     run_role(getattr(module, f'serve_{role}'))
 
--- /dev/null
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -0,0 +1,58 @@
+"""Build the parts of an entry from its settings."""
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.conversation.client import ConversationClient
+from jasminewheel._internal.conversation.quorum import QuorumClient, SetHolder
+from jasminewheel._internal.conversation.set_keeper import SetListener
+from jasminewheel._internal.gateway.attempts import Attempts
+from jasminewheel._internal.gateway.choice import RunnerChoice
+from jasminewheel._internal.gateway.distance import ZoneDistance
+from jasminewheel._internal.gateway.gateway import Gateway, RoutesHolder
+from jasminewheel._internal.gateway.plain_flow import PlainFlow
+from jasminewheel._internal.gateway.runners import RunnerDirectory
+from jasminewheel._internal.gateway.turn_flow import TurnFlow
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.web.pool import ConnectionPool
+from jasminewheel._internal.web.server import WebServer
+from jasminewheel.platform.listener import PlatformListener
+from jasminewheel.platform.runner_protocol import PlatformRunners
+from jasminewheel.platform.settings import NodeSettings
+from jasminewheel.platform.store_client import PlatformStore
+
+
+@define(eq=False)
+class EntryParts:
+    """Hold what an entry knows; none of it has to last."""
+
+    settings: NodeSettings
+    routes: RoutesHolder = field(factory=RoutesHolder)
+    directory: RunnerDirectory = field(factory=RunnerDirectory)
+    sets: SetHolder = field(factory=SetHolder)
+    connections: ConnectionPool = field(factory=ConnectionPool)
+
+    def gateway(self, pool: PeerPool, nursery: trio.Nursery) -> Gateway:
+        """Return the gateway that answers calls."""
+        distance = ZoneDistance(self.settings.zone, self.settings.zone_regions)
+        attempts = Attempts(
+            RunnerChoice(self.directory, distance),
+            PlatformRunners(self.connections),
+        )
+        conversations = ConversationClient(
+            QuorumClient(pool, self.sets, distance), nursery
+        )
+        return Gateway(
+            self.routes,
+            PlainFlow(attempts),
+            TurnFlow(attempts, conversations),
+        )
+
+    def mirror(self, web: WebServer) -> StoreMirror:
+        """Return the task that follows the store."""
+        listener = PlatformListener(self.routes, self.directory, web)
+        return StoreMirror(
+            PlatformStore(self.settings.store_address),
+            [SetListener(self.sets), listener],
+        )
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -1,12 +1,13 @@
 """Run a replica of turns and token budgets on a VM with a disk."""
 
 import logging
+from pathlib import Path
 
 import trio
+from attrs import define, field
 
 from jasminewheel._internal.conversation.catch_up import CatchUp
 from jasminewheel._internal.conversation.journal import Journal
-from jasminewheel._internal.conversation.quorum import SetHolder
 from jasminewheel._internal.conversation.replica_set import Replica
 from jasminewheel._internal.conversation.service import ReplicaService
 from jasminewheel._internal.conversation.set_change import Candidate
@@ -21,9 +22,9 @@
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import PeerServer
 from jasminewheel._internal.store.mirror import StoreMirror
-from jasminewheel.errors import SettingsError, StoreError
+from jasminewheel.errors import SettingsError
 from jasminewheel.platform.retire import PlatformRetireBoard
-from jasminewheel.platform.roles import PEER_KEY, background, peer_identity
+from jasminewheel.platform.roles import background, peer_server
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
 
@@ -32,6 +33,55 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+@define(eq=False)
+class HistoryParts:
+    """Hold one disk and what is known of the others."""
+
+    settings: NodeSettings
+    folder: Path
+    state: ConversationState = field(factory=ConversationState)
+    listener: SetListener = field(factory=SetListener)
+    store: PlatformStore = field(init=False)
+    journal: Journal = field(init=False)
+    disk_id: str = field(init=False)
+    registration: DiskRegistration = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the folder and load what it holds."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.disk_id = load_disk_id(self.folder)
+        self.store = PlatformStore(self.settings.store_address)
+        self.journal = Journal(self.folder, self.state)
+        self.journal.load(trio.current_time())
+        self.registration = DiskRegistration(
+            self.store, Candidate(self.own_replica())
+        )
+
+    def own_replica(self) -> Replica:
+        """Return this disk as others reach it."""
+        node = self.settings
+        address = f'{node.ip}:{node.peer_port}'
+        return Replica(self.disk_id, node.vm, address, node.zone)
+
+    def server(self) -> PeerServer:
+        """Return the server that answers entries and other replicas."""
+        service = ReplicaService(self.disk_id, self.journal)
+        return peer_server(self.settings, service.handlers())
+
+    def keeper(self, pool: PeerPool, board: PlatformRetireBoard) -> SetKeeper:
+        """Return the task that keeps the replica set fit."""
+        return SetKeeper(
+            self.store,
+            self.listener,
+            self.registration,
+            CatchUp(self.disk_id, self.journal, pool),
+            board,
+            wanted_size=2 * self.settings.disks_lost + 1,
+            may_form=self.settings.first_start,
+            started_at=trio.current_time(),
+        )
+
+
 async def serve_history(
     settings: NodeSettings, pool: PeerPool, stop: trio.Event
 ) -> None:
@@ -40,62 +90,20 @@
         raise SettingsError(
             'DataDir is missing', remedy='run this role on VMs with a disk'
         )
-    settings.data_folder.mkdir(parents=True, exist_ok=True)
-    disk_id = load_disk_id(settings.data_folder)
-    now = trio.current_time()
-    state = ConversationState()
-    journal = Journal(settings.data_folder, state)
-    journal.load(now)
-    store = PlatformStore(settings.store_address)
-    holder = SetHolder()
-    listener = SetListener(holder)
-    board = PlatformRetireBoard(store)
-    registration = DiskRegistration(
-        store, Candidate(own_replica(settings, disk_id))
-    )
-    keeper = SetKeeper(
-        store,
-        listener,
-        registration,
-        CatchUp(disk_id, journal, pool),
-        board,
-        wanted_size=2 * settings.disks_lost + 1,
-        may_form=settings.first_start,
-        started_at=now,
-    )
-    server = PeerServer(
-        peer_identity(settings),
-        PEER_KEY,
-        ReplicaService(disk_id, journal).handlers(),
-    )
-    mirror = StoreMirror(store, [listener, board])
+    parts = HistoryParts(settings, settings.data_folder)
+    board = PlatformRetireBoard(parts.store)
+    mirror = StoreMirror(parts.store, [parts.listener, board])
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(journal.run)
+        nursery.start_soon(parts.journal.run)
+        server = parts.server()
         await nursery.start(server.serve, settings.ip, settings.peer_port)
         nursery.start_soon(mirror.run)
-        nursery.start_soon(registration.run)
-        nursery.start_soon(keeper.run)
-        nursery.start_soon(background(state.forget_expired, EXPIRY_SECONDS))
-        frame.STARTED.log(_LOGGER, vm=settings.vm, disk=disk_id)
+        nursery.start_soon(parts.registration.run)
+        nursery.start_soon(parts.keeper(pool, board).run)
+        forget = parts.state.forget_expired
+        nursery.start_soon(background(forget, EXPIRY_SECONDS))
+        frame.STARTED.log(_LOGGER, vm=settings.vm, disk=parts.disk_id)
         await stop.wait()
-        await leave(registration)
+        with trio.move_on_after(LEAVE_SECONDS):
+            await parts.registration.leave()
         nursery.cancel_scope.cancel()
-
-
-def own_replica(settings: NodeSettings, disk_id: str) -> Replica:
-    """Return this disk as others reach it."""
-    return Replica(
-        disk_id,
-        settings.vm,
-        f'{settings.ip}:{settings.peer_port}',
-        settings.zone,
-    )
-
-
-async def leave(registration: DiskRegistration) -> None:
-    """Let the others know that this disk goes away for now."""
-    with trio.move_on_after(LEAVE_SECONDS):
-        try:
-            await registration.leave()
-        except StoreError as error:
-            _LOGGER.info('lease not ended: %s', error)
--- a/src/jasminewheel/platform/roles.py
+++ b/src/jasminewheel/platform/roles.py
@@ -4,7 +4,8 @@
 import os
 import secrets
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from functools import partial
 from pathlib import Path
@@ -16,6 +17,7 @@
 from jasminewheel._internal.observability.json_lines import start_json_logging
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import Handler, PeerServer
 from jasminewheel.errors import SettingsError
 from jasminewheel.platform.settings import (
     FILE_VARIABLE,
@@ -25,6 +27,7 @@
 
 # The platform hands out no secret; its network is what keeps strangers out.
 PEER_KEY = b'jasminewheel'
+EXIT_USAGE = 2
 _INCARNATION_BYTES = 4
 _LOGGER = logging.getLogger(__name__)
 
@@ -57,7 +60,8 @@
     try:
         settings = read_node_settings(path)
     except SettingsError as error:
-        raise SystemExit(f'error: {error}') from error
+        sys.stderr.write(f'error: {error}\n')
+        sys.exit(EXIT_USAGE)
     start_json_logging(settings.vm)
     process = RoleProcess(settings, serve)
     trio.run(process.run)
@@ -82,6 +86,13 @@
         yield pool
 
 
+def peer_server(
+    settings: NodeSettings, handlers: Mapping[type, Handler]
+) -> PeerServer:
+    """Return the server for the other processes of the product."""
+    return PeerServer(peer_identity(settings), PEER_KEY, handlers)
+
+
 def peer_identity(settings: NodeSettings) -> PeerIdentity:
     """Return the name of this process for its peers."""
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
--- /dev/null
+++ b/tests/functional/test_conversations.py
@@ -0,0 +1,199 @@
+"""Check that turns and budgets outlive the loss of replicas."""
+
+import pytest
+import trio
+from attrs import evolve
+
+from jasminewheel._internal.conversation.client import TurnCache
+from jasminewheel._internal.conversation.replica_set import ReplicaSet
+from jasminewheel.errors import (
+    BudgetError,
+    NotFoundError,
+    QuorumError,
+    UnavailableError,
+)
+from tests.turn_replicas import reservation, turn, turn_replicas
+
+
+async def _start(replicas) -> ReplicaSet:
+    await replicas.start(0)
+    await replicas.start(1)
+    await replicas.start(2)
+    return replicas.set_of()
+
+
+def _forget_cache(client):
+    return evolve(client, cache=TurnCache(0))
+
+
+def test_chain_is_read_whole_from_any_majority(tmp_path):
+    """Turns written at different majorities make one chain."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            known = await _start(replicas)
+            client = _forget_cache(replicas.client(known))
+            await client.commit(turn('t1'))
+            first = replicas.running[0]
+            first.stop()
+            await client.commit(turn('t2', 't1', ['t1']))
+            await client.commit(turn('t3', 't2', ['t2', 't1']))
+            chain = await client.chain('t3')
+            assert [one.turn_id for one in chain] == ['t1', 't2', 't3']
+            assert chain[0].prompt == b'ask t1 '
+
+    trio.run(scenario)
+
+
+def test_absent_turn_needs_a_majority_to_be_sure(tmp_path):
+    """A turn is only said not to exist while a majority says so."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            client = replicas.client(await _start(replicas))
+            with pytest.raises(NotFoundError):
+                await client.chain('never')
+            replicas.running[1].stop()
+            with pytest.raises(NotFoundError):
+                await client.chain('never')
+            replicas.running[2].stop()
+            with pytest.raises(UnavailableError):
+                await client.chain('never')
+
+    trio.run(scenario)
+
+
+def test_one_replica_is_enough_to_find_a_turn(tmp_path):
+    """A turn that one replica has is found without the others."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            client = _forget_cache(replicas.client(await _start(replicas)))
+            await client.commit(turn('t1'))
+            holders = [
+                one for one in replicas.running if 't1' in one.state.turns
+            ]
+            for replica in replicas.running:
+                if replica is not holders[0]:
+                    replica.stop()
+            chain = await client.chain('t1')
+            assert [one.turn_id for one in chain] == ['t1']
+
+    trio.run(scenario)
+
+
+def test_turns_and_budgets_are_there_after_a_restart(tmp_path):
+    """All replicas load what they acknowledged."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            client = replicas.client(await _start(replicas))
+            await client.commit(turn('t1'))
+            await client.reserve(reservation('t2', 80), 100)
+            for replica in replicas.running:
+                replica.stop()
+        async with turn_replicas(tmp_path) as replicas:
+            client = replicas.client(await _start(replicas))
+            assert len(await client.chain('t1')) == 1
+            with pytest.raises(BudgetError):
+                await client.reserve(reservation('t3', 20), 100)
+
+    trio.run(scenario)
+
+
+def test_reservations_at_once_never_exceed_the_budget(tmp_path):
+    """Clients that reserve at the same moment share one budget."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            known = await _start(replicas)
+            granted: list[str] = []
+
+            async def reserve(turn_id: str) -> None:
+                client = replicas.client(known)
+                try:
+                    await client.reserve(reservation(turn_id, 10), 55)
+                except BudgetError:
+                    return
+                granted.append(turn_id)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(reserve, f't{number}')
+            assert len(granted) <= 5
+
+    trio.run(scenario)
+
+
+def test_refused_reservation_gives_its_tokens_back(tmp_path):
+    """What was refused does not count against the budget."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            client = replicas.client(await _start(replicas))
+            await client.reserve(reservation('t1', 60), 100)
+            with pytest.raises(BudgetError):
+                await client.reserve(reservation('t2', 60), 100)
+            await trio.sleep(0.2)
+            await client.reserve(reservation('t3', 40), 100)
+
+    trio.run(scenario)
+
+
+def test_newcomer_holds_all_before_the_change_ends(tmp_path):
+    """A disk that was lost is replaced without losing a turn."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            old = await _start(replicas)
+            client = _forget_cache(replicas.client(old))
+            await client.commit(turn('t1'))
+            wiped = replicas.running[0]
+            wiped.stop()
+            fresh = await replicas.start(0, 'fresh')
+            joining = (fresh.replica, *old.members[1:])
+            change = evolve(old, revision=2, joining=joining)
+            await replicas.catch_up(fresh, change)
+            assert 't1' in fresh.state.turns
+
+    trio.run(scenario)
+
+
+def test_writes_under_an_older_set_are_refused(tmp_path):
+    """After a newcomer copied, nobody can write past it."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            old = await _start(replicas)
+            late = replicas.client(old)
+            fresh = await replicas.start(3)
+            joining = (fresh.replica, *old.members[1:])
+            change = evolve(old, revision=2, joining=joining)
+            await replicas.catch_up(fresh, change)
+            with pytest.raises(UnavailableError):
+                await late.commit(turn('t1'))
+            late.quorum.sets.adopt(change)
+            await late.commit(turn('t2'))
+            finished = evolve(change, revision=3, members=joining, joining=())
+            replicas.running[0].stop()
+            chain = await replicas.client(finished).chain('t2')
+            assert [one.turn_id for one in chain] == ['t2']
+
+    trio.run(scenario)
+
+
+def test_copy_without_a_majority_is_no_copy(tmp_path):
+    """A newcomer that reaches too few disks does not join."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            old = await _start(replicas)
+            replicas.running[0].stop()
+            replicas.running[1].stop()
+            fresh = await replicas.start(3)
+            joining = (*old.members[1:], fresh.replica)
+            change = evolve(old, revision=2, joining=joining)
+            with pytest.raises(QuorumError):
+                await replicas.catch_up(fresh, change)
+
+    trio.run(scenario)
--- /dev/null
+++ b/tests/turn_replicas.py
@@ -0,0 +1,140 @@
+"""Run replicas of turns and budgets inside a test."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+from pathlib import Path
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.conversation.catch_up import CatchUp
+from jasminewheel._internal.conversation.client import (
+    ConversationClient,
+    Reservation,
+)
+from jasminewheel._internal.conversation.journal import Journal
+from jasminewheel._internal.conversation.quorum import QuorumClient, SetHolder
+from jasminewheel._internal.conversation.replica_set import (
+    Replica,
+    ReplicaSet,
+)
+from jasminewheel._internal.conversation.service import ReplicaService
+from jasminewheel._internal.conversation.state import ConversationState
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.wire.gen.conversation.ttypes import TurnRecord
+
+KEY = b'k' * 32
+ZONES = ('east-a', 'east-b', 'west-a', 'west-b', 'west-c')
+
+
+@define(eq=False)
+class RunningReplica:
+    """Hold one replica served inside the test."""
+
+    replica: Replica
+    journal: Journal
+    scope: trio.CancelScope
+
+    @property
+    def state(self) -> ConversationState:
+        """Return what the replica holds."""
+        return self.journal.state
+
+    def stop(self) -> None:
+        """End the replica's process."""
+        self.scope.cancel()
+
+
+@define(eq=False)
+class TurnReplicas:
+    """Start replicas, and clients that use them."""
+
+    folder: Path
+    nursery: trio.Nursery
+    pool: PeerPool
+    running: list[RunningReplica] = field(factory=list)
+
+    async def start(self, number: int, disk_id: str = '') -> RunningReplica:
+        """Start a replica on the disk of this number."""
+        folder = self.folder / f'disk-{number}-{disk_id}'
+        folder.mkdir(exist_ok=True)
+        journal = Journal(folder, ConversationState())
+        journal.load(trio.current_time())
+        name = disk_id or f'd{number}'
+        serve = partial(serve_replica, journal, name)
+        port, scope = await self.nursery.start(serve)
+        replica = Replica(
+            name, f'vm{number}', f'127.0.0.1:{port}', ZONES[number]
+        )
+        started = RunningReplica(replica, journal, scope)
+        self.running.append(started)
+        return started
+
+    def client(self, replica_set: ReplicaSet) -> ConversationClient:
+        """Return a client in the first zone."""
+        holder = SetHolder()
+        holder.adopt(replica_set)
+        quorum = QuorumClient(self.pool, holder, ZONES.index)
+        return ConversationClient(quorum, self.nursery)
+
+    def set_of(self, revision: int = 1) -> ReplicaSet:
+        """Return the set of all that run."""
+        members = tuple(one.replica for one in self.running)
+        return ReplicaSet(revision, members)
+
+    async def catch_up(
+        self, replica: RunningReplica, replica_set: ReplicaSet
+    ) -> None:
+        """Copy to the replica for a change."""
+        own_id = replica.replica.disk_id
+        copying = CatchUp(own_id, replica.journal, self.pool)
+        await copying.run(replica_set)
+
+
+@asynccontextmanager
+async def turn_replicas(folder: Path) -> AsyncIterator[TurnReplicas]:
+    """Give a place to start replicas; all end with the block."""
+    identity = PeerIdentity('entry', 'i1', ZONES[0])
+    async with AsyncExitStack() as stack:
+        stack.enter_context(trio.fail_after(30))
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        pool = await stack.enter_async_context(PeerPool(identity, KEY))
+        yield TurnReplicas(folder, nursery, pool)
+        nursery.cancel_scope.cancel()
+
+
+async def serve_replica(
+    journal: Journal, disk_id: str, task_status: trio.TaskStatus
+) -> None:
+    """Serve one replica until its scope is cancelled."""
+    identity = PeerIdentity(disk_id, 'i1', ZONES[0])
+    service = ReplicaService(disk_id, journal)
+    server = PeerServer(identity, KEY, service.handlers())
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(journal.run)
+            port = await nursery.start(server.serve, '127.0.0.1', 0)
+            task_status.started((port, scope))
+
+
+def turn(turn_id: str, previous_id: str = '', ancestors=()) -> TurnRecord:
+    """Return a finished turn."""
+    return TurnRecord(
+        turn_id=turn_id,
+        previous_id=previous_id,
+        program_id='p1',
+        prompt=f'ask {turn_id} '.encode(),
+        output=f'said {turn_id}\n'.encode(),
+        runner='r1',
+        tokens=10,
+        retention_seconds=60,
+        ancestors=list(ancestors),
+    )
+
+
+def reservation(turn_id: str, tokens: int) -> Reservation:
+    """Return what a turn of the program takes."""
+    return Reservation(turn_id, 'p1', tokens, 60)
--- /dev/null
+++ b/tests/unit/test_set_change.py
@@ -0,0 +1,132 @@
+"""Check what is proposed for the replica set."""
+
+from attrs import evolve
+
+from jasminewheel._internal.conversation.replica_set import (
+    NO_SET,
+    Replica,
+    ReplicaSet,
+)
+from jasminewheel._internal.conversation.set_change import (
+    ABSENT_SECONDS,
+    FORMING_SECONDS,
+    Candidate,
+    SetView,
+    next_set,
+)
+
+NOW = 100.0
+
+
+def _replica(vm: str, disk: str = '', zone: str = 'z') -> Replica:
+    return Replica(disk or f'disk-{vm}', vm, f'{vm}:1', zone)
+
+
+ONE, TWO, THREE, FOUR = map(_replica, 'abcd')
+SET = ReplicaSet(7, (ONE, TWO, THREE))
+
+
+def _view(replica_set=SET, live=(ONE, TWO, THREE), **changes) -> SetView:
+    candidates = {one.vm: Candidate(one) for one in live}
+    view = SetView(replica_set, candidates, {}, frozenset(), 3, True, NOW - 1)
+    return evolve(view, **changes)
+
+
+def test_whole_set_stays():
+    """Nothing is proposed while all members live."""
+    assert next_set(_view(), NOW) is None
+    assert next_set(_view(live=(ONE, TWO, THREE, FOUR)), NOW) is None
+
+
+def test_set_forms_once_enough_disks_are_there():
+    """The first start waits for all, but not for ever."""
+    early = _view(NO_SET, (ONE, TWO))
+    assert next_set(early, NOW) is None
+    assert next_set(early, NOW + FORMING_SECONDS).members == (ONE, TWO)
+    assert next_set(_view(NO_SET), NOW).members == (ONE, TWO, THREE)
+    assert next_set(_view(NO_SET, may_form=False), NOW) is None
+
+
+def test_set_forms_across_zones():
+    """Disks of different availability zones are taken first."""
+    one, two = _replica('a', zone='x'), _replica('b', zone='x')
+    three, four = _replica('c', zone='y'), _replica('d', zone='w')
+    formed = next_set(_view(NO_SET, (one, two, three, four)), NOW)
+    assert {member.zone for member in formed.members} == {'x', 'y', 'w'}
+
+
+def test_empty_disk_on_the_same_vm_replaces_the_lost_one():
+    """A VM that lost its disk joins anew in the place of its old disk."""
+    fresh = _replica('a', 'fresh')
+    proposed = next_set(_view(live=(fresh, TWO, THREE)), NOW)
+    assert proposed.members == (ONE, TWO, THREE)
+    assert proposed.joining == (TWO, THREE, fresh)
+    assert proposed.newcomers() == (fresh,)
+
+
+def test_absent_member_is_replaced_by_a_free_disk():
+    """Only a disk that has been away for a while is replaced."""
+    short = {ONE.disk_id: NOW - ABSENT_SECONDS / 2}
+    long = {ONE.disk_id: NOW - ABSENT_SECONDS}
+    live = (TWO, THREE, FOUR)
+    assert next_set(_view(live=live, absent_since=short), NOW) is None
+    proposed = next_set(_view(live=live, absent_since=long), NOW)
+    assert proposed.joining == (TWO, THREE, FOUR)
+    assert next_set(_view(live=(TWO, THREE), absent_since=long), NOW) is None
+
+
+def test_change_ends_when_newcomers_have_copied():
+    """A newcomer that has not copied this change holds it up."""
+    change = ReplicaSet(8, (ONE, TWO, THREE), (TWO, THREE, FOUR))
+    view = _view(change, (TWO, THREE, FOUR))
+    assert next_set(view, NOW) is None
+    older = {**view.candidates, 'd': Candidate(FOUR, 7)}
+    assert next_set(evolve(view, candidates=older), NOW) is None
+    copied = {**view.candidates, 'd': Candidate(FOUR, 8)}
+    finished = next_set(evolve(view, candidates=copied), NOW)
+    assert finished.members == (TWO, THREE, FOUR)
+    assert not finished.joining
+
+
+def test_change_is_given_up_when_its_newcomer_goes():
+    """A change whose newcomer died or lost its disk is taken back."""
+    change = ReplicaSet(8, (ONE, TWO, THREE), (TWO, THREE, FOUR))
+    gone = _view(change, (TWO, THREE), absent_since={FOUR.disk_id: NOW - 5})
+    assert next_set(gone, NOW) == ReplicaSet(8, (ONE, TWO, THREE))
+    wiped = _view(change, (TWO, THREE, _replica('d', 'fresh')))
+    assert next_set(wiped, NOW) == ReplicaSet(8, (ONE, TWO, THREE))
+
+
+def test_retiring_vm_is_replaced_or_dropped():
+    """An emptied VM leaves the set, and never comes back into it."""
+    retiring = frozenset('a')
+    swapped = next_set(
+        _view(live=(ONE, TWO, THREE, FOUR), retiring=retiring), NOW
+    )
+    assert swapped.joining == (TWO, THREE, FOUR)
+    shrunk = next_set(_view(retiring=retiring), NOW)
+    assert shrunk.joining == (TWO, THREE)
+    assert shrunk.newcomers() == (TWO, THREE)
+    after = ReplicaSet(9, (TWO, THREE))
+    assert next_set(_view(after, retiring=retiring), NOW) is None
+
+
+def test_small_set_grows():
+    """A set below its size takes free disks."""
+    small = ReplicaSet(9, (TWO, THREE))
+    proposed = next_set(_view(small, (TWO, THREE, FOUR)), NOW)
+    assert proposed.joining == (TWO, THREE, FOUR)
+
+
+def test_quorum_needs_both_sets_during_a_change():
+    """A majority of only one of the two is none."""
+    change = ReplicaSet(8, (ONE, TWO, THREE), (TWO, THREE, FOUR))
+    assert change.has_quorum({'disk-b', 'disk-c'})
+    assert not change.has_quorum({'disk-a', 'disk-b'})
+    assert not NO_SET.has_quorum(set())
+
+
+def test_stored_set_reads_back():
+    """A set survives being stored."""
+    change = ReplicaSet(8, (ONE, TWO, THREE), (TWO, THREE, FOUR))
+    assert ReplicaSet.from_text(change.to_text(), 8) == change
--- /dev/null
+++ b/tests/unit/test_token_ledger.py
@@ -0,0 +1,92 @@
+"""Check that budgets hold whatever order replicas see reservations in."""
+
+from hypothesis import given
+from hypothesis import strategies as some
+
+from jasminewheel._internal.conversation.ledger import (
+    ProgramLedger,
+    fits,
+    needs_second_look,
+)
+from jasminewheel._internal.wire.gen.conversation.ttypes import (
+    TokenReservation,
+)
+
+BUDGET = 100
+TOKENS = 10
+REPLICAS = 3
+# Two stores, two reads and two chances to decide.
+STEPS = 6
+
+
+def _reservation(turn_id: str, *, settled: bool = False, tokens: int = TOKENS):
+    return TokenReservation(
+        turn_id=turn_id,
+        program_id='p',
+        tokens=tokens,
+        settled=settled,
+        retention_seconds=60,
+    )
+
+
+def test_settled_reservation_stands():
+    """What comes late does not reopen what is settled."""
+    ledger = ProgramLedger()
+    ledger.merge(_reservation('t', settled=True, tokens=3))
+    ledger.merge(_reservation('t'))
+    assert ledger.total() == 3
+    ledger.merge(_reservation('u'))
+    ledger.merge(_reservation('u', settled=True, tokens=0))
+    assert ledger.total() == 3
+
+
+class Racer:
+    """Reserve at two replicas, and near the limit read two again."""
+
+    def __init__(self, name: str, stores, rereads) -> None:
+        """Keep which replicas are visited, in order."""
+        self.name = name
+        self.stores = list(stores)
+        self.rereads = list(rereads)
+        self.seen = ProgramLedger()
+        self.again = ProgramLedger()
+        self.granted = False
+
+    def step(self, replicas: list[ProgramLedger]) -> None:
+        """Take the next step; the last one decides."""
+        if self.granted:
+            return
+        if self.stores:
+            replica = replicas[self.stores.pop()]
+            replica.merge(_reservation(self.name))
+            self.seen.merge_all(replica.reservations.values())
+            return
+        if needs_second_look(self.seen, BUDGET):
+            self.look_again(replicas)
+        else:
+            self.granted = True
+
+    def look_again(self, replicas: list[ProgramLedger]) -> None:
+        """Read the next replica, or decide after the last one."""
+        if self.rereads:
+            replica = replicas[self.rereads.pop()]
+            self.again.merge_all(replica.reservations.values())
+        else:
+            self.granted = fits(self.again, BUDGET)
+
+
+@given(some.data())
+def test_concurrent_reservations_stay_within_the_budget(data):
+    """However reservations interleave, what is granted fits the budget."""
+    count = data.draw(some.integers(8, 16))
+    orders = some.permutations(range(REPLICAS))
+    racers = [
+        Racer(f't{turn}', data.draw(orders)[:2], data.draw(orders)[:2])
+        for turn in range(count)
+    ]
+    replicas = [ProgramLedger() for _ in range(REPLICAS)]
+    steps = [racer for racer in racers for _ in range(STEPS)]
+    for chosen in data.draw(some.permutations(steps)):
+        chosen.step(replicas)
+    granted = sum(one.granted for one in racers)
+    assert granted * TOKENS <= BUDGET
