--- /dev/null
+++ b/src/jasminewheel/platform/history_parts.py
@@ -0,0 +1,74 @@
+"""Build the parts of a history from its settings."""
+
+from pathlib import Path
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.conversation.catch_up import CatchUp
+from jasminewheel._internal.conversation.journal import Journal
+from jasminewheel._internal.conversation.replica_set import Replica
+from jasminewheel._internal.conversation.service import ReplicaService
+from jasminewheel._internal.conversation.set_change import Candidate
+from jasminewheel._internal.conversation.set_keeper import (
+    DiskRegistration,
+    SetKeeper,
+    SetListener,
+)
+from jasminewheel._internal.conversation.state import ConversationState
+from jasminewheel._internal.history.folder import load_disk_id
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel.platform.retire import PlatformRetireBoard
+from jasminewheel.platform.roles import peer_server
+from jasminewheel.platform.settings import NodeSettings
+from jasminewheel.platform.store_client import PlatformStore
+
+
+@define(eq=False)
+class HistoryParts:
+    """Hold one disk and what is known of the others."""
+
+    settings: NodeSettings
+    folder: Path
+    state: ConversationState = field(factory=ConversationState)
+    listener: SetListener = field(factory=SetListener)
+    store: PlatformStore = field(init=False)
+    journal: Journal = field(init=False)
+    disk_id: str = field(init=False)
+    registration: DiskRegistration = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the folder and load what it holds."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.disk_id = load_disk_id(self.folder)
+        self.store = PlatformStore(self.settings.store_address)
+        self.journal = Journal(self.folder, self.state)
+        self.journal.load(trio.current_time())
+        self.registration = DiskRegistration(
+            self.store, Candidate(self.own_replica())
+        )
+
+    def own_replica(self) -> Replica:
+        """Return this disk as others reach it."""
+        node = self.settings
+        address = f'{node.ip}:{node.peer_port}'
+        return Replica(self.disk_id, node.vm, address, node.zone)
+
+    def server(self) -> PeerServer:
+        """Return the server that answers entries and other replicas."""
+        service = ReplicaService(self.disk_id, self.journal)
+        return peer_server(self.settings, service.handlers())
+
+    def keeper(self, pool: PeerPool, board: PlatformRetireBoard) -> SetKeeper:
+        """Return the task that keeps the replica set fit."""
+        return SetKeeper(
+            self.store,
+            self.listener,
+            self.registration,
+            CatchUp(self.disk_id, self.journal, pool),
+            board,
+            wanted_size=2 * self.settings.disks_lost + 1,
+            may_form=self.settings.first_start,
+            started_at=trio.current_time(),
+        )
--- /dev/null
+++ b/tests/functional/test_platform.py
@@ -0,0 +1,328 @@
+"""Check both roles against stand-ins of the platform."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from tests.platform_fleet import is_ready, platform_fleet, stored_json
+
+
+@pytest.fixture
+def play(tmp_path):
+    """Run a scenario with an entry, three histories and two of each runner."""
+
+    async def run(scenario) -> None:
+        async with platform_fleet(tmp_path) as fleet:
+            fleet.configure()
+            await fleet.add_runner('desk-1', 'desk')
+            await fleet.add_runner('desk-2', 'desk')
+            await fleet.add_runner('model-1', 'model')
+            await fleet.add_runner('model-2', 'model')
+            await fleet.start_histories()
+            entry = await fleet.start_entry()
+            await scenario(fleet, entry)
+
+    return lambda scenario: trio.run(partial(run, scenario))
+
+
+def _ran(fleet) -> int:
+    return sum(len(one.ran) for one in fleet.runners.values())
+
+
+async def _statuses(fleet, entry, count: int) -> list[int]:
+    found: list[int] = []
+    while len(found) < count:
+        answered = await fleet.ask(entry, '/look/a')
+        assert answered.status != 200 or answered.body == b'did /look/a'
+        found.append(answered.status)
+    return found
+
+
+def test_plain_call_is_passed_on_whole(play):
+    """Status, body, signature and identifier come back unchanged."""
+
+    async def scenario(fleet, entry) -> None:
+        answered = await fleet.ask(entry, '/look/a?b=c')
+        assert answered.status == 200
+        assert answered.body == b'did /look/a?b=c'
+        assert answered.headers['response-signature'] == '3e1b.07'
+        assert answered.headers['request-id'] == 'q1'
+        sent = [one for runner in fleet.runners.values() for one in runner.ran]
+        names = [name.lower() for name, _ in sent[0].headers]
+        assert names.count(b'deadline-ms') == 1
+        assert (await fleet.ask(entry, '/other/a')).status == 404
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('fault', ['drop', 'cut', 'fail', 'refuse', 'foreign'])
+def test_safe_call_survives_one_fault(play, fault):
+    """A call that may be repeated is tried at another runner."""
+
+    async def scenario(fleet, entry) -> None:
+        for runner in ('desk-1', 'desk-2'):
+            fleet.runners[runner].faults.append(fault)
+        fleet.runners['desk-2'].faults.clear()
+        assert await _statuses(fleet, entry, 6) == [200] * 6
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'status'), [('drop', 502), ('cut', 502), ('foreign', 200)]
+)
+def test_unsafe_call_is_never_sent_twice(play, fault, status):
+    """After a fault that may hide a run, nothing is promised."""
+
+    async def scenario(fleet, entry) -> None:
+        for runner in fleet.runners.values():
+            runner.faults.append(fault)
+        answered = await fleet.ask(entry, '/book/a', b'x')
+        assert _ran(fleet) == 1
+        assert answered.status == status
+
+    play(scenario)
+
+
+def test_refused_unsafe_call_goes_elsewhere(play):
+    """A runner's own word that it did not run a call lets it go on."""
+
+    async def scenario(fleet, entry) -> None:
+        fleet.runners['desk-1'].faults.append('refuse')
+        fleet.runners['desk-2'].faults.append('refuse')
+        answered = await fleet.ask(entry, '/book/a', b'x')
+        assert answered.status == 503
+        assert float(answered.headers['retry-after']) > 0
+        assert _ran(fleet) == 0
+        assert (await fleet.ask(entry, '/book/a', b'x')).status == 200
+
+    play(scenario)
+
+
+def test_failure_of_a_runner_is_handed_back(play):
+    """An unsafe call's own 500 comes back with its signature."""
+
+    async def scenario(fleet, entry) -> None:
+        for runner in fleet.runners.values():
+            runner.faults.append('fail')
+        answered = await fleet.ask(entry, '/book/a', b'x')
+        assert (answered.status, answered.body) == (500, b'broken')
+        assert answered.headers['response-signature'] == '3e1b.07'
+
+    play(scenario)
+
+
+def _turn(fleet, entry, text: bytes, **headers):
+    standard = {'Program_Id': 'p1', 'Token_Usage': '10,8', 'Session_Id': 's'}
+    return fleet.ask(entry, '/turns/a', text, **{**standard, **headers})
+
+
+def test_turn_gets_all_that_was_said(play):
+    """A runner receives inputs and outputs of the chain, then the input."""
+
+    async def scenario(fleet, entry) -> None:
+        first = await _turn(fleet, entry, b'one.')
+        assert first.whole
+        assert first.body.endswith(b'id: 2\ndata: w2\n\n')
+        second = await _turn(fleet, entry, b'two.', Previous_Turn='q1')
+        assert second.status == 200
+        bodies = [
+            one.body for runner in fleet.runners.values() for one in runner.ran
+        ]
+        assert sorted(bodies) == [b'one.', b'one.w0\nw1\nw2\ntwo.']
+        unknown = await _turn(fleet, entry, b'x', Previous_Turn='never')
+        assert unknown.status == 404
+
+    play(scenario)
+
+
+def test_chain_is_read_through_another_entry(play):
+    """What one entry kept, another continues."""
+
+    async def scenario(fleet, entry) -> None:
+        await _turn(fleet, entry, b'one.')
+        other = await fleet.start_entry('entry-2')
+        answered = await _turn(fleet, other, b'two.', Previous_Turn='q1')
+        assert answered.status == 200
+
+    play(scenario)
+
+
+def test_cut_stream_is_no_turn(play):
+    """A stream that broke off looks incomplete and cannot be continued."""
+
+    async def scenario(fleet, entry) -> None:
+        for runner in fleet.runners.values():
+            runner.faults.append('cut')
+        broken = await _turn(fleet, entry, b'one.')
+        assert not broken.whole
+        answered = await _turn(fleet, entry, b'two.', Previous_Turn='q1')
+        assert answered.status == 404
+
+    play(scenario)
+
+
+def test_budget_ends_a_program(play):
+    """Tokens are counted over turns; the spent one does not run."""
+
+    async def scenario(fleet, entry) -> None:
+        budget = {'Token_Budget': '19'}
+        assert (await _turn(fleet, entry, b'a', **budget)).status == 200
+        assert (await _turn(fleet, entry, b'b', **budget)).status == 200
+        before = _ran(fleet)
+        assert (await _turn(fleet, entry, b'c', **budget)).status == 402
+        assert _ran(fleet) == before
+
+    play(scenario)
+
+
+def test_turns_are_refused_without_a_majority(play):
+    """With two histories gone a turn is not run, and may come back."""
+
+    async def scenario(fleet, entry) -> None:
+        await _turn(fleet, entry, b'one.')
+        fleet.scopes['store-1'].cancel()
+        fleet.scopes['store-2'].cancel()
+        before = _ran(fleet)
+        refused = await _turn(fleet, entry, b'two.', Token_Budget='99')
+        assert refused.status == 503
+        assert _ran(fleet) == before
+
+    play(scenario)
+
+
+def test_client_that_leaves_stops_the_work(play):
+    """A runner is cut off when its client has closed."""
+
+    async def scenario(fleet, entry) -> None:
+        for runner in fleet.runners.values():
+            runner.faults.append('hang')
+        with trio.move_on_after(0.3):
+            await fleet.ask(entry, '/look/a')
+        with trio.fail_after(0.5):
+            while not any(one.abandoned for one in fleet.runners.values()):
+                await trio.sleep(0.02)
+
+    play(scenario)
+
+
+def test_route_timeout_ends_a_call(play):
+    """A call past its route's time gets its final answer then."""
+
+    async def scenario(fleet, entry) -> None:
+        fleet.configure(8, TimeoutMs=300)
+        await trio.sleep(0.5)
+        for runner in fleet.runners.values():
+            runner.faults.extend(['hang', 'hang'])
+        started_at = trio.current_time()
+        assert (await fleet.ask(entry, '/book/a', b'x')).status == 504
+        assert int(10 * (trio.current_time() - started_at)) in range(3, 8)
+
+    play(scenario)
+
+
+def test_configuration_never_goes_back(play):
+    """An older version does not replace a newer one."""
+
+    async def scenario(fleet, entry) -> None:
+        fleet.configure(9, Host='new.example')
+        await trio.sleep(0.5)
+        assert (await fleet.ask(entry, '/look/a')).status == 404
+        fleet.configure(8)
+        fleet.store.write('op/config', b'not json')
+        await trio.sleep(0.5)
+        assert (await fleet.ask(entry, '/look/a')).status == 404
+        asked = await fleet.ask(entry, '/look/a', Host='new.example')
+        assert asked.status == 200
+
+    play(scenario)
+
+
+def test_lost_history_of_the_store_is_read_anew(play):
+    """After the store forgot its changes, nothing is missed."""
+
+    async def scenario(fleet, entry) -> None:
+        await trio.sleep(0.3)
+        fleet.store.remove('servers/desk-1')
+        fleet.store.forget_history()
+        await trio.sleep(0.5)
+        assert await _statuses(fleet, entry, 6) == [200] * 6
+        assert not fleet.runners['desk-1'].ran
+
+    play(scenario)
+
+
+def test_runners_unlisted_by_an_outage_stay_a_moment(play):
+    """A list that emptied while the store was away is not believed yet."""
+
+    async def scenario(fleet, entry) -> None:
+        fleet.store.refuse_with = 503
+        fleet.store.changed.set()
+        fleet.store.write('wake', b'')
+        await trio.sleep(0.3)
+        for name in list(fleet.runners):
+            fleet.store.remove(f'servers/{name}')
+        fleet.store.refuse_with = 0
+        await trio.sleep(0.8)
+        assert (await fleet.ask(entry, '/look/a')).status == 200
+        await trio.sleep(4.5)
+        assert (await fleet.ask(entry, '/look/a')).status == 503
+
+    play(scenario)
+
+
+def test_foreign_entries_are_skipped(play):
+    """Entries that cannot be used name no runner; the others hold."""
+
+    async def scenario(fleet, entry) -> None:
+        fleet.store.write('servers/x', b'\xff\x00')
+        fleet.store.write_json('servers/y', {'Service': 'desk'})
+        fleet.store.write_json('servers/z', [1])
+        await trio.sleep(0.5)
+        assert (await fleet.ask(entry, '/look/a')).status == 200
+
+    play(scenario)
+
+
+def test_stop_finishes_what_is_under_way(play):
+    """After SIGTERM nothing is cut, and the entry is not ready."""
+
+    async def scenario(fleet, entry) -> None:
+        for runner in fleet.runners.values():
+            runner.slow_seconds = 0.5
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await _turn(fleet, entry, b'one.'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.2)
+            fleet.stops['entry-1'].set()
+            await trio.sleep(0.1)
+            assert not await is_ready(entry)
+            nursery.start_soon(ask)
+        assert [one.whole for one in answers] == [True, True]
+
+    play(scenario)
+
+
+def test_emptied_vm_leaves_the_replica_set(play):
+    """A VM that is to be emptied is reported done once others hold all."""
+
+    async def scenario(fleet, entry) -> None:
+        await _turn(fleet, entry, b'one.')
+        fleet.store.write_json('op/retire/store-1', {'DurationS': 10})
+        key = 'status/retire/store-1'
+        while (
+            key not in fleet.store.items
+            or stored_json(fleet, key)['State'] != 'completed'
+        ):
+            await trio.sleep(0.05)
+        fleet.scopes['store-1'].cancel()
+        other = await fleet.start_entry('entry-2')
+        answered = await _turn(fleet, other, b'two.', Previous_Turn='q1')
+        assert answered.status == 200
+
+    play(scenario)
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,263 @@
+"""Run both roles against stand-ins of the platform, inside a test."""
+
+import json
+from base64 import b64decode
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager, closing
+from pathlib import Path
+from types import MappingProxyType
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.web.client import (
+    OutgoingRequest,
+    open_connection,
+)
+from jasminewheel._internal.web.server import WebServer
+from jasminewheel.platform.entry import serve_entry
+from jasminewheel.platform.history import serve_history
+from jasminewheel.platform.roles import peer_pool
+from jasminewheel.platform.settings import NodeSettings
+from jasminewheel.errors import ConnectionLostError
+from tests.platform_runner import RunnerStandIn
+from tests.platform_store import PlatformStoreStandIn
+
+HOST = '127.0.0.1'
+CALLS_HOST = 'desk.example'
+GRACE_SECONDS = 5.0
+ROUTES = MappingProxyType(
+    {
+        'look': {'Prefix': '/look/', 'Kind': 'safe', 'Service': 'desk'},
+        'book': {'Prefix': '/book/', 'Kind': 'unsafe', 'Service': 'desk'},
+        'turns': {
+            'Prefix': '/turns/',
+            'Kind': 'streaming',
+            'Service': 'model',
+            'RetainHistory': True,
+            'RetentionS': 60,
+            'StickySessions': True,
+            'GapAimMs': 400,
+        },
+    }
+)
+
+
+@define
+class Answered:
+    """Hold what a client got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+@define(eq=False)
+class PlatformFleet:
+    """Hold the stand-ins, the roles' ports and their stops."""
+
+    folder: Path
+    nursery: trio.Nursery
+    store: PlatformStoreStandIn = field(factory=PlatformStoreStandIn)
+    store_address: str = ''
+    runners: dict[str, RunnerStandIn] = field(factory=dict)
+    stops: dict[str, trio.Event] = field(factory=dict)
+    scopes: dict[str, trio.CancelScope] = field(factory=dict)
+    sent: int = 0
+
+    async def serve(self, handler) -> str:
+        """Serve a stand-in and return its address."""
+        web = WebServer(handler, _ignore)
+        port = await self.nursery.start(web.serve, HOST, 0)
+        return f'{HOST}:{port}'
+
+    async def add_runner(self, runner_id: str, target: str) -> RunnerStandIn:
+        """Start a runner and list it."""
+        runner = RunnerStandIn(runner_id)
+        address = await self.serve(runner.handle)
+        self.runners[runner_id] = runner
+        self.store.write_json(
+            f'servers/{runner_id}',
+            {
+                'Service': target,
+                'Address': address,
+                'Zone': 'east-a',
+                'Version': 'v1',
+                'Slots': 6,
+                'State': 'ready',
+                'ColdLeftMs': 0,
+                'Seq': 1,
+                'born': 1,
+            },
+        )
+        return runner
+
+    def configure(self, version: int = 7, **changes) -> None:
+        """Write the configuration; changes go to every route."""
+        standard = {
+            'Host': CALLS_HOST,
+            'TimeoutMs': 4000,
+            'TargetLatencyMs': 300,
+            'MaxAttempts': 2,
+            'Priority': 1,
+        }
+        routes = [
+            {**standard, 'Name': name, **fields, **changes}
+            for name, fields in ROUTES.items()
+        ]
+        targets = [
+            {'Name': 'model', 'Engine': {'Slots': 6, 'StreamStride': 2}},
+            {'Name': 'desk', 'MaxConnections': 100},
+        ]
+        limits = {
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 65536,
+            'HeaderTimeoutMs': 1000,
+            'IdleTimeoutMs': 5000,
+        }
+        self.store.write_json(
+            'op/config',
+            {
+                'Version': version,
+                'Routes': routes,
+                'Services': targets,
+                'Limits': limits,
+            },
+        )
+
+    def settings(self, vm: str, zone: str) -> NodeSettings:
+        """Return the settings of a process with free ports."""
+        return NodeSettings(
+            vm=vm,
+            ip=HOST,
+            zone=zone,
+            region='east',
+            zone_regions={'east-a': 'east', 'east-b': 'east', 'west-a': 'west'},
+            callers_address=f'{HOST}:{free_port()}',
+            readiness_address=f'{HOST}:{free_port()}',
+            peer_port=free_port(),
+            metrics_port=free_port(),
+            data_folder=self.folder / vm,
+            first_start=True,
+            grace_seconds=GRACE_SECONDS,
+            disks_lost=1,
+            zones_lost=0,
+            store_address=self.store_address,
+        )
+
+    async def start(self, serve, vm: str, zone: str) -> NodeSettings:
+        """Start a role."""
+        settings = self.settings(vm, zone)
+        self.stops[vm] = trio.Event()
+        self.scopes[vm] = trio.CancelScope()
+        self.nursery.start_soon(self.run, serve, settings)
+        return settings
+
+    async def run(self, serve, settings: NodeSettings) -> None:
+        """Run a role until its scope is cancelled."""
+        with self.scopes[settings.vm]:
+            async with peer_pool(settings) as pool:
+                await self.serve_role(serve, settings, pool)
+
+    async def serve_role(
+        self, serve, settings: NodeSettings, pool: PeerPool
+    ) -> None:
+        """Serve until stopped."""
+        await serve(settings, pool, self.stops[settings.vm])
+
+    async def start_histories(self) -> None:
+        """Start three histories and wait until their set stands."""
+        await self.start(serve_history, 'store-1', 'east-a')
+        await self.start(serve_history, 'store-2', 'east-b')
+        await self.start(serve_history, 'store-3', 'west-a')
+        while 'jasminewheel/replicas' not in self.store.items:
+            await trio.sleep(0.02)
+
+    async def start_entry(self, vm: str = 'entry-1') -> NodeSettings:
+        """Start an entry and wait until it is ready."""
+        settings = await self.start(serve_entry, vm, 'east-a')
+        while not await is_ready(settings):
+            await trio.sleep(0.02)
+        return settings
+
+    async def ask(
+        self,
+        entry: NodeSettings,
+        path: str,
+        body: bytes = b'',
+        **headers: str,
+    ) -> Answered:
+        """Send one request on a connection of its own."""
+        self.sent += 1
+        fields = {
+            'Host': CALLS_HOST,
+            'Request-Id': f'q{self.sent}',
+            'Deadline-Ms': '3000',
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        method = b'POST' if body else b'GET'
+        pairs = [(name.encode(), fields[name].encode()) for name in fields]
+        request = OutgoingRequest(method, path.encode(), pairs, body)
+        connection = await open_connection(entry.callers_address, 1)
+        with closing(connection):
+            return await _answered(connection, request)
+
+
+async def _answered(connection, request: OutgoingRequest) -> Answered:
+    await connection.send(request)
+    response = await connection.response(bool)
+    received: list[bytes] = []
+    whole = True
+    try:
+        async for part in connection.parts(response):
+            received.append(part)
+    except ConnectionLostError:
+        whole = False
+    headers = {
+        name.decode().lower(): text.decode() for name, text in response.headers
+    }
+    return Answered(response.status, headers, b''.join(received), whole)
+
+
+async def is_ready(settings: NodeSettings) -> bool:
+    """Tell whether an entry says that it is ready."""
+    try:
+        connection = await open_connection(settings.readiness_address, 1)
+    except ConnectionLostError:
+        return False
+    host = [(b'Host', b'h')]
+    asked = await _answered(
+        connection, OutgoingRequest(b'GET', b'/ready', host)
+    )
+    connection.close()
+    return asked.status == 200
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with trio.socket.socket() as probe:
+        probe._sock.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def _ignore(_fault) -> None:
+    """Expect faults of clients."""
+
+
+@asynccontextmanager
+async def platform_fleet(folder: Path) -> AsyncIterator[PlatformFleet]:
+    """Give stand-ins; all that was started ends with the block."""
+    async with AsyncExitStack() as stack:
+        stack.enter_context(trio.fail_after(40))
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        fleet = PlatformFleet(folder, nursery)
+        fleet.store_address = await fleet.serve(fleet.store.handle)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def stored_json(fleet: PlatformFleet, key: str) -> dict:
+    """Return a stored value."""
+    return json.loads(b64decode(fleet.store.items[key]['Value']))
