--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -64,7 +64,14 @@
         for runner in ('desk-1', 'desk-2'):
             fleet.runners[runner].faults.append(fault)
         fleet.runners['desk-2'].faults.clear()
-        assert await _statuses(fleet, entry, 6) == [200] * 6
+        assert await _statuses(fleet, entry, 6) == [
+            200,
+            200,
+            200,
+            200,
+            200,
+            200,
+        ]
 
     play(scenario)
 
@@ -247,7 +254,14 @@
         fleet.store.remove('servers/desk-1')
         fleet.store.forget_history()
         await trio.sleep(0.5)
-        assert await _statuses(fleet, entry, 6) == [200] * 6
+        assert await _statuses(fleet, entry, 6) == [
+            200,
+            200,
+            200,
+            200,
+            200,
+            200,
+        ]
         assert not fleet.runners['desk-1'].ran
 
     play(scenario)
