Start without the store, and send clients elsewhere without a majority

Ruled out: runners (served all that reached them) and budgets (402s are of programs that loop). Change: after a missed majority an entry refuses at once, is not ready after 0.6 s, and asks until a majority answers; histories keep a copy of the store's keys on their disk and tell entries that start while the store is away. Tests: two scenarios that failed before (no readiness change, no start).

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -83,3 +83,17 @@
   3: list<TurnRecord> turns,
   4: list<TokenReservation> reservations,
 }
+
+// What a process that cannot reach the store asks of one that could before.
+struct ReadKnownItems {
+}
+
+struct KnownItem {
+  1: string key,
+  2: binary value,
+  3: i64 revision,
+}
+
+struct KnownItems {
+  1: list<KnownItem> items,
+}
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -20,7 +20,7 @@
 # The other replicas are asked when the near ones take longer.
 HEDGE_SECONDS = 0.15
 # One replica's answer is not waited for any longer.
-ANSWER_SECONDS = 1.5
+ANSWER_SECONDS = 1.0
 # A replica that failed is asked last for this long.
 SUSPECT_SECONDS = 2.0
 # How long to wait for a newer replica set after being refused.
@@ -158,22 +158,34 @@
     sufficiency: Sufficiency = WriteQuorum()
 
 
-@frozen
+@define(eq=False)
 class QuorumClient:
-    """Ask the replicas of the newest set."""
+    """Ask the replicas of the newest set.
+
+    After too few answered, questions fail at once until one that keeps the
+    replicas in view gets through.
+    """
 
     pool: PeerPool
     sets: SetHolder
     distance: Distance
     suspects: dict[str, float] = field(factory=dict)
+    missed_since: float | None = None
 
     async def ask(self, question: Question) -> list[Any]:
         """Return sufficient answers; raise QuorumError if too few come."""
+        if self.missed_since is not None:
+            raise QuorumError('too few replicas answered a moment ago')
+        return await self.ask_now(question)
+
+    async def ask_now(self, question: Question) -> list[Any]:
+        """Ask even if too few replicas answered a moment ago."""
         while True:
             used = self.sets.current
             collection = ReplyCollection(used, question.sufficiency)
             await self.collect(question, collection)
             if collection.sufficient():
+                self.missed_since = None
                 return list(collection.replies.values())
             if collection.newest_revision > used.revision:
                 await self.sets.wait_newer(used.revision)
@@ -224,6 +236,9 @@
     def missed(self, collection: ReplyCollection) -> QuorumError:
         """Return the error for too few answers."""
         used = collection.used
+        outdated = collection.newest_revision > used.revision
+        if self.missed_since is None and not outdated:
+            self.missed_since = trio.current_time()
         answered = len(collection.replies)
         events.QUORUM_MISSED.log(
             _LOGGER,
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/quorum_watch.py
@@ -0,0 +1,42 @@
+"""Notice when a majority of replicas answers again."""
+
+import trio
+from attrs import frozen
+
+from jasminewheel._internal.conversation.quorum import Question, QuorumClient
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import QuorumError
+
+CHECK_SECONDS = 0.2
+# A majority that is missed for less is no reason to send clients elsewhere.
+UNREADY_SECONDS = 0.6
+
+
+@frozen
+class QuorumWatch:
+    """Ask the replicas while too few of them answer."""
+
+    quorum: QuorumClient
+
+    async def run(self) -> None:
+        """Look at each interval until cancelled."""
+        while True:
+            await trio.sleep(CHECK_SECONDS)
+            if self.quorum.missed_since is not None:
+                await self.probe()
+
+    async def probe(self) -> None:
+        """Ask a question that changes nothing."""
+        question = Question(
+            lambda scope: wire.ReadProgramTokens(scope=scope, program_id=''),
+            wire.ProgramTokens,
+        )
+        try:
+            await self.quorum.ask_now(question)
+        except QuorumError:
+            await trio.sleep(0)
+
+    def reachable(self, now: float) -> bool:
+        """Tell whether turns can be served, apart from short misses."""
+        missed_since = self.quorum.missed_since
+        return missed_since is None or now - missed_since < UNREADY_SECONDS
--- a/src/jasminewheel/_internal/events/store.py
+++ b/src/jasminewheel/_internal/events/store.py
@@ -21,3 +21,20 @@
     'lease of this disk not renewed',
     'see whether the store runs and this VM reaches it',
 )
+KNOWN_TAKEN = Event(
+    1855,
+    logging.INFO,
+    'the store cannot be read; another process told its keys',
+)
+KNOWN_UNREADABLE = Event(
+    1856,
+    logging.WARNING,
+    'the copy of the store on this disk cannot be read and is not used',
+    'nothing; it is written anew when the store answers',
+)
+KNOWN_UNWRITTEN = Event(
+    1857,
+    logging.WARNING,
+    'the copy of the store could not be written to this disk',
+    'see whether the disk has room',
+)
--- /dev/null
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -0,0 +1,143 @@
+"""Keep and hand on the store's items for those who cannot read it."""
+
+import json
+import logging
+import os
+from base64 import b64decode, b64encode
+from collections.abc import Iterable, Mapping
+from itertools import cycle
+from pathlib import Path
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel._internal.events import store as events
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import Exchange
+from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.store.port import StoreItem
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import JasminewheelError
+
+# Changes that come close together are written once.
+WRITE_SECONDS = 0.5
+ASK_SECONDS = 1.0
+RETRY_SECONDS = 0.3
+_LOGGER = logging.getLogger(__name__)
+
+
+@define(eq=False)
+class KnownItemsFile:
+    """Write the newest items to a file, and read them after a restart."""
+
+    path: Path
+    items: Mapping[str, StoreItem] = field(factory=dict)
+    changed: trio.Event = field(factory=trio.Event)
+
+    def load(self) -> list[StoreItem]:
+        """Return the stored items; none if there is no readable file."""
+        try:
+            rows = json.loads(self.path.read_text(encoding='ascii'))
+            return [
+                StoreItem(key, b64decode(text), revision)
+                for key, text, revision in rows
+            ]
+        except FileNotFoundError:
+            return []
+        except (OSError, ValueError, TypeError) as error:
+            events.KNOWN_UNREADABLE.log(_LOGGER, problem=repr(error))
+            return []
+
+    def items_changed(
+        self, items: Mapping[str, StoreItem], keys: frozenset[str]
+    ) -> None:
+        """Write the items soon."""
+        self.items = items
+        self.changed.set()
+
+    def store_lost(self) -> None:
+        """Keep what is known."""
+
+    def store_back(self) -> None:
+        """Keep what is known."""
+
+    async def run(self) -> None:
+        """Write after changes until cancelled."""
+        while True:
+            await self.changed.wait()
+            await trio.sleep(WRITE_SECONDS)
+            self.changed = trio.Event()
+            text = _to_text(self.items.values())
+            try:
+                await trio.to_thread.run_sync(self.write, text)
+            except OSError as error:
+                events.KNOWN_UNWRITTEN.log(_LOGGER, problem=repr(error))
+
+    def write(self, text: str) -> None:
+        """Replace the file by a synced one."""
+        draft = self.path.with_suffix('.new')
+        with draft.open('w', encoding='ascii') as written:
+            written.write(text)
+            written.flush()
+            os.fsync(written.fileno())
+        draft.replace(self.path)
+
+
+@frozen
+class KnownItemsService:
+    """Hand on the items of a mirror."""
+
+    mirror: StoreMirror
+
+    async def read(
+        self, exchange: Exchange, request: wire.ReadKnownItems
+    ) -> wire.KnownItems:
+        """Return all known items."""
+        found = [
+            wire.KnownItem(key=one.key, value=one.value, revision=one.revision)
+            for one in self.mirror.items.values()
+        ]
+        return wire.KnownItems(items=found)
+
+
+@frozen
+class KnownItemsAsker:
+    """Ask other processes while the store cannot be read after a start."""
+
+    mirror: StoreMirror
+    pool: PeerPool
+    addresses: tuple[str, ...]
+
+    async def run(self) -> None:
+        """Ask one after the other until the store or one of them told."""
+        addresses = cycle(self.addresses)
+        while self.addresses and not self.mirror.loaded.is_set():
+            await trio.sleep(RETRY_SECONDS)
+            if not self.mirror.available and not self.mirror.items:
+                await self.ask(next(addresses))
+
+    async def ask(self, address: str) -> None:
+        """Take what one process knows."""
+        try:
+            told = await self.pool.ask(
+                address,
+                wire.ReadKnownItems(),
+                wire.KnownItems,
+                timeout_seconds=ASK_SECONDS,
+            )
+        except JasminewheelError as error:
+            _LOGGER.info('%s tells nothing of the store: %s', address, error)
+            return
+        events.KNOWN_TAKEN.log(_LOGGER, address=address, items=len(told.items))
+        self.mirror.take_known(
+            StoreItem(one.key, one.value, one.revision) for one in told.items
+        )
+
+
+def _to_text(items: Iterable[StoreItem]) -> str:
+    return json.dumps(
+        [
+            (one.key, b64encode(one.value).decode(), one.revision)
+            for one in items
+        ]
+    )
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -74,6 +74,11 @@
         self.take_snapshot(snapshot.items, snapshot.revision)
         self.loaded.set()
 
+    def take_known(self, found: Iterable[StoreItem]) -> None:
+        """Use what another process knew, until the store can be read."""
+        if not self.loaded.is_set():
+            self.take_snapshot(found, 0)
+
     def take_snapshot(self, found: Iterable[StoreItem], revision: int) -> None:
         """Replace all items."""
         items = {one.key: one for one in found}
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1283,6 +1283,225 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ReadKnownItems(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReadKnownItems')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownItem(object):
+    """
+    Attributes:
+     - key
+     - value
+     - revision
+
+    """
+
+    __slots__ = (
+        'key',
+        'value',
+        'revision',
+    )
+
+
+    def __init__(self, key=None, value=None, revision=None,):
+        self.key = key
+        self.value = value
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownItem')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownItems(object):
+    """
+    Attributes:
+     - items
+
+    """
+
+    __slots__ = (
+        'items',
+    )
+
+
+    def __init__(self, items=None,):
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = KnownItem()
+                        _elem47.read(iprot)
+                        self.items.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownItems')
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter48 in self.items:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(TurnRecord)
 TurnRecord.thrift_spec = (
     None,  # 0
@@ -1375,5 +1594,20 @@
     (3, TType.LIST, 'turns', (TType.STRUCT, [TurnRecord, None], False), None, ),  # 3
     (4, TType.LIST, 'reservations', (TType.STRUCT, [TokenReservation, None], False), None, ),  # 4
 )
+all_structs.append(ReadKnownItems)
+ReadKnownItems.thrift_spec = (
+)
+all_structs.append(KnownItem)
+KnownItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+)
+all_structs.append(KnownItems)
+KnownItems.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'items', (TType.STRUCT, [KnownItem, None], False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -4,9 +4,11 @@
 
 import trio
 
+from jasminewheel._internal.conversation.quorum_watch import QuorumWatch
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.known_items import KnownItemsAsker
 from jasminewheel._internal.web.server import WebServer
 from jasminewheel.errors import RequestError
 from jasminewheel.platform.entry_parts import EntryParts
@@ -28,15 +30,15 @@
     settings: NodeSettings, pool: PeerPool, stop: trio.Event
 ) -> None:
     """Serve clients until stop, then finish what is under way."""
-    parts = EntryParts(settings)
+    parts = EntryParts(settings, pool)
     async with trio.open_nursery() as nursery:
-        ingress = Ingress(parts.gateway(pool, nursery))
+        ingress = Ingress(parts.gateway(nursery))
         web = WebServer(ingress.handle, note_fault)
-        readiness = Readiness(parts.routes)
+        replicas = QuorumWatch(parts.quorum)
+        readiness = Readiness(parts.routes, replicas)
         questions = WebServer(readiness.answer, note_fault)
-        nursery.start_soon(parts.mirror(web).run)
-        close_stale = parts.connections.close_stale
-        nursery.start_soon(background(close_stale, STALE_CHECK_SECONDS))
+        start_followers(nursery, parts, web)
+        nursery.start_soon(replicas.run)
         await nursery.start(web.serve, *split_address(settings.callers_address))
         balancer = split_address(settings.readiness_address)
         await nursery.start(questions.serve, *balancer)
@@ -47,6 +49,18 @@
         nursery.cancel_scope.cancel()
 
 
+def start_followers(
+    nursery: trio.Nursery, parts: EntryParts, web: WebServer
+) -> None:
+    """Follow the store, or ask other processes if it cannot be read."""
+    mirror = parts.mirror(web)
+    asker = KnownItemsAsker(mirror, parts.pool, parts.settings.seeds)
+    nursery.start_soon(mirror.run)
+    nursery.start_soon(asker.run)
+    close_stale = parts.connections.close_stale
+    nursery.start_soon(background(close_stale, STALE_CHECK_SECONDS))
+
+
 async def finish(web: WebServer, grace_seconds: float) -> None:
     """Answer what is under way; take new requests until clients look away."""
     started_at = trio.current_time()
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -28,21 +28,29 @@
     """Hold what an entry knows; none of it has to last."""
 
     settings: NodeSettings
+    pool: PeerPool
     routes: RoutesHolder = field(factory=RoutesHolder)
     directory: RunnerDirectory = field(factory=RunnerDirectory)
     sets: SetHolder = field(factory=SetHolder)
     connections: ConnectionPool = field(factory=ConnectionPool)
 
-    def gateway(self, pool: PeerPool, nursery: trio.Nursery) -> Gateway:
+    distance: ZoneDistance = field(init=False)
+    quorum: QuorumClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Know the zones, and the replicas once they are listed."""
+        self.distance = ZoneDistance(
+            self.settings.zone, self.settings.zone_regions
+        )
+        self.quorum = QuorumClient(self.pool, self.sets, self.distance)
+
+    def gateway(self, nursery: trio.Nursery) -> Gateway:
         """Return the gateway that answers calls."""
-        distance = ZoneDistance(self.settings.zone, self.settings.zone_regions)
         attempts = Attempts(
-            RunnerChoice(self.directory, distance),
+            RunnerChoice(self.directory, self.distance),
             PlatformRunners(self.connections),
         )
-        conversations = ConversationClient(
-            QuorumClient(pool, self.sets, distance), nursery
-        )
+        conversations = ConversationClient(self.quorum, nursery)
         return Gateway(
             self.routes,
             PlainFlow(attempts),
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -6,13 +6,15 @@
 
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.known_items import KnownItemsFile
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel.errors import SettingsError
 from jasminewheel.platform.history_parts import HistoryParts
 from jasminewheel.platform.retire import PlatformRetireBoard
-from jasminewheel.platform.roles import background
+from jasminewheel.platform.roles import background, split_address
 from jasminewheel.platform.settings import NodeSettings
 
+KNOWN_ITEMS_NAME = 'store-items.json'
 EXPIRY_SECONDS = 5.0
 LEAVE_SECONDS = 0.5
 _LOGGER = logging.getLogger(__name__)
@@ -28,12 +30,13 @@
         )
     parts = HistoryParts(settings, settings.data_folder)
     board = PlatformRetireBoard(parts.store)
-    mirror = StoreMirror(parts.store, [parts.listener, board])
+    known = KnownItemsFile(parts.folder / KNOWN_ITEMS_NAME)
+    mirror = StoreMirror(parts.store, [parts.listener, board, known])
+    mirror.take_known(known.load())
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(parts.journal.run)
-        server = parts.server()
-        await nursery.start(server.serve, settings.ip, settings.peer_port)
+        await start_server(nursery, parts, mirror)
         nursery.start_soon(mirror.run)
+        nursery.start_soon(known.run)
         nursery.start_soon(parts.registration.run)
         nursery.start_soon(parts.keeper(pool, board).run)
         forget = parts.state.forget_expired
@@ -43,3 +46,16 @@
         with trio.move_on_after(LEAVE_SECONDS):
             await parts.registration.leave()
         nursery.cancel_scope.cancel()
+
+
+async def start_server(
+    nursery: trio.Nursery, parts: HistoryParts, mirror: StoreMirror
+) -> None:
+    """Listen for peers, also where those without the store ask first."""
+    nursery.start_soon(parts.journal.run)
+    server = parts.server(mirror)
+    settings = parts.settings
+    await nursery.start(server.serve, settings.ip, settings.peer_port)
+    if settings.peers_address:
+        told = split_address(settings.peers_address)
+        await nursery.start(server.serve, *told)
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -19,6 +19,9 @@
 from jasminewheel._internal.history.folder import load_disk_id
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.store.known_items import KnownItemsService
+from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.wire.gen.conversation.ttypes import ReadKnownItems
 from jasminewheel.platform.retire import PlatformRetireBoard
 from jasminewheel.platform.roles import peer_server
 from jasminewheel.platform.settings import NodeSettings
@@ -55,10 +58,14 @@
         address = f'{node.ip}:{node.peer_port}'
         return Replica(self.disk_id, node.vm, address, node.zone)
 
-    def server(self) -> PeerServer:
+    def server(self, mirror: StoreMirror) -> PeerServer:
         """Return the server that answers entries and other replicas."""
         service = ReplicaService(self.disk_id, self.journal)
-        return peer_server(self.settings, service.handlers())
+        known = KnownItemsService(mirror)
+        return peer_server(
+            self.settings,
+            {**service.handlers(), ReadKnownItems: known.read},
+        )
 
     def keeper(self, pool: PeerPool, board: PlatformRetireBoard) -> SetKeeper:
         """Return the task that keeps the replica set fit."""
--- a/src/jasminewheel/platform/readiness.py
+++ b/src/jasminewheel/platform/readiness.py
@@ -1,7 +1,9 @@
 """Answer the balancer, which asks once a second whether to send clients."""
 
+import trio
 from attrs import define
 
+from jasminewheel._internal.conversation.quorum_watch import QuorumWatch
 from jasminewheel._internal.gateway.gateway import RoutesHolder
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.request_parser import HttpRequest
@@ -15,12 +17,15 @@
     """Say whether this entry wants new connections."""
 
     routes: RoutesHolder
+    replicas: QuorumWatch
     stopping: bool = False
 
     @property
     def ready(self) -> bool:
-        """Tell whether a configuration is in force and no stop is asked."""
-        return bool(self.routes.current.version) and not self.stopping
+        """Tell whether turns can be served and no stop is asked."""
+        if self.stopping or not self.routes.current.version:
+            return False
+        return self.replicas.reachable(trio.current_time())
 
     async def answer(self, request: HttpRequest, answer: AnswerWriter) -> None:
         """Answer the balancer's question."""
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -25,6 +25,8 @@
     zone_regions: Mapping[str, str]
     callers_address: str
     readiness_address: str
+    peers_address: str
+    seeds: tuple[str, ...]
     peer_port: int
     metrics_port: int
     data_folder: Path | None
@@ -81,6 +83,8 @@
         zone_regions=fields.take('Zones', dict, default={}),
         callers_address=fields.take(f'Listen.{_ENTRY_ROLE}', str, default=''),
         readiness_address=fields.take('Listen.Ready', str, default=''),
+        peers_address=fields.take('Listen.Control', str, default=''),
+        seeds=fields.take('Seeds', tuple, default=()),
         peer_port=ports[0],
         metrics_port=ports[1],
         data_folder=Path(folder) if folder else None,
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -340,3 +340,33 @@
         assert answered.status == 200
 
     play(scenario)
+
+
+def test_entry_starts_while_the_store_is_away(play):
+    """A process that cannot read the store asks another what it knows."""
+
+    async def scenario(fleet, entry) -> None:
+        await _turn(fleet, entry, b'one.')
+        fleet.store.refuse_with = 503
+        other = await fleet.start_entry('entry-2')
+        answered = await _turn(fleet, other, b'two.', Previous_Turn='q1')
+        assert answered.status == 200
+
+    play(scenario)
+
+
+def test_entry_without_a_majority_sends_clients_elsewhere(play):
+    """Without enough histories an entry is not ready, until they are back."""
+
+    async def scenario(fleet, entry) -> None:
+        fleet.scopes['store-1'].cancel()
+        fleet.scopes['store-2'].cancel()
+        await _turn(fleet, entry, b'one.', Token_Budget='99')
+        await trio.sleep(0.8)
+        assert not await is_ready(entry)
+        started_at = trio.current_time()
+        refused = await _turn(fleet, entry, b'two.', Token_Budget='99')
+        assert refused.status == 503
+        assert trio.current_time() - started_at < 1
+
+    play(scenario)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -66,6 +66,7 @@
     stops: dict[str, trio.Event] = field(factory=dict)
     scopes: dict[str, trio.CancelScope] = field(factory=dict)
     sent: int = 0
+    seeds: list[str] = field(factory=list)
 
     async def serve(self, handler) -> str:
         """Serve a stand-in and return its address."""
@@ -137,6 +138,8 @@
             zone_regions={'east-a': 'east', 'east-b': 'east', 'west-a': 'west'},
             callers_address=f'{HOST}:{free_port()}',
             readiness_address=f'{HOST}:{free_port()}',
+            peers_address=self.peers_address(vm),
+            seeds=tuple(self.seeds),
             peer_port=free_port(),
             metrics_port=free_port(),
             data_folder=self.folder / vm,
@@ -147,6 +150,13 @@
             store_address=self.store_address,
         )
 
+    def peers_address(self, vm: str) -> str:
+        """Return where a history tells others of the store."""
+        if not vm.startswith('store-'):
+            return ''
+        self.seeds.append(f'{HOST}:{free_port()}')
+        return self.seeds[-1]
+
     async def start(self, serve, vm: str, zone: str) -> NodeSettings:
         """Start a role."""
         settings = self.settings(vm, zone)
