--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -10,9 +10,9 @@
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.known_items import KnownItemsAsker
 from jasminewheel._internal.web.server import WebServer
-from jasminewheel.errors import RequestError
 from jasminewheel.platform.entry_parts import EntryParts
 from jasminewheel.platform.ingress import Ingress
+from jasminewheel.platform.metrics import note_fault, start_metrics
 from jasminewheel.platform.readiness import Readiness
 from jasminewheel.platform.roles import background, split_address
 from jasminewheel.platform.settings import NodeSettings
@@ -42,6 +42,7 @@
         await nursery.start(web.serve, *split_address(settings.callers_address))
         balancer = split_address(settings.readiness_address)
         await nursery.start(questions.serve, *balancer)
+        await start_metrics(nursery, settings, parts.gauges)
         frame.STARTED.log(_LOGGER, vm=settings.vm, zone=settings.zone)
         await stop.wait()
         readiness.stopping = True
@@ -71,8 +72,3 @@
         while web.connections:
             web.close_idle()
             await trio.sleep(CHECK_SECONDS)
-
-
-def note_fault(fault: RequestError) -> None:
-    """Log bytes that were refused."""
-    events.FAULTY_REQUEST.log(_LOGGER, code=fault.code, problem=fault.message)
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -64,3 +64,17 @@
             PlatformStore(self.settings.store_address),
             [SetListener(self.sets), listener],
         )
+
+    def gauges(self) -> dict[str, float]:
+        """Return what the metrics show of this entry now."""
+        now = trio.current_time()
+        usable = sum(view.usable(now) for view in self.directory.views.values())
+        return {
+            'configuration_version': self.routes.current.version,
+            'replica_set_revision': self.sets.current.revision,
+            'majority_missed': float(self.quorum.missed_since is not None),
+            'store_away': float(self.directory.store_away),
+            'runners_listed': len(self.directory.views),
+            'runners_usable': usable,
+            'connections_opened': self.connections.opened,
+        }
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -10,6 +10,7 @@
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel.errors import SettingsError
 from jasminewheel.platform.history_parts import HistoryParts
+from jasminewheel.platform.metrics import start_metrics
 from jasminewheel.platform.retire import PlatformRetireBoard
 from jasminewheel.platform.roles import background, split_address
 from jasminewheel.platform.settings import NodeSettings
@@ -55,6 +56,7 @@
     nursery.start_soon(parts.journal.run)
     server = parts.server(mirror)
     settings = parts.settings
+    await start_metrics(nursery, settings, parts.gauges)
     await nursery.start(server.serve, settings.ip, settings.peer_port)
     if settings.peers_address:
         told = split_address(settings.peers_address)
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -79,3 +79,13 @@
             may_form=self.settings.first_start,
             started_at=trio.current_time(),
         )
+
+    def gauges(self) -> dict[str, float]:
+        """Return what the metrics show of this disk now."""
+        log_file = self.journal.log_file
+        return {
+            'replica_set_revision': self.listener.holder.current.revision,
+            'turns_kept': len(self.state.turns),
+            'programs_kept': len(self.state.programs),
+            'log_bytes': log_file.size if log_file else 0,
+        }
--- /dev/null
+++ b/src/jasminewheel/platform/metrics.py
@@ -0,0 +1,29 @@
+"""Expose the metrics of a role where the deploy file says."""
+
+import logging
+
+import trio
+
+from jasminewheel._internal.events import gateway as events
+from jasminewheel._internal.observability.exposition import (
+    Gauges,
+    metrics_page,
+)
+from jasminewheel._internal.web.server import WebServer
+from jasminewheel.errors import RequestError
+from jasminewheel.platform.settings import NodeSettings
+
+_LOGGER = logging.getLogger(__name__)
+
+
+async def start_metrics(
+    nursery: trio.Nursery, settings: NodeSettings, gauges: Gauges
+) -> None:
+    """Expose the metrics of this process."""
+    web = WebServer(metrics_page(gauges).answer, note_fault)
+    await nursery.start(web.serve, settings.ip, settings.metrics_port)
+
+
+def note_fault(fault: RequestError) -> None:
+    """Log bytes that were refused."""
+    events.FAULTY_REQUEST.log(_LOGGER, code=fault.code, problem=fault.message)
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -10,6 +10,8 @@
 from jasminewheel.errors import SettingsError
 
 FILE_VARIABLE = 'JASMINEWHEEL_NODE_FILE'
+# The deploy file names the same port for each role.
+METRICS_PORT = 9464
 _ENTRY_ROLE = 'Front'
 FieldT = TypeVar('FieldT')
 
@@ -73,7 +75,6 @@
         raise SettingsError(
             f'{path}: {error}', remedy='see the platform page on settings'
         ) from error
-    ports = fields.take('PortRange', _ports)
     folder = fields.take('DataDir', str, default='')
     return NodeSettings(
         vm=fields.take('NodeName', str),
@@ -85,8 +86,8 @@
         readiness_address=fields.take('Listen.Ready', str, default=''),
         peers_address=fields.take('Listen.Control', str, default=''),
         seeds=fields.take('Seeds', tuple, default=()),
-        peer_port=ports[0],
-        metrics_port=ports[1],
+        peer_port=fields.take('PortRange', _first_port),
+        metrics_port=METRICS_PORT,
         data_folder=Path(folder) if folder else None,
         first_start=fields.take('Bootstrap', bool, default=False),
         grace_seconds=fields.take('Bounds.GraceS', float, default=8),
@@ -96,8 +97,5 @@
     )
 
 
-def _ports(found: Any) -> tuple[int, int]:
-    first, last = found
-    if last < first + 1:
-        raise ValueError('two ports are needed')
-    return int(first), int(first) + 1
+def _first_port(found: Any) -> int:
+    return int(found[0])
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -1,5 +1,6 @@
 """Check both roles against stand-ins of the platform."""
 
+import logging
 from functools import partial
 
 import pytest
@@ -370,3 +371,18 @@
         assert trio.current_time() - started_at < 1
 
     play(scenario)
+
+
+def test_metrics_show_what_happened(play, caplog):
+    """Refusals are counted by reason, answers are timed, beliefs shown."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(fleet, entry) -> None:
+        await fleet.ask(entry, '/look/a')
+        await fleet.ask(entry, '/other/a')
+        page = (await fleet.scrape(entry)).body.decode()
+        assert 'jasminewheel_events_total{event="1870",outcome="look"}' in page
+        assert 'jasminewheel_configuration_version 7.0' in page
+        assert 'jasminewheel_event_seconds_bucket' in page
+
+    play(scenario)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -210,9 +210,18 @@
         method = b'POST' if body else b'GET'
         pairs = [(name.encode(), fields[name].encode()) for name in fields]
         request = OutgoingRequest(method, path.encode(), pairs, body)
-        connection = await open_connection(entry.callers_address, 1)
-        with closing(connection):
-            return await _answered(connection, request)
+        return await _ask_once(entry.callers_address, request)
+
+    async def scrape(self, role: NodeSettings) -> Answered:
+        """Return a role's metrics."""
+        request = OutgoingRequest(b'GET', b'/metrics', [(b'Host', b'h')])
+        return await _ask_once(f'{role.ip}:{role.metrics_port}', request)
+
+
+async def _ask_once(address: str, request: OutgoingRequest) -> Answered:
+    connection = await open_connection(address, 1)
+    with closing(connection):
+        return await _answered(connection, request)
 
 
 async def _answered(connection, request: OutgoingRequest) -> Answered:
@@ -233,15 +242,11 @@
 
 async def is_ready(settings: NodeSettings) -> bool:
     """Tell whether an entry says that it is ready."""
+    request = OutgoingRequest(b'GET', b'/ready', [(b'Host', b'h')])
     try:
-        connection = await open_connection(settings.readiness_address, 1)
+        asked = await _ask_once(settings.readiness_address, request)
     except ConnectionLostError:
         return False
-    host = [(b'Host', b'h')]
-    asked = await _answered(
-        connection, OutgoingRequest(b'GET', b'/ready', host)
-    )
-    connection.close()
     return asked.status == 200
 
 
