Copy from as many disks as meet every write, not from a majority

Ruled out: the loss of records; the disk that stayed held all of them. Change: copying, and knowing that a turn is absent, take a read quorum, that is as many members as meet every write majority. A VM is not emptied where the loss of one more disk could lose what it holds; it waits for a successor. Tests: three that failed before.

--- a/src/jasminewheel/_internal/conversation/catch_up.py
+++ b/src/jasminewheel/_internal/conversation/catch_up.py
@@ -1,4 +1,4 @@
-"""Copy to this disk what a majority of the others holds."""
+"""Copy to this disk what the others hold."""
 
 import logging
 
@@ -38,14 +38,14 @@
     pool: PeerPool
 
     async def run(self, replica_set: ReplicaSet) -> None:
-        """Copy from a majority; raise QuorumError if too few answer."""
+        """Copy from a read quorum; raise QuorumError if too few answer."""
         await self.note_revision(replica_set.revision)
         copied: set[str] = set()
         async with trio.open_nursery() as nursery:
             copying = _Copying(replica_set, copied, nursery.cancel_scope)
             for replica in replica_set.members:
                 nursery.start_soon(self.copy, replica, copying)
-        if not replica_set.is_majority(copied):
+        if not replica_set.is_read_quorum(copied):
             raise QuorumError(f'copied from {len(copied)} replicas only')
         events.CAUGHT_UP.log(
             _LOGGER,
@@ -111,7 +111,7 @@
     scope: trio.CancelScope
 
     def note(self, replica: Replica) -> None:
-        """Note a replica that was copied; a majority is enough."""
+        """Note a replica that was copied; stop when they are enough."""
         self.copied.add(replica.disk_id)
-        if self.replica_set.is_majority(self.copied):
+        if self.replica_set.is_read_quorum(self.copied):
             self.scope.cancel()
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -108,7 +108,7 @@
     def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
         """Tell whether the turn is found or certainly absent."""
         found = any(reply.turns for reply in replies.values())
-        return found or used.is_majority(replies)
+        return found or used.is_read_quorum(replies)
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/conversation/replica_set.py
+++ b/src/jasminewheel/_internal/conversation/replica_set.py
@@ -34,13 +34,17 @@
 
     def has_quorum(self, disk_ids: Collection[str]) -> bool:
         """Tell whether the disks suffice to write."""
-        if not self.is_majority(disk_ids):
+        if not _is_majority(self.members, disk_ids):
             return False
         return not self.joining or _is_majority(self.joining, disk_ids)
 
-    def is_majority(self, disk_ids: Collection[str]) -> bool:
-        """Tell whether the disks suffice to read, or to copy from."""
-        return _is_majority(self.members, disk_ids)
+    def is_read_quorum(self, disk_ids: Collection[str]) -> bool:
+        """Tell whether the disks meet every majority of the members.
+
+        That is enough to copy from, or to know that a record is absent.
+        """
+        present = _present(self.members, disk_ids)
+        return bool(present) and present * 2 >= len(self.members)
 
     def newcomers(self) -> tuple[Replica, ...]:
         """Return the disks that have to copy before the change ends.
@@ -93,5 +97,8 @@
 def _is_majority(
     replicas: tuple[Replica, ...], disk_ids: Collection[str]
 ) -> bool:
-    present = sum(one.disk_id in disk_ids for one in replicas)
-    return present * 2 > len(replicas)
+    return _present(replicas, disk_ids) * 2 > len(replicas)
+
+
+def _present(replicas: tuple[Replica, ...], disk_ids: Collection[str]) -> int:
+    return sum(one.disk_id in disk_ids for one in replicas)
--- a/src/jasminewheel/_internal/conversation/set_change.py
+++ b/src/jasminewheel/_internal/conversation/set_change.py
@@ -124,7 +124,9 @@
 def _emptied(view: SetView) -> ReplicaSet | None:
     members = view.replica_set.members
     staying = [one for one in members if one.vm not in view.retiring]
-    if staying and len(staying) < len(members):
+    # Fewer could lose all that they hold with the disks that may be lost.
+    fewest = view.wanted_size // 2 + 1
+    if fewest <= len(staying) < len(members):
         return view.replica_set.changed(staying)
     return None
 
--- a/tests/functional/test_conversations.py
+++ b/tests/functional/test_conversations.py
@@ -197,3 +197,23 @@
                 await replicas.catch_up(fresh, change)
 
     trio.run(scenario)
+
+
+def test_set_of_two_outlives_the_loss_of_a_disk(tmp_path):
+    """After a VM was emptied, one of the two that stay may lose its disk."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            await replicas.start(0)
+            await replicas.start(1)
+            pair = replicas.set_of()
+            client = _forget_cache(replicas.client(pair))
+            await client.commit(turn('t1'))
+            replicas.running[0].stop()
+            fresh = await replicas.start(0, 'fresh')
+            joining = (pair.members[1], fresh.replica)
+            change = evolve(pair, revision=2, joining=joining)
+            await replicas.catch_up(fresh, change)
+            assert 't1' in fresh.state.turns
+
+    trio.run(scenario)
--- a/tests/unit/test_set_change.py
+++ b/tests/unit/test_set_change.py
@@ -130,3 +130,22 @@
     """A set survives being stored."""
     change = ReplicaSet(8, (ONE, TWO, THREE), (TWO, THREE, FOUR))
     assert ReplicaSet.from_text(change.to_text(), 8) == change
+
+
+def test_last_disks_that_bear_a_loss_are_not_emptied():
+    """A VM is not emptied where the loss of one more disk would lose all."""
+    pair = ReplicaSet(9, (TWO, THREE))
+    live = (TWO, THREE)
+    assert next_set(_view(pair, live, retiring=frozenset('b')), NOW) is None
+    more = _view(pair, (TWO, THREE, FOUR), retiring=frozenset('b'))
+    assert next_set(more, NOW).joining == (THREE, FOUR)
+
+
+def test_as_many_as_meet_every_write_suffice_to_read():
+    """Of two members each holds all; of three, two meet every majority."""
+    pair = ReplicaSet(9, (TWO, THREE))
+    assert pair.is_read_quorum({'disk-b'})
+    assert not pair.has_quorum({'disk-b'})
+    assert not SET.is_read_quorum({'disk-b'})
+    assert SET.is_read_quorum({'disk-b', 'disk-c'})
+    assert not NO_SET.is_read_quorum(set())
