Ask a lost store with short watches, so that its return is noticed

Ruled out: the history of the store (no 410), the decoding, a slow process. Change: while the store is lost a watch waits 0.1 s, so a lost one ends after 1.3 s instead of 5.5 s. Tests: the mirror against a store that falls silent; it failed before.

--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -19,6 +19,10 @@
 # Changes that come close together cost one call.
 GATHER_SECONDS = 0.15
 RETRY_SECONDS = 0.4
+# A watch is asked anew after this long.
+WATCH_SECONDS = 4.0
+# While the store is lost: a call that meets its silence is never answered.
+LOST_WATCH_SECONDS = 0.1
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -63,7 +67,8 @@
     async def follow(self) -> None:
         """Load all items once if needed, then take the next changes."""
         if self.revision:
-            changes = await self.store.changes(self.revision)
+            wait = WATCH_SECONDS if self.available else LOST_WATCH_SECONDS
+            changes = await self.store.changes(self.revision, wait)
             self.note_back()
             self.take_changes(changes)
             if changes.written or changes.removed:
--- a/src/jasminewheel/_internal/store/port.py
+++ b/src/jasminewheel/_internal/store/port.py
@@ -49,8 +49,13 @@
     async def snapshot(self) -> StoreSnapshot:
         """Return all values."""
 
-    async def changes(self, after_revision: int) -> StoreChanges:
-        """Wait for changes; raise StoreHistoryLostError if unknown."""
+    async def changes(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Wait for changes, for so long at most.
+
+        Raise StoreHistoryLostError if they are no longer known.
+        """
 
     async def put(
         self,
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -29,10 +29,8 @@
 
 CONNECT_SECONDS = 1.0
 CALL_SECONDS = 2.0
-# A watch answers after this long at the latest; a silent store is noticed
-# when it does not.
-WATCH_MILLISECONDS = 4000
-WATCH_SLACK_SECONDS = 1.5
+# A watch that answers this much after its wait has gone silent.
+WATCH_SLACK_SECONDS = 1.2
 MILLISECONDS = 1000
 _OK = 200
 _NOT_FOUND = 404
@@ -74,13 +72,15 @@
             after = found[-1].key if found else ''
         return StoreSnapshot(tuple(found), revision)
 
-    async def changes(self, after_revision: int) -> StoreChanges:
+    async def changes(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
         """Wait for changes; raise StoreHistoryLostError if unknown."""
         path = (
             f'/kv-watch?Prefix=&after={after_revision}'
-            f'&WaitMs={WATCH_MILLISECONDS}'
+            f'&WaitMs={int(wait_seconds * MILLISECONDS)}'
         )
-        timeout = WATCH_MILLISECONDS / MILLISECONDS + WATCH_SLACK_SECONDS
+        timeout = wait_seconds + WATCH_SLACK_SECONDS
         connection = self.watching
         self.watching = None
         connection, reply = await self.exchange(
--- /dev/null
+++ b/tests/unit/test_store_mirror.py
@@ -0,0 +1,120 @@
+"""Check that the mirror follows a store through silence and lost history."""
+
+import math
+
+import trio
+from attrs import define, field
+from trio.testing import MockClock
+
+from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.store.port import (
+    StoreChanges,
+    StoreHistoryLostError,
+    StoreItem,
+    StoreSnapshot,
+)
+from jasminewheel.errors import StoreUnavailableError
+
+SILENT_ANSWER_SECONDS = 1.5
+
+
+@define(eq=False)
+class SilentStore:
+    """Answer changes, except to calls that meet a silence.
+
+    A call that was made during a silence is never answered, as on a
+    connection that went silent; only the time-out ends it.
+    """
+
+    silent_from: float = math.inf
+    silent_until: float = 0
+    items: dict[str, StoreItem] = field(factory=dict)
+    oldest: int = 0
+    revision: int = 1
+
+    def write(self, key: str) -> None:
+        """Write a key."""
+        self.revision += 1
+        self.items[key] = StoreItem(key, b'', self.revision)
+
+    def is_silent(self) -> bool:
+        """Tell whether the store answers nobody now."""
+        return self.silent_from <= trio.current_time() < self.silent_until
+
+    async def snapshot(self) -> StoreSnapshot:
+        """Return all values."""
+        await trio.sleep(0.01)
+        return StoreSnapshot(tuple(self.items.values()), self.revision)
+
+    async def changes(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Return changes, or fail after the wait and some slack."""
+        until = trio.current_time() + wait_seconds
+        while self.revision <= after_revision or self.is_silent():
+            if self.is_silent():
+                left = until - trio.current_time()
+                await trio.sleep(left + SILENT_ANSWER_SECONDS)
+                raise StoreUnavailableError('silent')
+            if trio.current_time() >= until:
+                return StoreChanges((), (), after_revision)
+            await trio.sleep(0.05)
+        if after_revision < self.oldest:
+            raise StoreHistoryLostError('forgotten')
+        found = [
+            one for one in self.items.values() if one.revision > after_revision
+        ]
+        return StoreChanges(tuple(found), (), self.revision)
+
+
+def _follow(scenario, **silence: float) -> None:
+    store = SilentStore(**silence)
+    mirror = StoreMirror(store)
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(mirror.run)
+            await scenario(store, mirror)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def test_change_after_a_silence_is_known_soon():
+    """A call that was lost in a silence does not hold up the next ones."""
+
+    async def scenario(store, mirror) -> None:
+        await trio.sleep_until(12)
+        store.write('config')
+        await trio.sleep_until(12 + 2.4)
+        assert 'config' in mirror.items
+
+    _follow(scenario, silent_from=4.0, silent_until=12.0)
+
+
+def test_changes_are_known_at_once():
+    """Without faults a change is known well within a second."""
+
+    async def scenario(store, mirror) -> None:
+        await trio.sleep(3)
+        store.write('config')
+        await trio.sleep(0.5)
+        assert 'config' in mirror.items
+
+    _follow(scenario)
+
+
+def test_forgotten_changes_are_read_anew():
+    """When the store forgot changes, removed keys go as well."""
+
+    async def scenario(store, mirror) -> None:
+        store.write('old')
+        await trio.sleep(1)
+        assert 'old' in mirror.items
+        store.items.clear()
+        store.write('new')
+        store.oldest = store.revision
+        await trio.sleep(6)
+        assert set(mirror.items) == {'new'}
+
+    _follow(scenario)
