List a disk after a lost write, and keep odd routes from hurting others

A disk whose first write to the store was lost was never listed again while its lease held. One route that cannot be read took the whole configuration along. A successor could stand in a zone that holds a member already. Records copied in one message could exceed what a message may hold. Change: the write is repeated until it succeeded; routes are skipped one by one and unknown kinds may not be repeated; free disks in unused zones go first; copied pages are bounded by bytes.

--- a/src/jasminewheel/_internal/conversation/service.py
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -19,6 +19,8 @@
 from jasminewheel.errors import PeerError
 
 PAGE_RECORDS = 64
+# 1 MiB; a page holds one record more than that at the most.
+PAGE_BYTES = 1048576
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -164,5 +166,20 @@
 
 
 def _pages(records: tuple[Any, ...]) -> Iterator[list[Any]]:
-    for start in range(0, len(records), PAGE_RECORDS):
-        yield list(records[start : start + PAGE_RECORDS])
+    page: list[Any] = []
+    page_bytes = 0
+    for record in records:
+        page.append(record)
+        page_bytes += _size(record)
+        if len(page) == PAGE_RECORDS or page_bytes > PAGE_BYTES:
+            yield page
+            page = []
+            page_bytes = 0
+    if page:
+        yield page
+
+
+def _size(record: Any) -> int:
+    if isinstance(record, wire.TurnRecord):
+        return len(record.prompt) + len(record.output)
+    return 0
--- a/src/jasminewheel/_internal/conversation/set_change.py
+++ b/src/jasminewheel/_internal/conversation/set_change.py
@@ -1,8 +1,9 @@
 """Decide the next step of the replica set from what is known."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
-from attrs import define, field, frozen
+from attrs import frozen
 
 from jasminewheel._internal.conversation.replica_set import (
     NO_SET,
@@ -40,14 +41,24 @@
     started_at: float
 
     def free(self) -> list[Replica]:
-        """Return the live disks that take no part, in a fixed order."""
+        """Return the live disks that take no part, the best first.
+
+        Those in availability zones that hold fewer live members are better.
+        """
         taken = self.replica_set.replicas()
-        return [
+        found = [
             self.candidates[vm].replica
             for vm in sorted(self.candidates)
             if vm not in self.retiring
             and self.candidates[vm].replica not in taken
         ]
+        used = Counter(one.zone for one in taken if self.is_live(one))
+        return sorted(found, key=lambda one: used[one.zone])
+
+    def is_live(self, replica: Replica) -> bool:
+        """Tell whether the disk's process is listed."""
+        candidate = self.candidates.get(replica.vm)
+        return bool(candidate) and candidate.replica == replica
 
     def is_absent(self, replica: Replica, now: float) -> bool:
         """Tell whether the disk's process has been away for long."""
@@ -56,12 +67,10 @@
 
     def has_copied(self, replica: Replica) -> bool:
         """Tell whether the disk holds all that came before the change."""
-        candidate = self.candidates.get(replica.vm)
-        return bool(
-            candidate
-            and candidate.replica == replica
-            and candidate.copied_revision == self.replica_set.revision
-        )
+        if not self.is_live(replica):
+            return False
+        copied = self.candidates[replica.vm].copied_revision
+        return copied == self.replica_set.revision
 
 
 def next_set(view: SetView, now: float) -> ReplicaSet | None:
@@ -131,18 +140,18 @@
     return None
 
 
-@define(eq=False)
-class _Spread:
-    zones: dict[str, int] = field(factory=dict)
-
-    def use(self, replica: Replica) -> tuple[int, str]:
-        """Return how often the zone is used before this one."""
-        used = self.zones.get(replica.zone, 0)
-        self.zones[replica.zone] = used + 1
-        return used, replica.vm
-
-
 def _spread(replicas: Iterable[Replica], count: int) -> list[Replica]:
-    spread = _Spread()
-    ordered = sorted(replicas, key=spread.use)
-    return ordered[:count]
+    remaining = list(replicas)
+    chosen: list[Replica] = []
+    while remaining and len(chosen) < count:
+        best = _least_used_zone(remaining, chosen)
+        remaining.remove(best)
+        chosen.append(best)
+    return chosen
+
+
+def _least_used_zone(
+    replicas: list[Replica], chosen: Iterable[Replica]
+) -> Replica:
+    used = Counter(one.zone for one in chosen)
+    return min(replicas, key=lambda one: (used[one.zone], one.vm))
--- a/src/jasminewheel/_internal/conversation/set_keeper.py
+++ b/src/jasminewheel/_internal/conversation/set_keeper.py
@@ -112,6 +112,7 @@
     store: WatchedStore
     candidate: Candidate
     lease: str = ''
+    listed: bool = False
 
     async def run(self) -> None:
         """Renew the lease until cancelled."""
@@ -120,20 +121,20 @@
                 await self.renew()
             except StoreConflictError:
                 self.lease = ''
+                self.listed = False
             except StoreError as error:
                 store_events.LEASE_LOST.log(_LOGGER, problem=error)
                 await trio.sleep(RENEW_SECONDS)
 
     async def renew(self) -> None:
-        """Renew the lease, or take one and list the disk under it."""
-        if self.lease:
-            await trio.sleep(RENEW_SECONDS)
-            await self.store.renew_lease(self.lease)
-            return
-        lease = await self.store.grant_lease(LEASE_SECONDS)
-        self.lease = lease
-        await self.write()
-        store_events.LEASE_GRANTED.log(_LOGGER, lease=lease)
+        """Take a lease, list the disk under it, and renew it from then on."""
+        if not self.lease:
+            self.lease = await self.store.grant_lease(LEASE_SECONDS)
+            store_events.LEASE_GRANTED.log(_LOGGER, lease=self.lease)
+        if not self.listed:
+            await self.write()
+        await trio.sleep(RENEW_SECONDS)
+        await self.store.renew_lease(self.lease)
 
     async def write(self) -> None:
         """List the disk."""
@@ -146,10 +147,12 @@
             json.dumps(fields).encode(),
             lease=self.lease,
         )
+        self.listed = True
 
     async def note_copied(self, revision: int) -> None:
         """List the disk as one that copied for a change."""
         self.candidate = evolve(self.candidate, copied_revision=revision)
+        self.listed = False
         await self.write()
 
     async def leave(self) -> None:
--- a/src/jasminewheel/platform/configuration.py
+++ b/src/jasminewheel/platform/configuration.py
@@ -1,9 +1,12 @@
 """Decode the operators' configuration."""
 
 import json
+import logging
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
+from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.routes import (
     CallKind,
     Route,
@@ -15,10 +18,14 @@
 from jasminewheel.errors import ConfigurationError
 
 CONFIGURATION_KEY = 'op/config'
+# What is not known here may not be repeated either.
+_KINDS = MappingProxyType({kind.value: kind for kind in CallKind})
 _MILLISECONDS = 1000
 # What reading fields of another shape raises.
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
+_LOGGER = logging.getLogger(__name__)
+
 
 def decode_configuration(stored: bytes) -> RoutingTable:
     """Return the configuration; raise ConfigurationError if unreadable."""
@@ -33,18 +40,26 @@
     targets = [_target(one) for one in fields['Services']]
     return RoutingTable(
         int(fields['Version']),
-        tuple(_route(one) for one in fields['Routes']),
+        tuple(filter(None, map(_readable_route, fields['Routes']))),
         {target.name: target for target in targets},
         _limits(fields.get('Limits') or {}),
     )
 
 
+def _readable_route(fields: Any) -> Route | None:
+    try:
+        return _route(fields)
+    except DECODE_ERRORS as error:
+        events.ROUTE_SKIPPED.log(_LOGGER, problem=repr(error), route=fields)
+        return None
+
+
 def _route(fields: Mapping[str, Any]) -> Route:
     return Route(
         name=str(fields['Name']),
         host=str(fields['Host']).lower(),
         prefix=str(fields['Prefix']),
-        kind=CallKind(fields['Kind']),
+        kind=_KINDS.get(fields['Kind'], CallKind.unsafe),
         shares=_shares(fields),
         timeout_seconds=fields['TimeoutMs'] / _MILLISECONDS,
         objective_seconds=fields['TargetLatencyMs'] / _MILLISECONDS,
--- a/tests/functional/test_conversations.py
+++ b/tests/functional/test_conversations.py
@@ -1,5 +1,7 @@
 """Check that turns and budgets outlive the loss of replicas."""
 
+from copy import copy
+
 import pytest
 import trio
 from attrs import evolve
@@ -217,3 +219,24 @@
             assert 't1' in fresh.state.turns
 
     trio.run(scenario)
+
+
+def test_large_turns_are_copied_in_pages(tmp_path):
+    """Records that do not fit one message together are copied all the same."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            known = await _start(replicas)
+            client = replicas.client(known)
+            large = turn('t1')
+            large.prompt = bytes(4_000_000)
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    one = copy(large)
+                    one.turn_id = f't{number}'
+                    nursery.start_soon(client.commit, one)
+            fresh = await replicas.start(3)
+            await replicas.catch_up(fresh, evolve(known, revision=2))
+            assert len(fresh.state.turns) == 6
+
+    trio.run(scenario)
--- a/tests/unit/test_set_change.py
+++ b/tests/unit/test_set_change.py
@@ -149,3 +149,16 @@
     assert not SET.is_read_quorum({'disk-b'})
     assert SET.is_read_quorum({'disk-b', 'disk-c'})
     assert not NO_SET.is_read_quorum(set())
+
+
+def test_successor_keeps_the_spread_over_zones():
+    """Of several free disks one in an unused availability zone is taken."""
+    left, middle = _replica('a', zone='x'), _replica('b', zone='y')
+    lost = _replica('c', zone='w')
+    same, other = _replica('d', zone='x'), _replica('e', zone='w')
+    view = _view(
+        ReplicaSet(7, (left, middle, lost)),
+        (left, middle, same, other),
+        absent_since={lost.disk_id: NOW - 5},
+    )
+    assert next_set(view, NOW).joining == (left, middle, other)
