Ask both sets of a change before a turn is said not to exist

Cause: found by reasoning over the joint change. An entry that missed the end of a change asked a read quorum of the members alone; a turn written since to the joining disks only could have been answered 404. Ruled out: readers under the set before the change, whose quorum meets one that refuses them. Change: absence needs a read quorum of the joining disks as well, which refuse under the older set. Large turns are given the time their bytes take: one copy test failed beside load since 4 MB had to be answered within 1 s. Tests: two that failed before the change.

--- a/src/jasminewheel/_internal/conversation/client.py
+++ b/src/jasminewheel/_internal/conversation/client.py
@@ -176,6 +176,7 @@
             Question(
                 lambda scope: wire.CommitTurn(scope=scope, turn=turn),
                 wire.Stored,
+                message_bytes=_size(turn),
             ),
         )
         self.cache.put(turn)
--- a/src/jasminewheel/_internal/conversation/log_file.py
+++ b/src/jasminewheel/_internal/conversation/log_file.py
@@ -96,6 +96,20 @@
         offset = start + length
 
 
+@frozen
+class StoredBytes:
+    """Hold how many bytes of a file are in whole entries."""
+
+    whole: int
+    torn: int
+
+
+def stored_bytes(path: Path) -> StoredBytes:
+    """Return what a file holds, and what a loss of power left after it."""
+    whole = sum(_HEAD.size + len(entry.payload) for entry in read_entries(path))
+    return StoredBytes(whole, path.stat().st_size - whole)
+
+
 def log_files(folder: Path) -> list[Path]:
     """Return the files in the folder, oldest first."""
     return sorted(folder.glob(_PATTERN))
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -21,6 +21,8 @@
 HEDGE_SECONDS = 0.15
 # One replica's answer is not waited for any longer.
 ANSWER_SECONDS = 1.0
+# A large message is given the time that a narrow link between regions takes.
+LINK_BYTES_PER_SECOND = 1000000
 # A replica that failed is asked last for this long.
 SUSPECT_SECONDS = 2.0
 # How long to wait for a newer replica set after being refused.
@@ -108,7 +110,7 @@
     def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
         """Tell whether the turn is found or certainly absent."""
         found = any(reply.turns for reply in replies.values())
-        return found or used.is_read_quorum(replies)
+        return found or used.knows_absence(replies)
 
 
 @define(eq=False)
@@ -156,6 +158,12 @@
     message_of: MessageOf
     reply_kind: type
     sufficiency: Sufficiency = WriteQuorum()
+    message_bytes: int = 0
+
+    @property
+    def answer_seconds(self) -> float:
+        """Return how long one replica's answer is waited for."""
+        return ANSWER_SECONDS + self.message_bytes / LINK_BYTES_PER_SECOND
 
 
 @define(eq=False)
@@ -276,7 +284,7 @@
                 replica.address,
                 self.question.message_of(scope),
                 self.question.reply_kind,
-                timeout_seconds=ANSWER_SECONDS,
+                timeout_seconds=self.question.answer_seconds,
             )
         except JasminewheelError as error:
             self.client.note_failure(replica, error)
--- a/src/jasminewheel/_internal/conversation/replica_set.py
+++ b/src/jasminewheel/_internal/conversation/replica_set.py
@@ -41,10 +41,19 @@
     def is_read_quorum(self, disk_ids: Collection[str]) -> bool:
         """Tell whether the disks meet every majority of the members.
 
-        That is enough to copy from, or to know that a record is absent.
+        That is enough to copy from.
         """
-        present = _present(self.members, disk_ids)
-        return bool(present) and present * 2 >= len(self.members)
+        return _meets_majorities(self.members, disk_ids)
+
+    def knows_absence(self, disk_ids: Collection[str]) -> bool:
+        """Tell whether a record that none of the disks has is nowhere.
+
+        A change may have ended unseen. Then its joining disks took writes
+        that the members did not, and refuse to answer under this set.
+        """
+        if not self.is_read_quorum(disk_ids):
+            return False
+        return not self.joining or _meets_majorities(self.joining, disk_ids)
 
     def newcomers(self) -> tuple[Replica, ...]:
         """Return the disks that have to copy before the change ends.
@@ -100,5 +109,12 @@
     return _present(replicas, disk_ids) * 2 > len(replicas)
 
 
+def _meets_majorities(
+    replicas: tuple[Replica, ...], disk_ids: Collection[str]
+) -> bool:
+    present = _present(replicas, disk_ids)
+    return bool(present) and present * 2 >= len(replicas)
+
+
 def _present(replicas: tuple[Replica, ...], disk_ids: Collection[str]) -> int:
     return sum(one.disk_id in disk_ids for one in replicas)
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -150,7 +150,13 @@
     outcome: str = ''
 
     async def __aenter__(self) -> None:
-        """Count the call at its runner."""
+        """Count the call at its runner; note what was believed of it."""
+        load = self.view.load
+        self.record.notes.update(
+            believed_load=load.estimate(self.started_at),
+            own_load=load.own_running,
+            report_age=round(self.started_at - load.reported_at, 2),
+        )
         self.record.runner = self.view.runner.runner_id
         self.record.attempts += 1
         self.view.load.started(self.started_at)
@@ -211,6 +217,5 @@
             outcome=outcome,
             problem=problem,
             attempts=self.record.attempts,
-            own_load=self.view.load.own_running,
-            reported_at=self.view.load.reported_at,
+            **self.record.notes,
         )
--- a/src/jasminewheel/cli/ctl.py
+++ b/src/jasminewheel/cli/ctl.py
@@ -11,6 +11,11 @@
 from cyclopts import App, CycloptsError, Parameter
 
 from jasminewheel.cli.histories import histories_app
+from jasminewheel.cli.local_files import (
+    check_node_app,
+    check_turns_app,
+    explain_log_app,
+)
 from jasminewheel.commands.ctl.client import OperatorClient, read_key
 from jasminewheel.commands.ctl.errors import CommandError
 from jasminewheel.commands.ctl.exit_codes import ExitCode
@@ -30,6 +35,9 @@
 )
 app.register_install_completion_command()
 app.command(histories_app)
+app.command(explain_log_app)
+app.command(check_node_app)
+app.command(check_turns_app)
 
 Files = Annotated[
     tuple[Path, ...],
--- /dev/null
+++ b/src/jasminewheel/commands/ctl/log_explanation.py
@@ -0,0 +1,105 @@
+"""Explain a request from the log lines that processes wrote."""
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+from attrs import frozen
+
+from jasminewheel.commands.ctl.errors import CommandError
+from jasminewheel.commands.ctl.exit_codes import ExitCode
+from jasminewheel.commands.ctl.tables import fields_text, time_text
+
+# Events that change what a process believes: they explain what follows.
+BELIEF_EVENTS = frozenset(
+    (1000, 1001, 1802, 1807, 1808, 1809, 1850, 1851, 1877, 1878, 1880, 1882)
+)
+# How long before a request's last line beliefs are shown.
+BEFORE_SECONDS = 10.0
+_SHOWN_APART = frozenset(('time', 'level', 'process', 'logger', 'event'))
+
+
+@frozen
+class LogLine:
+    """Hold one structured line."""
+
+    at: float
+    process: str
+    event: int | None
+    fields: dict[str, Any]
+
+    def names(self, subject: str) -> bool:
+        """Tell whether a field of the line is the subject."""
+        return subject in self.fields.values()
+
+    def to_text(self) -> str:
+        """Return the line for a person."""
+        shown = {
+            name: found
+            for name, found in self.fields.items()
+            if name not in _SHOWN_APART
+        }
+        number = f'JW{self.event}' if self.event else ''
+        where = f'{time_text(self.at)} {self.process}'
+        return f'{where} {number} {fields_text(shown)}'
+
+
+def read_lines(paths: Iterable[Path]) -> Iterator[LogLine]:
+    """Yield the structured lines of files, and of files in folders."""
+    for path in _files(paths):
+        with path.open(encoding='utf-8', errors='replace') as stream:
+            yield from filter(None, map(_parse, stream))
+
+
+def explain(subject: str, paths: Iterable[Path]) -> list[LogLine]:
+    """Return the subject's lines and the beliefs behind them, in order.
+
+    Raise CommandError if no line names the subject.
+    """
+    lines = sorted(read_lines(paths), key=lambda line: line.at)
+    named = [line for line in lines if line.names(subject)]
+    if not named:
+        raise CommandError(
+            f'no line names {subject}',
+            ExitCode.missing,
+            remedy='give the logs of all processes of that time',
+        )
+    processes = {line.process for line in named}
+    first = named[0].at - BEFORE_SECONDS
+    last = named[-1].at
+    return [
+        line
+        for line in lines
+        if line in named
+        or (
+            line.event in BELIEF_EVENTS
+            and line.process in processes
+            and first <= line.at <= last
+        )
+    ]
+
+
+def _files(paths: Iterable[Path]) -> Iterator[Path]:
+    for path in paths:
+        if path.is_dir():
+            yield from sorted(one for one in path.rglob('*') if one.is_file())
+        else:
+            yield path
+
+
+def _parse(text: str) -> LogLine | None:
+    # A collector may have put its own words before the object.
+    start = text.find('{')
+    try:
+        fields = json.loads(text[start:]) if start >= 0 else None
+    except ValueError:
+        return None
+    if not isinstance(fields, dict) or 'process' not in fields:
+        return None
+    return LogLine(
+        float(fields.get('time', 0)),
+        str(fields['process']),
+        fields.get('event'),
+        fields,
+    )
--- a/tests/functional/test_conversations.py
+++ b/tests/functional/test_conversations.py
@@ -240,3 +240,30 @@
             assert len(fresh.state.turns) == 6
 
     trio.run(scenario)
+
+
+def test_reader_amid_a_change_is_never_sure_wrongly(tmp_path):
+    """One that missed the end of a change does not call new turns absent."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            old = await _start(replicas)
+            fresh = await replicas.start(3)
+            joining = (*old.members[1:], fresh.replica)
+            change = evolve(old, revision=2, joining=joining)
+            await replicas.catch_up(fresh, change)
+            late = replicas.client(change)
+            late.quorum.distance = _far_from('east-b', 'west-b')
+            finished = evolve(change, revision=3, members=joining, joining=())
+            current = replicas.client(finished)
+            current.quorum.distance = _far_from('west-a')
+            await current.commit(turn('t1'))
+            assert 't1' not in replicas.running[2].state.turns
+            with pytest.raises(UnavailableError):
+                await late.chain('t1')
+
+    trio.run(scenario)
+
+
+def _far_from(*zones: str):
+    return lambda zone: float(zone in zones)
--- /dev/null
+++ b/tests/unit/test_local_commands.py
@@ -0,0 +1,116 @@
+"""Check the commands that need files only."""
+
+import json
+
+import pytest
+
+from jasminewheel._internal.conversation.journal import (
+    reservation_entry,
+    turn_entry,
+)
+from jasminewheel._internal.conversation.log_file import (
+    LogFile,
+    join_entries,
+)
+from jasminewheel.cli.ctl import app
+from jasminewheel.commands.ctl.exit_codes import ExitCode
+from tests.turn_replicas import reservation, turn
+
+SETTINGS = """
+NodeName = "front-1"
+Ip = "10.1.0.38"
+Zone = "a"
+Region = "r"
+PortRange = [7380,7395]
+{extra}
+[Zones]
+a = "r"
+[Platform]
+Address = "10.200.1.7:8142"
+"""
+
+
+def _run(*words: str) -> int:
+    return app(words, exit_on_error=False, result_action='return_value')
+
+
+def _line(at: float, process: str, event: int, **fields: object) -> str:
+    line = {'time': at, 'process': process, 'event': event, **fields}
+    return f'{at} {process} {json.dumps(line)}\n'
+
+
+def test_request_is_explained_with_its_beliefs(tmp_path, capsys):
+    """Its lines are shown in order, with recent changes of belief."""
+    log = tmp_path / 'all.log'
+    lines = (
+        _line(1.0, 'front-1', 1880, version=3),
+        _line(50.0, 'front-1', 1850, problem='silent'),
+        _line(51.0, 'front-2', 1850, problem='silent'),
+        _line(52.0, 'front-1', 1872, request='r1', outcome='lost'),
+        _line(52.1, 'front-1', 1871, request='r1', code='target-failed'),
+        _line(52.2, 'front-1', 1870, request='r2'),
+    )
+    log.write_text(''.join((*lines, 'no json\n', '{broken\n')))
+    assert _run('explain-log', 'r1', str(tmp_path)) == ExitCode.done
+    shown = capsys.readouterr().out.splitlines()
+    numbers = [line.split()[2] for line in shown]
+    assert numbers == ['JW1850', 'JW1872', 'JW1871']
+
+
+def test_unknown_request_is_said_to_be_missing(tmp_path, capsys):
+    """No line is an error of its own."""
+    (tmp_path / 'all.log').write_text(_line(1.0, 'front-1', 1880))
+    assert _run('explain-log', 'r9', str(tmp_path)) == ExitCode.missing
+    assert 'r9' in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ('extra', 'problem'),
+    [
+        ('PortRange = 3', 'all.toml'),
+        ('Seeds = 7', 'Seeds'),
+        ('= broken', 'all.toml'),
+    ],
+)
+def test_wrong_settings_are_named(tmp_path, capsys, extra, problem):
+    """One line names the file and what is wrong in it."""
+    path = tmp_path / 'all.toml'
+    path.write_text(SETTINGS.format(extra=extra))
+    assert _run('check-node', str(path)) == ExitCode.usage
+    shown = capsys.readouterr().err
+    assert problem in shown
+    assert len(shown.splitlines()) == 1
+
+
+def test_good_settings_are_accepted(tmp_path, capsys):
+    """Fields that are not known are ignored."""
+    path = tmp_path / 'all.toml'
+    path.write_text(SETTINGS.format(extra='NewField = 3'))
+    assert _run('check-node', str(path)) == ExitCode.done
+    assert 'front-1' in capsys.readouterr().out
+
+
+def test_missing_field_is_named(tmp_path, capsys):
+    """A field that is needed is named."""
+    path = tmp_path / 'all.toml'
+    path.write_text('NodeName = "front-1"\n')
+    assert _run('check-node', str(path)) == ExitCode.usage
+    assert 'Ip is missing' in capsys.readouterr().err
+
+
+def test_folder_with_a_torn_end_is_reported(tmp_path, capsys):
+    """Whole entries are counted, and what came after them."""
+    log_file = LogFile.create(tmp_path, 1)
+    entries = (
+        turn_entry(turn('t2', 't1')),
+        reservation_entry(reservation('t3', 5).to_wire()),
+    )
+    log_file.append(join_entries(entries))
+    log_file.append(b'torn')
+    log_file.close()
+    assert _run('check-turns', str(tmp_path)) == ExitCode.done
+    shown = capsys.readouterr().out
+    assert 'turns: 1' in shown
+    assert 'after the last whole entry: 4' in shown
+    assert 'continued on other disks: 1' in shown
+    assert _run('check-turns', str(tmp_path / 'none')) == ExitCode.missing
--- a/tests/unit/test_set_change.py
+++ b/tests/unit/test_set_change.py
@@ -151,6 +151,14 @@
     assert not NO_SET.is_read_quorum(set())
 
 
+def test_absence_is_known_from_both_sets_of_a_change():
+    """A change may have ended unseen, so its joining disks are asked too."""
+    change = ReplicaSet(8, (ONE, TWO, THREE), (TWO, THREE, FOUR))
+    assert not change.knows_absence({'disk-a', 'disk-c'})
+    assert change.knows_absence({'disk-a', 'disk-c', 'disk-d'})
+    assert change.knows_absence({'disk-b', 'disk-c'})
+
+
 def test_successor_keeps_the_spread_over_zones():
     """Of several free disks one in an unused availability zone is taken."""
     left, middle = _replica('a', zone='x'), _replica('b', zone='y')
