Refuse requests that come late in a stop, and say when to come back

Ruled out: the balancer (it uses all entries where most are not ready) and a slow runner (it ran for 0.4 s). Change: after 0.45 of the grace a stopping entry answers 503 to new requests; where some replicas answer, callers are told to come back after 1 s, where none does, at once, since the entry is cut off and others serve.

--- a/src/jasminewheel/_internal/conversation/client.py
+++ b/src/jasminewheel/_internal/conversation/client.py
@@ -25,7 +25,10 @@
 
 # 2 MiB of the newest turns that this entry wrote or read.
 CACHE_BYTES = 2097152
-RETRY_AFTER_SECONDS = 0.3
+# An entry that reaches no replica is likely cut off: others serve at once.
+CUT_OFF_RETRY_SECONDS = 0.15
+# Where some replicas answer the others are down, and soon back or replaced.
+DOWN_RETRY_SECONDS = 1.0
 # Settling what a broken-off turn took is tried again this often and long.
 SETTLE_PAUSE_SECONDS = 0.5
 SETTLE_TRIES = 20
@@ -210,8 +213,11 @@
         try:
             return await self.quorum.ask(question)
         except QuorumError as error:
+            retry_after = CUT_OFF_RETRY_SECONDS
+            if error.answered:
+                retry_after = DOWN_RETRY_SECONDS
             raise UnavailableError(
-                error.message, retry_after_seconds=RETRY_AFTER_SECONDS
+                error.message, retry_after_seconds=retry_after
             ) from error
 
 
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -179,11 +179,16 @@
     distance: Distance
     suspects: dict[str, float] = field(factory=dict)
     missed_since: float | None = None
+    # Replicas that answered when a majority was last missed.
+    last_answered: int = 0
 
     async def ask(self, question: Question) -> list[Any]:
         """Return sufficient answers; raise QuorumError if too few come."""
         if self.missed_since is not None:
-            raise QuorumError('too few replicas answered a moment ago')
+            raise QuorumError(
+                'too few replicas answered a moment ago',
+                answered=self.last_answered,
+            )
         return await self.ask_now(question)
 
     async def ask_now(self, question: Question) -> list[Any]:
@@ -248,6 +253,7 @@
         if self.missed_since is None and not outdated:
             self.missed_since = trio.current_time()
         answered = len(collection.replies)
+        self.last_answered = answered
         events.QUORUM_MISSED.log(
             _LOGGER,
             revision=used.revision,
@@ -257,6 +263,7 @@
         return QuorumError(
             f'only {answered} replicas answered under set {used.revision}',
             remedy='see whether the disk VMs run',
+            answered=answered,
         )
 
 
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -184,6 +184,13 @@
 
     code = 'no-quorum'
 
+    def __init__(
+        self, message: str, *, remedy: str = '', answered: int = 0
+    ) -> None:
+        """Keep how many replicas answered."""
+        super().__init__(message, remedy=remedy)
+        self.answered = answered
+
 
 class PeerError(JasminewheelError):
     """Report that a peer could not be reached or broke the protocol."""
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -17,8 +17,9 @@
 from jasminewheel.platform.roles import background, split_address
 from jasminewheel.platform.settings import NodeSettings
 
-# The balancer needs two missed questions, a second apart, to look elsewhere.
-NOTICE_SECONDS = 3.2
+# Share of the grace in which new requests are taken. The balancer needs two
+# missed questions, a second apart, to look elsewhere.
+TAKING_SHARE = 0.45
 # Left of the grace when streams that still run are cut.
 LAST_SECONDS = 0.7
 CHECK_SECONDS = 0.1
@@ -46,7 +47,7 @@
         frame.STARTED.log(_LOGGER, vm=settings.vm, zone=settings.zone)
         await stop.wait()
         readiness.stopping = True
-        await finish(web, settings.grace_seconds)
+        await finish(web, ingress, settings.grace_seconds)
         nursery.cancel_scope.cancel()
 
 
@@ -62,13 +63,17 @@
     nursery.start_soon(background(close_stale, STALE_CHECK_SECONDS))
 
 
-async def finish(web: WebServer, grace_seconds: float) -> None:
+async def finish(
+    web: WebServer, ingress: Ingress, grace_seconds: float
+) -> None:
     """Answer what is under way; take new requests until clients look away."""
     started_at = trio.current_time()
     web.draining = True
     events.DRAINING.log(_LOGGER, busy=web.busy_connections())
-    await trio.sleep(NOTICE_SECONDS)
     with trio.move_on_at(started_at + grace_seconds - LAST_SECONDS):
+        await trio.sleep(grace_seconds * TAKING_SHARE)
+        # What comes later might be cut; another entry can still run it.
+        ingress.closed = True
         while web.connections:
             web.close_idle()
             await trio.sleep(CHECK_SECONDS)
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -1,6 +1,6 @@
 """Turn the requests of the platform's clients into calls, and errors back."""
 
-from attrs import frozen
+from attrs import define
 
 from jasminewheel._internal.gateway.call import Call, PromptPart, TurnRequest
 from jasminewheel._internal.gateway.gateway import Gateway
@@ -12,11 +12,17 @@
     field_values,
 )
 from jasminewheel._internal.web.request_parser import HttpRequest
-from jasminewheel.errors import CallError, MalformedRequestError
+from jasminewheel.errors import (
+    CallError,
+    MalformedRequestError,
+    UnavailableError,
+)
 
 MILLISECONDS = 1000
 # For a client that does not say how long it waits.
 DEFAULT_SECONDS = 30.0
+# Another entry serves at once.
+STOPPING_RETRY_SECONDS = 0.05
 _HEX = 16
 # What the system sets itself, whatever a client sends.
 _OWN_HEADERS = (
@@ -33,15 +39,21 @@
 _CALL_ID = b'request-id'
 
 
-@frozen
+@define(eq=False)
 class Ingress:
-    """Serve HTTP requests by the gateway."""
+    """Serve HTTP requests by the gateway, until none are taken any more."""
 
     gateway: Gateway
+    closed: bool = False
 
     async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
         """Answer one request; one that was cut ends its connection."""
         try:
+            if self.closed:
+                raise UnavailableError(
+                    'this process stops',
+                    retry_after_seconds=STOPPING_RETRY_SECONDS,
+                )
             call = decode_call(request)
             await self.gateway.serve(call, answer)
         except CallError as error:
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -386,3 +386,45 @@
         assert 'jasminewheel_event_seconds_bucket' in page
 
     play(scenario)
+
+
+def test_late_request_to_a_stopping_entry_is_refused(play):
+    """What could be cut by the end of the grace is not begun."""
+
+    async def scenario(fleet, entry) -> None:
+        for runner in fleet.runners.values():
+            runner.slow_seconds = 1
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await _turn(fleet, entry, b'one.'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            fleet.stops['entry-1'].set()
+            await trio.sleep(2.6)
+            await ask()
+        refused, whole = answers
+        assert (refused.status, whole.whole) == (503, True)
+        assert refused.headers['connection'] == 'close'
+        assert _ran(fleet) == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ('stopped', 'least', 'most'), [((1, 2), 0.9, 1.5), ((1, 2, 3), 0, 0.4)]
+)
+def test_time_to_come_back_follows_what_is_missing(play, stopped, least, most):
+    """Lost replicas take a moment; a cut entry is best left at once."""
+
+    async def scenario(fleet, entry) -> None:
+        for number in stopped:
+            fleet.scopes[f'store-{number}'].cancel()
+        await _turn(fleet, entry, b'one.', Token_Budget='99')
+        refused = await _turn(fleet, entry, b'one.', Token_Budget='99')
+        assert refused.status == 503
+        assert least <= float(refused.headers['retry-after']) <= most
+
+    play(scenario)
