Take out what nothing uses, and keep one copy of the distance

Cause: read as a newcomer: two protocols of the distance to a zone, a list decoder, fields and events that nothing used; a caller that left and a change of readiness left no line in the logs. Change: one module for distances; the unused goes; both decisions are logged; the count of left out lines is written. Conclusion: behaviour as before but for the two log lines.

--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -13,6 +13,7 @@
     ReplicaSet,
 )
 from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.wire.gen.conversation.ttypes import ReplicaScope
 from jasminewheel.errors import JasminewheelError, QuorumError
@@ -32,13 +33,6 @@
 MessageOf = Callable[[ReplicaScope], Any]
 
 
-class Distance(Protocol):
-    """Order replicas by what it costs to reach their availability zone."""
-
-    def __call__(self, zone: str) -> float:
-        """Return the cost of one message to the zone."""
-
-
 @define(eq=False)
 class SetHolder:
     """Hold the newest replica set and wake who waits for a newer one."""
--- a/src/jasminewheel/_internal/conversation/set_keeper.py
+++ b/src/jasminewheel/_internal/conversation/set_keeper.py
@@ -205,7 +205,7 @@
             self.due_since = None
         elif self.is_own_turn(now):
             await self.propose(proposed)
-        await self.report_retired(now)
+        await self.report_retired()
 
     def view(self) -> SetView:
         """Return what decides the next step."""
@@ -249,7 +249,7 @@
             return
         self.listener.holder.adopt(evolve(proposed, revision=revision))
 
-    async def report_retired(self, now: float) -> None:
+    async def report_retired(self) -> None:
         """Report on VMs that are to be emptied, in turn."""
         taken = {one.vm for one in self.listener.holder.current.replicas()}
         retiring = sorted(self.board.retiring())
--- a/src/jasminewheel/_internal/events/conversation.py
+++ b/src/jasminewheel/_internal/events/conversation.py
@@ -40,4 +40,3 @@
 STALE_SET_REFUSED = Event(
     1811, logging.INFO, 'a request under an outdated replica set refused'
 )
-EXPIRED = Event(1812, logging.INFO, 'turns past their retention forgotten')
--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -36,7 +36,6 @@
 )
 READY = Event(1882, logging.INFO, 'readiness of this entry changed')
 DRAINING = Event(1883, logging.INFO, 'stop requested; requests are finished')
-LINES_DROPPED = Event(1884, logging.INFO, 'log lines left out to bound them')
 ROUTE_SKIPPED = Event(
     1885,
     logging.WARNING,
--- a/src/jasminewheel/_internal/gateway/call.py
+++ b/src/jasminewheel/_internal/gateway/call.py
@@ -19,13 +19,11 @@
 
     previous_id: str = ''
     program_id: str = ''
-    session_id: str = ''
     # None: the caller sets no budget.
     budget_tokens: int | None = None
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
-    program_seconds_left: float | None = None
 
 
 @frozen
@@ -43,4 +41,3 @@
     arrived_at: float
     deadline_at: float
     turn: TurnRequest = field(factory=TurnRequest)
-    affinity: str = ''
--- a/src/jasminewheel/_internal/gateway/choice.py
+++ b/src/jasminewheel/_internal/gateway/choice.py
@@ -12,10 +12,10 @@
 from jasminewheel._internal.gateway.call import PromptPart
 from jasminewheel._internal.gateway.routes import CallKind
 from jasminewheel._internal.gateway.runners import (
-    Distance,
     RunnerDirectory,
     RunnerView,
 )
+from jasminewheel._internal.peer.distance import Distance
 
 # Time a call adds to those that share an engine's steps with it.
 SHARING_SECONDS = 0.004
--- a/src/jasminewheel/_internal/gateway/gateway.py
+++ b/src/jasminewheel/_internal/gateway/gateway.py
@@ -4,7 +4,7 @@
 from zlib import crc32
 
 import trio
-from attrs import define, field, frozen
+from attrs import define, frozen
 
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.attempts import CallRecord, failed
@@ -62,7 +62,6 @@
     routes: RoutesHolder
     plain: PlainFlow
     turns: TurnFlow
-    counts: dict[str, int] = field(factory=dict)
 
     async def serve(self, call: Call, answer: AnswerWriter) -> None:
         """Answer one call, or raise the CallError that it ends with."""
@@ -80,6 +79,9 @@
         except CallError as error:
             self.note_error(record, table, error)
             raise
+        except trio.Cancelled:
+            events.ABANDONED.log(_LOGGER, **_fields(record, table))
+            raise
         events.ENDED.log(_LOGGER, **_fields(record, table))
 
     async def serve_in_time(
--- a/src/jasminewheel/_internal/gateway/routes.py
+++ b/src/jasminewheel/_internal/gateway/routes.py
@@ -37,7 +37,6 @@
     kind: CallKind
     shares: tuple[TargetShare, ...]
     timeout_seconds: float
-    objective_seconds: float
     priority: int
     max_attempts: int
     retains_history: bool = False
@@ -59,7 +58,6 @@
     """Hold what operators declare of a target."""
 
     name: str
-    max_connections: int = 0
     tokens_per_event: int = 1
 
 
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -1,8 +1,7 @@
 """Know the runners of each target, and what this entry saw of them."""
 
 import logging
-from collections.abc import Iterable, Iterator
-from typing import Protocol
+from collections.abc import Iterator
 
 from attrs import define, field, frozen
 
@@ -48,13 +47,6 @@
         return listed and not self.runner.draining
 
 
-class Distance(Protocol):
-    """Say how far an availability zone is."""
-
-    def __call__(self, zone: str) -> float:
-        """Return the seconds there and back."""
-
-
 @define(eq=False)
 class RunnerDirectory:
     """Hold all runners that are listed."""
@@ -65,15 +57,6 @@
     store_away: bool = False
     relist_until: float = 0
 
-    def replace(self, runners: Iterable[Runner], now: float) -> None:
-        """Take the whole list; unlisted runners go, or go soon."""
-        listed = {runner.runner_id: runner for runner in runners}
-        for runner in listed.values():
-            self.put(runner)
-        unlisted = self.views.keys() - listed.keys()
-        for runner_id in unlisted:
-            self.remove(runner_id, now)
-
     def put(self, runner: Runner) -> None:
         """Add or update one runner."""
         view = self.views.get(runner.runner_id)
--- a/src/jasminewheel/_internal/observability/json_lines.py
+++ b/src/jasminewheel/_internal/observability/json_lines.py
@@ -35,6 +35,9 @@
             line['event'] = event
             line['message'] = record.args[1]
             line.update(record.fields)
+        left_out = getattr(record, 'left_out', 0)
+        if left_out:
+            line['left_out_before'] = left_out
         if record.exc_info:
             line['trace'] = self.formatException(record.exc_info)
         return json.dumps(line, default=str)
--- a/src/jasminewheel/_internal/gateway/distance.py
+++ b/src/jasminewheel/_internal/peer/distance.py
@@ -1,6 +1,7 @@
 """Say how long a message to another availability zone and back takes."""
 
 from collections.abc import Mapping
+from typing import Protocol
 
 from attrs import frozen
 
@@ -9,6 +10,13 @@
 OTHER_REGION_SECONDS = 0.04
 
 
+class Distance(Protocol):
+    """Say how far an availability zone is."""
+
+    def __call__(self, zone: str) -> float:
+        """Return the seconds there and back."""
+
+
 @frozen
 class ZoneDistance:
     """Know the regions of availability zones, seen from one of them."""
--- a/src/jasminewheel/platform/configuration.py
+++ b/src/jasminewheel/platform/configuration.py
@@ -62,7 +62,6 @@
         kind=_KINDS.get(fields['Kind'], CallKind.unsafe),
         shares=_shares(fields),
         timeout_seconds=fields['TimeoutMs'] / _MILLISECONDS,
-        objective_seconds=fields['TargetLatencyMs'] / _MILLISECONDS,
         priority=int(fields.get('Priority', 0)),
         max_attempts=int(fields.get('MaxAttempts', 1)),
         retains_history=bool(fields.get('RetainHistory')),
@@ -84,7 +83,6 @@
     engine = fields.get('Engine') or {}
     return TargetProfile(
         str(fields['Name']),
-        int(fields.get('MaxConnections') or 0),
         int(engine.get('StreamStride') or 1),
     )
 
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -8,11 +8,11 @@
 from jasminewheel._internal.conversation.set_keeper import SetListener
 from jasminewheel._internal.gateway.attempts import Attempts
 from jasminewheel._internal.gateway.choice import RunnerChoice
-from jasminewheel._internal.gateway.distance import ZoneDistance
 from jasminewheel._internal.gateway.gateway import Gateway, RoutesHolder
 from jasminewheel._internal.gateway.plain_flow import PlainFlow
 from jasminewheel._internal.gateway.runners import RunnerDirectory
 from jasminewheel._internal.gateway.turn_flow import TurnFlow
+from jasminewheel._internal.peer.distance import ZoneDistance
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.web.pool import ConnectionPool
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -23,7 +23,6 @@
 DEFAULT_SECONDS = 30.0
 # Another entry serves at once.
 STOPPING_RETRY_SECONDS = 0.05
-_HEX = 16
 # What the system sets itself, whatever a client sends.
 _OWN_HEADERS = (
     b'deadline-ms',
@@ -93,25 +92,19 @@
         arrived_at=request.arrived_at,
         deadline_at=request.arrived_at + seconds,
         turn=_turn(request.headers),
-        affinity=field_text(request.headers, b'affinity-key'),
     )
 
 
 def _turn(headers: Headers) -> TurnRequest:
     usage = field_text(headers, b'token-usage').split(',')
     counts = [int(part) for part in usage if part.strip().isdigit()]
-    program_ms = _number(headers, b'program-deadline-ms')
     return TurnRequest(
         previous_id=field_text(headers, b'previous-turn'),
         program_id=field_text(headers, b'program-id'),
-        session_id=field_text(headers, b'session-id'),
         budget_tokens=_number(headers, b'token-budget'),
         prompt_tokens=counts[0] if counts else 0,
         max_output_tokens=counts[1] if len(counts) > 1 else 0,
         parts=tuple(_parts(field_text(headers, b'prompt-prefix'))),
-        program_seconds_left=(
-            None if program_ms is None else program_ms / MILLISECONDS
-        ),
     )
 
 
--- a/src/jasminewheel/platform/readiness.py
+++ b/src/jasminewheel/platform/readiness.py
@@ -1,15 +1,19 @@
 """Answer the balancer, which asks once a second whether to send clients."""
 
+import logging
+
 import trio
 from attrs import define
 
 from jasminewheel._internal.conversation.quorum_watch import QuorumWatch
+from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.gateway import RoutesHolder
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.request_parser import HttpRequest
 
 _READY = 200
 _NOT_READY = 503
+_LOGGER = logging.getLogger(__name__)
 
 
 @define(eq=False)
@@ -19,6 +23,7 @@
     routes: RoutesHolder
     replicas: QuorumWatch
     stopping: bool = False
+    last_told: bool = False
 
     @property
     def ready(self) -> bool:
@@ -28,6 +33,15 @@
         return self.replicas.reachable(trio.current_time())
 
     async def answer(self, request: HttpRequest, answer: AnswerWriter) -> None:
-        """Answer the balancer's question."""
-        status = _READY if self.ready else _NOT_READY
+        """Answer the balancer's question; log when the answer changes."""
+        ready = self.ready
+        if ready != self.last_told:
+            self.last_told = ready
+            events.READY.log(
+                _LOGGER,
+                ready=ready,
+                version=self.routes.current.version,
+                stopping=self.stopping,
+            )
+        status = _READY if ready else _NOT_READY
         await answer.send_whole(status, [], b'')
--- a/src/jasminewheel/platform/runner_list.py
+++ b/src/jasminewheel/platform/runner_list.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from jasminewheel._internal.events import gateway as events
@@ -24,16 +24,6 @@
         return None
 
 
-def decode_runners(items: Mapping[str, StoreItem]) -> Iterator[Runner]:
-    """Yield the runners that are listed."""
-    for key, stored in items.items():
-        runner = None
-        if key.startswith(RUNNER_PREFIX):
-            runner = decode_runner(stored)
-        if runner:
-            yield runner
-
-
 def _runner(stored: StoreItem) -> Runner:
     fields = json.loads(stored.value)
     state = _typed(fields, 'State', str)
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -23,7 +23,6 @@
     vm: str
     ip: str
     zone: str
-    region: str
     zone_regions: Mapping[str, str]
     callers_address: str
     readiness_address: str
@@ -35,7 +34,6 @@
     first_start: bool
     grace_seconds: float
     disks_lost: int
-    zones_lost: int
     store_address: str
 
 
@@ -80,7 +78,6 @@
         vm=fields.take('NodeName', str),
         ip=fields.take('Ip', str),
         zone=fields.take('Zone', str),
-        region=fields.take('Region', str),
         zone_regions=fields.take('Zones', dict, default={}),
         callers_address=fields.take(f'Listen.{_ENTRY_ROLE}', str, default=''),
         readiness_address=fields.take('Listen.Ready', str, default=''),
@@ -92,7 +89,6 @@
         first_start=fields.take('Bootstrap', bool, default=False),
         grace_seconds=fields.take('Bounds.GraceS', float, default=8),
         disks_lost=fields.take('FaultTolerance.Machines', int, default=1),
-        zones_lost=fields.take('FaultTolerance.Zones', int, default=0),
         store_address=fields.take('Platform.Address', str),
     )
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -134,7 +134,6 @@
             vm=vm,
             ip=HOST,
             zone=zone,
-            region='east',
             zone_regions={'east-a': 'east', 'east-b': 'east', 'west-a': 'west'},
             callers_address=f'{HOST}:{free_port()}',
             readiness_address=f'{HOST}:{free_port()}',
@@ -146,7 +145,6 @@
             first_start=True,
             grace_seconds=GRACE_SECONDS,
             disks_lost=1,
-            zones_lost=0,
             store_address=self.store_address,
         )
 
