Take out what the platform's roles never used, and share three twins

Nothing ever noted which parts of prompts a runner was sent, so choosing by held parts always counted none: parsing Prompt-Prefix and the class for it were dead. Three pieces stood twice: the durable replacement of a file, the size of a turn, the errors of a broken stream. Counters of sends, uses and dropped lines were never read. Change: the dead goes, the twins are one each, two comments now say what the code does. Conclusion: behaviour as before.

--- a/src/jasminewheel/_internal/conversation/client.py
+++ b/src/jasminewheel/_internal/conversation/client.py
@@ -15,6 +15,7 @@
     Question,
     QuorumClient,
 )
+from jasminewheel._internal.conversation.state import turn_bytes
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import (
     BudgetError,
@@ -70,12 +71,12 @@
     def put(self, turn: wire.TurnRecord) -> None:
         """Keep a turn as the newest."""
         if turn.turn_id not in self.turns:
-            self.held_bytes += _size(turn)
+            self.held_bytes += turn_bytes(turn)
         self.turns[turn.turn_id] = turn
         self.turns.move_to_end(turn.turn_id)
         while self.held_bytes > self.limit_bytes:
             _, dropped = self.turns.popitem(last=False)
-            self.held_bytes -= _size(dropped)
+            self.held_bytes -= turn_bytes(dropped)
 
     def chain(self, turn_id: str) -> list[wire.TurnRecord]:
         """Return the turn and those before it that are here, newest first."""
@@ -179,7 +180,7 @@
             Question(
                 lambda scope: wire.CommitTurn(scope=scope, turn=turn),
                 wire.Stored,
-                message_bytes=_size(turn),
+                message_bytes=turn_bytes(turn),
             ),
         )
         self.cache.put(turn)
@@ -219,7 +220,3 @@
             raise UnavailableError(
                 error.message, retry_after_seconds=retry_after
             ) from error
-
-
-def _size(turn: wire.TurnRecord) -> int:
-    return len(turn.prompt) + len(turn.output)
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -93,7 +93,7 @@
 
 
 class FoundOrAbsent:
-    """Need one replica that has a turn, or a majority that does not."""
+    """Need one replica that has a turn, or enough that it is nowhere."""
 
     def first_asked(
         self, used: ReplicaSet, ordered: list[Replica]
--- a/src/jasminewheel/_internal/conversation/service.py
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -13,6 +13,7 @@
     revision_entry,
     turn_entry,
 )
+from jasminewheel._internal.conversation.state import turn_bytes
 from jasminewheel._internal.events import conversation as events
 from jasminewheel._internal.peer.server import Exchange, Handler
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
@@ -181,5 +182,5 @@
 
 def _size(record: Any) -> int:
     if isinstance(record, wire.TurnRecord):
-        return len(record.prompt) + len(record.output)
+        return turn_bytes(record)
     return 0
--- a/src/jasminewheel/_internal/conversation/state.py
+++ b/src/jasminewheel/_internal/conversation/state.py
@@ -15,6 +15,11 @@
 KEEP_FACTOR = 3
 
 
+def turn_bytes(record: TurnRecord) -> int:
+    """Return the size of what was said in a turn."""
+    return len(record.prompt) + len(record.output)
+
+
 @define(eq=False)
 class KeptTurn:
     """Hold a turn and when its chain was last continued here."""
--- a/src/jasminewheel/_internal/gateway/call.py
+++ b/src/jasminewheel/_internal/gateway/call.py
@@ -5,14 +5,6 @@
 from jasminewheel._internal.web.headers import Headers
 
 
-@frozen
-class PromptPart:
-    """Name a part of a prompt that other prompts may share."""
-
-    part_id: str
-    tokens: int
-
-
 @frozen
 class TurnRequest:
     """Hold what a turn of a program says of itself."""
@@ -23,7 +15,6 @@
     budget_tokens: int | None = None
     prompt_tokens: int = 0
     max_output_tokens: int = 0
-    parts: tuple[PromptPart, ...] = ()
 
 
 @frozen
--- a/src/jasminewheel/_internal/gateway/choice.py
+++ b/src/jasminewheel/_internal/gateway/choice.py
@@ -9,7 +9,6 @@
 
 from attrs import define, field, frozen
 
-from jasminewheel._internal.gateway.call import PromptPart
 from jasminewheel._internal.gateway.routes import CallKind
 from jasminewheel._internal.gateway.runners import (
     RunnerDirectory,
@@ -31,7 +30,6 @@
 
     target: str
     kind: CallKind
-    parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     # The runner that answered the turn before.
     previous_runner: str = ''
@@ -71,8 +69,7 @@
         cost += max(0, busy + 1 - slots) * service / slots
         if need.kind is not CallKind.streaming:
             return cost + busy * NEAR_SECONDS
-        held = view.held.held_tokens(need.parts)
+        missing = need.prompt_tokens
         if view.runner.runner_id == need.previous_runner:
-            held = need.prompt_tokens
-        missing = max(0, need.prompt_tokens - held)
+            missing = 0
         return cost + missing * PREFILL_SECONDS + busy * SHARING_SECONDS
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -6,7 +6,6 @@
 from attrs import define, field, frozen
 
 from jasminewheel._internal.events import gateway as events
-from jasminewheel._internal.gateway.held_parts import HeldParts
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
 from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
@@ -37,7 +36,6 @@
     runner: Runner
     load: RunnerLoad = field(factory=lambda: RunnerLoad(lag_seconds=0))
     breaker: CircuitBreaker = field(factory=CircuitBreaker)
-    held: HeldParts = field(factory=HeldParts)
     # Until when a runner that is not listed any more is used.
     unlisted_until: float | None = None
 
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -90,7 +90,6 @@
         return Need(
             self.record.target,
             self.record.route.kind,
-            parts=turn.parts,
             prompt_tokens=turn.prompt_tokens,
             previous_runner=self.chain[-1].runner if self.chain else '',
             avoided=self.record.avoided,
--- a/src/jasminewheel/_internal/history/folder.py
+++ b/src/jasminewheel/_internal/history/folder.py
@@ -7,6 +7,7 @@
 
 from jasminewheel._internal.history.segment import (
     FILE_MODE,
+    replace_durably,
     segment_numbers,
     sync_folder,
 )
@@ -41,13 +42,7 @@
             remedy='replace this disk',
         )
     disk_id = secrets.token_hex(_DISK_ID_BYTES)
-    draft = path.with_suffix('.new')
-    with draft.open('w', encoding='ascii') as written:
-        written.write(disk_id)
-        written.flush()
-        # The name must never show an identity that a loss of power empties.
-        os.fsync(written.fileno())
-    draft.replace(path)
+    replace_durably(path, disk_id)
     sync_folder(folder)
     return disk_id
 
--- a/src/jasminewheel/_internal/observability/json_lines.py
+++ b/src/jasminewheel/_internal/observability/json_lines.py
@@ -5,8 +5,9 @@
 import os
 import sys
 import time
+from contextlib import suppress
 
-# Plain successes above this rate are left out and counted.
+# Lines below a warning above this rate are left out and counted.
 LINES_PER_SECOND = 100
 BURST_LINES = 200
 _STDOUT = 1
@@ -68,21 +69,19 @@
 
 
 class StandardOutput(logging.Handler):
-    """Write lines without ever waiting; what does not fit is counted."""
+    """Write lines without ever waiting; what does not fit is dropped."""
 
     def __init__(self) -> None:
         """Make standard output non-blocking."""
         super().__init__()
         os.set_blocking(_STDOUT, False)
-        self.dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write the line of a record."""
         line = f'{self.format(record)}\n'.encode()
-        try:
+        # A full pipe has no other place to be told of.
+        with suppress(OSError):
             os.write(_STDOUT, line)
-        except OSError:
-            self.dropped += 1
 
 
 def start_json_logging(process: str, level: str = 'INFO') -> None:
--- a/src/jasminewheel/_internal/peer/frames.py
+++ b/src/jasminewheel/_internal/peer/frames.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define, field
 
+from jasminewheel._internal.peer.sockets import BROKEN_STREAM_ERRORS
 from jasminewheel._internal.peer.traffic import TRAFFIC
 from jasminewheel._internal.wire.codec import decode, encode
 from jasminewheel._internal.wire.gen.frame.ttypes import Envelope
@@ -18,13 +19,7 @@
 OUTBOX_BYTES = 1048576
 CHUNK_BYTES = 65536
 MAC_BYTES = 32
-BROKEN_ERRORS = (
-    OSError,
-    EOFError,
-    PeerError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
+BROKEN_ERRORS = (*BROKEN_STREAM_ERRORS, EOFError, PeerError)
 
 _LENGTH = struct.Struct('>I')
 _COUNTER = struct.Struct('>Q')
--- a/src/jasminewheel/_internal/peer/sockets.py
+++ b/src/jasminewheel/_internal/peer/sockets.py
@@ -9,6 +9,12 @@
 # Two of these probes without an answer end a silent connection.
 PROBE_SECONDS = 1
 PROBES = 2
+# What a stream raises when its other end, or this one, is gone.
+BROKEN_STREAM_ERRORS = (
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
 
 
 def tune(opened: trio.socket.SocketType) -> None:
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -2,7 +2,6 @@
 
 import json
 import logging
-import os
 from base64 import b64decode, b64encode
 from collections.abc import Iterable, Mapping
 from itertools import cycle
@@ -12,6 +11,7 @@
 from attrs import define, field, frozen
 
 from jasminewheel._internal.events import store as events
+from jasminewheel._internal.history.segment import replace_durably
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.store.mirror import StoreMirror
@@ -69,19 +69,10 @@
             self.changed = trio.Event()
             text = _to_text(self.items.values())
             try:
-                await trio.to_thread.run_sync(self.write, text)
+                await trio.to_thread.run_sync(replace_durably, self.path, text)
             except OSError as error:
                 events.KNOWN_UNWRITTEN.log(_LOGGER, problem=repr(error))
 
-    def write(self, text: str) -> None:
-        """Replace the file by a synced one."""
-        draft = self.path.with_suffix('.new')
-        with draft.open('w', encoding='ascii') as written:
-            written.write(text)
-            written.flush()
-            os.fsync(written.fileno())
-        draft.replace(self.path)
-
 
 @frozen
 class KnownItemsService:
--- a/src/jasminewheel/_internal/web/answer_writer.py
+++ b/src/jasminewheel/_internal/web/answer_writer.py
@@ -28,7 +28,6 @@
     idle_seconds: float
     started: bool = False
     finished: bool = False
-    sent_bytes: int = 0
 
     async def send_whole(
         self, status: int, headers: Headers, body: bytes
@@ -37,29 +36,25 @@
         self.started = True
         length = (b'Content-Length', b'%d' % len(body))
         head = self._head(status, [*headers, length])
-        await self._write(b'%b%b' % (head, body))
+        await self.stream.send_all(b'%b%b' % (head, body))
         self.finished = True
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of an answer in parts."""
         self.started = True
         chunked = (b'Transfer-Encoding', b'chunked')
-        await self._write(self._head(status, [*headers, chunked]))
+        await self.stream.send_all(self._head(status, [*headers, chunked]))
 
     async def send(self, part: bytes) -> None:
         """Send a part."""
         if part:
-            await self._write(b'%x\r\n%b\r\n' % (len(part), part))
+            await self.stream.send_all(b'%x\r\n%b\r\n' % (len(part), part))
 
     async def finish(self) -> None:
         """End an answer in parts."""
-        await self._write(_LAST_CHUNK)
+        await self.stream.send_all(_LAST_CHUNK)
         self.finished = True
 
-    async def _write(self, block: bytes) -> None:
-        self.sent_bytes += len(block)
-        await self.stream.send_all(block)
-
     def _head(self, status: int, headers: Headers) -> bytes:
         line = b'HTTP/1.1 %d %b\r\n' % (status, _REASONS.get(status, b''))
         connection = [(b'Connection', _CLOSE)]
--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -6,7 +6,7 @@
 import trio
 from attrs import define, field, frozen
 
-from jasminewheel._internal.peer.sockets import tune
+from jasminewheel._internal.peer.sockets import BROKEN_STREAM_ERRORS, tune
 from jasminewheel._internal.web.headers import (
     Headers,
     field_text,
@@ -23,7 +23,6 @@
 IDLE_SECONDS = 4.0
 # Time in which a server may close a connection that is used just then.
 IDLE_MARGIN_SECONDS = 0.7
-_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 @frozen
@@ -51,16 +50,14 @@
     address: str
     stream: trio.SocketStream
     parser: ResponseParser = field(factory=ResponseParser)
-    uses: int = 0
     idle_since: float = 0
     idle_seconds: float = IDLE_SECONDS
 
     async def send(self, request: OutgoingRequest) -> None:
         """Send one request; raise ConnectionLostError if that failed."""
-        self.uses += 1
         try:
             await self.stream.send_all(request.to_bytes())
-        except _BROKEN as error:
+        except BROKEN_STREAM_ERRORS as error:
             raise ConnectionLostError(
                 f'{self.address} broke off the request: {error!r}',
             ) from error
@@ -119,7 +116,7 @@
             raise ConnectionLostError(f'{self.address} broke off its answer')
         try:
             received = await self.stream.receive_some(CHUNK_BYTES)
-        except _BROKEN as error:
+        except BROKEN_STREAM_ERRORS as error:
             raise ConnectionLostError(
                 f'{self.address} broke off its answer: {error!r}',
             ) from error
--- a/src/jasminewheel/_internal/web/server.py
+++ b/src/jasminewheel/_internal/web/server.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define, field
 
+from jasminewheel._internal.peer.sockets import BROKEN_STREAM_ERRORS
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.request_parser import (
     HttpRequest,
@@ -22,7 +23,6 @@
 # How long a refused client may go on sending before the connection ends.
 LINGER_SECONDS = 1.0
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 _LOGGER = logging.getLogger(__name__)
 
 Handler = Callable[[HttpRequest, AnswerWriter], Awaitable[None]]
@@ -68,7 +68,7 @@
         with self.reading:
             try:
                 return await self.stream.receive_some(CHUNK_BYTES)
-            except _BROKEN:
+            except BROKEN_STREAM_ERRORS:
                 return b''
         if self.parser.started_at is not None:
             self.parser.fail(SlowRequestError('the request came too slowly'))
@@ -90,7 +90,7 @@
         """Let a client go on that waits to be asked for its body."""
         if self.parser.wants_continue and not self.parser.fault:
             self.parser.wants_continue = False
-            with suppress(*_BROKEN):
+            with suppress(*BROKEN_STREAM_ERRORS):
                 await self.stream.send_all(_CONTINUE)
 
     async def wait_for_room(self) -> None:
@@ -141,7 +141,7 @@
         """Run the handler; its fault ends only this connection."""
         try:
             await self.server.handler(request, answer)
-        except _BROKEN:
+        except BROKEN_STREAM_ERRORS:
             _LOGGER.debug('a client left while it was answered')
         except Exception:
             _LOGGER.exception('handler of %r', request.target)
@@ -150,7 +150,10 @@
         """Answer what is no request, then end the connection in peace."""
         answer = AnswerWriter(self.stream, keep_alive=False, idle_seconds=0)
         self.server.note_fault(fault)
-        with trio.move_on_after(LINGER_SECONDS), suppress(*_BROKEN):
+        with (
+            trio.move_on_after(LINGER_SECONDS),
+            suppress(*BROKEN_STREAM_ERRORS),
+        ):
             await answer.send_whole(fault.status, [], fault.message.encode())
             await self.stream.send_eof()
             while await self.stream.receive_some(CHUNK_BYTES):
@@ -166,7 +169,6 @@
     limits: RequestLimits = RequestLimits()
     draining: bool = False
     connections: set[ClientConnection] = field(factory=set)
-    listeners: list[trio.SocketListener] = field(factory=list)
 
     async def serve(
         self,
@@ -175,9 +177,9 @@
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Listen until cancelled; the started value is the bound port."""
-        self.listeners = await trio.open_tcp_listeners(port, host=host)
-        task_status.started(self.listeners[0].socket.getsockname()[1])
-        await trio.serve_listeners(self.accept, self.listeners)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        task_status.started(listeners[0].socket.getsockname()[1])
+        await trio.serve_listeners(self.accept, listeners)
 
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
@@ -185,7 +187,7 @@
         self.connections.add(connection)
         try:
             await connection.run()
-        except* _BROKEN:
+        except* BROKEN_STREAM_ERRORS:
             _LOGGER.debug('a client closed its connection')
         finally:
             self.connections.discard(connection)
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from jasminewheel._internal.gateway.call import Call, PromptPart, TurnRequest
+from jasminewheel._internal.gateway.call import Call, TurnRequest
 from jasminewheel._internal.gateway.gateway import Gateway
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.headers import (
@@ -104,19 +104,9 @@
         budget_tokens=_number(headers, b'token-budget'),
         prompt_tokens=counts[0] if counts else 0,
         max_output_tokens=counts[1] if len(counts) > 1 else 0,
-        parts=tuple(_parts(field_text(headers, b'prompt-prefix'))),
     )
 
 
-def _parts(text: str) -> list[PromptPart]:
-    found = []
-    for entry in filter(None, text.split(',')):
-        part_id, _, tokens = entry.strip().partition(':')
-        if tokens.isdigit():
-            found.append(PromptPart(part_id, int(tokens)))
-    return found
-
-
 def _number(headers: Headers, name: bytes) -> int | None:
     text = field_text(headers, name)
     if not text:
