--- a/src/jasminewheel/_internal/conversation/set_keeper.py
+++ b/src/jasminewheel/_internal/conversation/set_keeper.py
@@ -2,14 +2,12 @@
 
 import json
 import logging
-from collections.abc import Mapping
 from typing import Protocol
 
 import trio
-from attrs import asdict, define, evolve, field
+from attrs import asdict, define, evolve
 
 from jasminewheel._internal.conversation.catch_up import CatchUp
-from jasminewheel._internal.conversation.quorum import SetHolder
 from jasminewheel._internal.conversation.replica_set import (
     Replica,
     ReplicaSet,
@@ -19,18 +17,20 @@
     SetView,
     next_set,
 )
+from jasminewheel._internal.conversation.set_listener import (
+    DISK_PREFIX,
+    SET_KEY,
+    SetListener,
+)
 from jasminewheel._internal.events import conversation as events
 from jasminewheel._internal.events import store as store_events
-from jasminewheel._internal.store.port import StoreItem, WatchedStore
+from jasminewheel._internal.store.port import WatchedStore
 from jasminewheel.errors import (
     JasminewheelError,
     StoreConflictError,
     StoreError,
 )
 
-OWN_PREFIX = 'jasminewheel/'
-SET_KEY = f'{OWN_PREFIX}replicas'
-DISK_PREFIX = f'{OWN_PREFIX}disks/'
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 1.0
 CHECK_SECONDS = 0.25
@@ -49,62 +49,6 @@
         """Report that a VM is being emptied, or is empty."""
 
 
-@define(eq=False)
-class SetListener:
-    """Decode the replica set and the live disks from the store's items."""
-
-    holder: SetHolder = field(factory=SetHolder)
-    candidates: dict[str, Candidate] = field(factory=dict)
-    absent_since: dict[str, float] = field(factory=dict)
-
-    def items_changed(
-        self, items: Mapping[str, StoreItem], keys: frozenset[str]
-    ) -> None:
-        """Take the changed keys of the product."""
-        if SET_KEY in keys and SET_KEY in items:
-            self.take_set(items[SET_KEY])
-        for key in keys:
-            if key.startswith(DISK_PREFIX):
-                self.take_disk(key.removeprefix(DISK_PREFIX), items.get(key))
-        self.note_absent(trio.current_time())
-
-    def take_set(self, stored: StoreItem) -> None:
-        """Adopt a stored replica set."""
-        try:
-            found = ReplicaSet.from_text(stored.value.decode(), stored.revision)
-        except ValueError as error:
-            _LOGGER.warning('replica set skipped: %s', error)
-            return
-        self.holder.adopt(found)
-
-    def take_disk(self, vm: str, stored: StoreItem | None) -> None:
-        """Take or forget the disk of a VM."""
-        self.candidates.pop(vm, None)
-        if stored is None:
-            return
-        try:
-            self.candidates[vm] = _candidate(stored.value)
-        except (ValueError, KeyError, TypeError) as error:
-            _LOGGER.warning('disk of %s skipped: %r', vm, error)
-
-    def note_absent(self, now: float) -> None:
-        """Remember since when replicas are not seen."""
-        live = {one.replica.disk_id for one in self.candidates.values()}
-        wanted = {one.disk_id for one in self.holder.current.replicas()}
-        self.absent_since = {
-            disk_id: self.absent_since.get(disk_id, now)
-            for disk_id in wanted - live
-        }
-
-    def store_lost(self) -> None:
-        """Forget absences: without the store nobody is seen."""
-        self.absent_since = {}
-
-    def store_back(self) -> None:
-        """Count absences from now on."""
-        self.note_absent(trio.current_time())
-
-
 @define(eq=False)
 class DiskRegistration:
     """Keep this disk listed while its process lives."""
@@ -256,10 +200,3 @@
         while retiring and self.rank() == 0:
             vm = retiring.pop()
             await self.board.report(vm, done=vm not in taken)
-
-
-def _candidate(stored: bytes) -> Candidate:
-    fields = json.loads(stored)
-    return Candidate(
-        Replica(**fields['replica']), int(fields['copied_revision'])
-    )
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -5,7 +5,7 @@
 
 from jasminewheel._internal.conversation.client import ConversationClient
 from jasminewheel._internal.conversation.quorum import QuorumClient, SetHolder
-from jasminewheel._internal.conversation.set_keeper import SetListener
+from jasminewheel._internal.conversation.set_listener import SetListener
 from jasminewheel._internal.gateway.attempts import Attempts
 from jasminewheel._internal.gateway.choice import RunnerChoice
 from jasminewheel._internal.gateway.gateway import Gateway, RoutesHolder
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -12,9 +12,10 @@
 from jasminewheel._internal.conversation.set_change import Candidate
 from jasminewheel._internal.conversation.set_keeper import (
     DiskRegistration,
+    RetireBoard,
     SetKeeper,
-    SetListener,
 )
+from jasminewheel._internal.conversation.set_listener import SetListener
 from jasminewheel._internal.conversation.state import ConversationState
 from jasminewheel._internal.history.folder import load_disk_id
 from jasminewheel._internal.peer.pool import PeerPool
@@ -22,7 +23,6 @@
 from jasminewheel._internal.store.known_items import KnownItemsService
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.wire.gen.conversation.ttypes import ReadKnownItems
-from jasminewheel.platform.retire import PlatformRetireBoard
 from jasminewheel.platform.roles import peer_server
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
@@ -67,7 +67,7 @@
             {**service.handlers(), ReadKnownItems: known.read},
         )
 
-    def keeper(self, pool: PeerPool, board: PlatformRetireBoard) -> SetKeeper:
+    def keeper(self, pool: PeerPool, board: RetireBoard) -> SetKeeper:
         """Return the task that keeps the replica set fit."""
         return SetKeeper(
             self.store,
--- a/tests/unit/test_disk_registration.py
+++ b/tests/unit/test_disk_registration.py
@@ -6,10 +6,8 @@
 
 from jasminewheel._internal.conversation.replica_set import Replica
 from jasminewheel._internal.conversation.set_change import Candidate
-from jasminewheel._internal.conversation.set_keeper import (
-    DISK_PREFIX,
-    DiskRegistration,
-)
+from jasminewheel._internal.conversation.set_keeper import DiskRegistration
+from jasminewheel._internal.conversation.set_listener import DISK_PREFIX
 from jasminewheel.errors import StoreConflictError, StoreUnavailableError
 
 REPLICA = Replica('d1', 'vm1', 'h:1', 'z')
