Reach the disks through another entry while the way there is cut

The shorter or longer Retry-After suspected before is not it: two of three new tries meet a cut entry whatever the pause. Ruled out: all histories down (they answered others), a fresh entry that knows no set (all knew revision 6). Change: entries list themselves in the store; one that gets no majority sends its questions through up to three near entries, which pass on only questions to replicas that they know and reach themselves. Silent replicas are doubted at once and asked on the direct path each 0.2 s until they answer. Replica sets and sufficiency have modules of their own now.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -97,3 +97,15 @@
 struct KnownItems {
   1: list<KnownItem> items,
 }
+
+// Asked of another entry by one that does not reach a replica itself.
+struct RelayQuestion {
+  1: string replica,           // the disk that is asked
+  2: string message_name,
+  3: binary message,
+  4: double timeout_seconds,
+}
+
+struct RelayAnswer {
+  1: binary message,
+}
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/entry_list.py
@@ -0,0 +1,79 @@
+"""Know the other entries, as they list themselves in the store."""
+
+import json
+import logging
+from collections.abc import Mapping
+
+from attrs import asdict, define, field, frozen
+
+from jasminewheel._internal.conversation.set_listener import OWN_PREFIX
+from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.peer.distance import Distance
+from jasminewheel._internal.store.listing import StoreListing
+from jasminewheel._internal.store.port import StoreItem, WatchedStore
+
+ENTRY_PREFIX = f'{OWN_PREFIX}entries/'
+# A stopped entry that is still listed costs those who ask it one error.
+LEASE_SECONDS = 30.0
+RENEW_SECONDS = 10.0
+_LOGGER = logging.getLogger(__name__)
+
+
+@frozen
+class ListedEntry:
+    """Name an entry and where its peers reach it."""
+
+    vm: str
+    address: str
+    zone: str
+
+    def listing(self, store: WatchedStore) -> StoreListing:
+        """Return the task that keeps the entry listed."""
+        return StoreListing(
+            store,
+            ENTRY_PREFIX + self.vm,
+            json.dumps(asdict(self)).encode(),
+            LEASE_SECONDS,
+            RENEW_SECONDS,
+        )
+
+
+@define(eq=False)
+class EntryList:
+    """Hold the entries that are listed, apart from this one."""
+
+    own_vm: str
+    distance: Distance
+    entries: dict[str, ListedEntry] = field(factory=dict)
+
+    def items_changed(
+        self, items: Mapping[str, StoreItem], keys: frozenset[str]
+    ) -> None:
+        """Take the changed keys of entries."""
+        for key in keys:
+            vm = key.removeprefix(ENTRY_PREFIX)
+            if key.startswith(ENTRY_PREFIX) and vm != self.own_vm:
+                self.take(vm, items.get(key))
+
+    def take(self, vm: str, stored: StoreItem | None) -> None:
+        """Take or forget the entry of a VM."""
+        self.entries.pop(vm, None)
+        if stored is None:
+            return
+        try:
+            self.entries[vm] = ListedEntry(**json.loads(stored.value))
+        except (ValueError, TypeError) as error:
+            events.ENTRY_SKIPPED.log(_LOGGER, vm=vm, problem=repr(error))
+
+    def near_first(self) -> list[ListedEntry]:
+        """Return the entries, the nearest first."""
+        return sorted(
+            self.entries.values(),
+            key=lambda one: (self.distance(one.zone), one.vm),
+        )
+
+    def store_lost(self) -> None:
+        """Keep what is known."""
+
+    def store_back(self) -> None:
+        """Keep what is known."""
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -1,21 +1,34 @@
-"""Ask as few replicas as suffice, the near ones first."""
+"""Ask as few replicas as suffice, the near ones first.
+
+Answers disks that are slow, frozen or gone, and entries whose path to the
+disks is cut: the other disks are asked soon, and then other entries.
+"""
 
 import logging
-from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Any
 
 import trio
 from attrs import define, field, frozen
 
+from jasminewheel._internal.conversation.relay import (
+    RelayClient,
+    ReplicaMessage,
+)
 from jasminewheel._internal.conversation.replica_set import (
-    NO_SET,
     Replica,
     ReplicaSet,
 )
+from jasminewheel._internal.conversation.set_holder import SetHolder
+from jasminewheel._internal.conversation.sufficiency import (
+    ReplyCollection,
+    Sufficiency,
+    WriteQuorum,
+)
 from jasminewheel._internal.events import conversation as events
 from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.peer.pool import PeerPool
-from jasminewheel._internal.wire.gen.conversation.ttypes import ReplicaScope
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import JasminewheelError, QuorumError
 
 # The other replicas are asked when the near ones take longer.
@@ -26,123 +39,11 @@
 LINK_BYTES_PER_SECOND = 1000000
 # A replica that failed is asked last for this long.
 SUSPECT_SECONDS = 2.0
-# How long to wait for a newer replica set after being refused.
-SET_WAIT_SECONDS = 1.0
+# Another entry is given less, for its path may be cut as well.
+RELAY_SECONDS = 0.4
 _LOGGER = logging.getLogger(__name__)
 
-MessageOf = Callable[[ReplicaScope], Any]
-
-
-@define(eq=False)
-class SetHolder:
-    """Hold the newest replica set and wake who waits for a newer one."""
-
-    current: ReplicaSet = NO_SET
-    changed: trio.Event = field(factory=trio.Event)
-
-    def adopt(self, replica_set: ReplicaSet) -> None:
-        """Use the set if it is newer."""
-        if replica_set.revision <= self.current.revision:
-            return
-        self.current = replica_set
-        self.changed.set()
-        self.changed = trio.Event()
-        events.SET_ADOPTED.log(
-            _LOGGER,
-            revision=replica_set.revision,
-            members=[one.vm for one in replica_set.members],
-            joining=[one.vm for one in replica_set.joining],
-        )
-
-    async def wait_newer(self, revision: int) -> None:
-        """Wait a while for a set newer than the revision."""
-        with trio.move_on_after(SET_WAIT_SECONDS):
-            while self.current.revision <= revision:
-                await self.changed.wait()
-
-
-class Sufficiency(Protocol):
-    """Say when the answers to one message suffice."""
-
-    def first_asked(
-        self, used: ReplicaSet, ordered: list[Replica]
-    ) -> list[Replica]:
-        """Return the replicas whose answers should suffice."""
-
-    def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
-        """Tell whether the answers, by disk, suffice."""
-
-
-class WriteQuorum:
-    """Need a majority of each set in force."""
-
-    def first_asked(
-        self, used: ReplicaSet, ordered: list[Replica]
-    ) -> list[Replica]:
-        """Return the shortest beginning that is a quorum."""
-        chosen: list[Replica] = []
-        for replica in ordered:
-            if used.has_quorum({one.disk_id for one in chosen}):
-                break
-            chosen.append(replica)
-        return chosen
-
-    def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
-        """Tell whether a quorum answered."""
-        return used.has_quorum(replies)
-
-
-class FoundOrAbsent:
-    """Need one replica that has a turn, or enough that it is nowhere."""
-
-    def first_asked(
-        self, used: ReplicaSet, ordered: list[Replica]
-    ) -> list[Replica]:
-        """Return the nearest replica."""
-        return ordered[:1]
-
-    def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
-        """Tell whether the turn is found or certainly absent."""
-        found = any(reply.turns for reply in replies.values())
-        return found or used.knows_absence(replies)
-
-
-@define(eq=False)
-class ReplyCollection:
-    """Hold the answers to one message until they suffice."""
-
-    used: ReplicaSet
-    sufficiency: Sufficiency
-    replies: dict[str, Any] = field(factory=dict)
-    newest_revision: int = 0
-    pending: int = 0
-    done: trio.Event = field(factory=trio.Event)
-
-    def expect(self, count: int) -> None:
-        """Wait for so many answers more."""
-        self.pending += count
-        self.done = trio.Event()
-        self.check()
-
-    def add(self, replica: Replica, reply: Any) -> None:
-        """Take an answer."""
-        if reply.accepted:
-            self.replies[replica.disk_id] = reply
-        self.newest_revision = max(self.newest_revision, reply.set_revision)
-
-    def end_one(self) -> None:
-        """Note that a replica answered or failed."""
-        self.pending -= 1
-        self.check()
-
-    def check(self) -> None:
-        """Wake who waits if the answers suffice or no more will come."""
-        if self.sufficient() or not self.pending:
-            self.done.set()
-
-    def sufficient(self) -> bool:
-        """Tell whether the answers suffice."""
-        return self.sufficiency.met(self.used, self.replies)
+MessageOf = Callable[[wire.ReplicaScope], Any]
 
 
 @frozen
@@ -157,7 +58,17 @@
     @property
     def answer_seconds(self) -> float:
         """Return how long one replica's answer is waited for."""
-        return ANSWER_SECONDS + self.message_bytes / LINK_BYTES_PER_SECOND
+        return ANSWER_SECONDS + self.transfer_seconds
+
+    @property
+    def relay_seconds(self) -> float:
+        """Return how long an answer through another entry is waited for."""
+        return RELAY_SECONDS + self.transfer_seconds
+
+    @property
+    def transfer_seconds(self) -> float:
+        """Return how long the message takes on its way."""
+        return self.message_bytes / LINK_BYTES_PER_SECOND
 
 
 @define(eq=False)
@@ -171,6 +82,7 @@
     pool: PeerPool
     sets: SetHolder
     distance: Distance
+    relays: RelayClient | None = None
     suspects: dict[str, float] = field(factory=dict)
     missed_since: float | None = None
     # Replicas that answered when a majority was last missed.
@@ -202,27 +114,46 @@
     async def collect(
         self, question: Question, collection: ReplyCollection
     ) -> None:
-        """Ask the near ones, then the rest if that is late or fails."""
+        """Ask the near ones, then the rest, then through other entries."""
         ordered = self.ordered(collection.used)
         first = question.sufficiency.first_asked(collection.used, ordered)
         rest = [one for one in ordered if one not in first]
         async with trio.open_nursery() as nursery:
             asker = _Asker(self, nursery, question, collection)
-            asker.start(first)
-            with trio.move_on_after(HEDGE_SECONDS):
-                await collection.done.wait()
-            if not collection.sufficient():
-                asker.start(rest)
+            asker.ask(first)
+            if not await collection.sufficient_within(HEDGE_SECONDS):
+                asker.ask(rest)
+            if not await collection.sufficient_within(HEDGE_SECONDS):
+                asker.relay(ordered)
             await collection.done.wait()
             nursery.cancel_scope.cancel()
 
+    async def ask_suspects(self) -> None:
+        """Ask those that did not answer, so that they are trusted again."""
+        used = self.sets.current
+        suspects = [one for one in used.replicas() if self.is_suspect(one)]
+        collection = ReplyCollection(used, WriteQuorum())
+        question = Question(
+            lambda scope: wire.ReadProgramTokens(scope=scope, program_id=''),
+            wire.ProgramTokens,
+        )
+        async with trio.open_nursery() as nursery:
+            _Asker(self, nursery, question, collection).ask_directly(suspects)
+
+    def doubted(self) -> int:
+        """Return how many replicas did not answer a moment ago."""
+        return sum(map(self.is_suspect, self.sets.current.replicas()))
+
+    def is_suspect(self, replica: Replica) -> bool:
+        """Tell whether a replica did not answer a moment ago."""
+        return self.suspects.get(replica.disk_id, 0) > trio.current_time()
+
     def ordered(self, used: ReplicaSet) -> list[Replica]:
         """Return the replicas, near and trusted ones first."""
-        now = trio.current_time()
         return sorted(
             used.replicas(),
             key=lambda one: (
-                self.suspects.get(one.disk_id, 0) > now,
+                self.is_suspect(one),
                 self.distance(one.zone),
                 one.disk_id,
             ),
@@ -235,6 +166,13 @@
             events.REPLICA_LOST.log(_LOGGER, vm=replica.vm, problem=error)
         self.suspects[replica.disk_id] = now + SUSPECT_SECONDS
 
+    def note_silence(self, replica: Replica) -> None:
+        """Doubt the direct path to a replica, until it answers there."""
+        now = trio.current_time()
+        if not self.is_suspect(replica):
+            events.RELAY_USED.log(_LOGGER, vm=replica.vm)
+        self.suspects[replica.disk_id] = now + SUSPECT_SECONDS
+
     def note_success(self, replica: Replica) -> None:
         """Trust a replica that answered."""
         if self.suspects.pop(replica.disk_id, None):
@@ -261,31 +199,48 @@
         )
 
 
-@frozen
+@define(eq=False)
 class _Asker:
     client: QuorumClient
     nursery: trio.Nursery
     question: Question
     collection: ReplyCollection
+    relayed: set[str] = field(factory=set)
 
-    def start(self, replicas: list[Replica]) -> None:
+    def ask(self, replicas: list[Replica]) -> None:
+        """Ask each replica, at once by another way if it is doubted."""
+        self.ask_directly(replicas)
+        self.relay([one for one in replicas if self.client.is_suspect(one)])
+
+    def ask_directly(self, replicas: list[Replica]) -> None:
         """Ask each replica in a task of its own."""
         self.collection.expect(len(replicas))
         for replica in replicas:
             self.nursery.start_soon(self.ask_one, replica)
 
+    def relay(self, replicas: list[Replica]) -> None:
+        """Ask those that have not answered through other entries as well."""
+        relays = self.client.relays
+        if relays is None:
+            return
+        done = self.relayed.union(self.collection.replies)
+        left = [one for one in replicas if one.disk_id not in done]
+        for doubted in left:
+            self.client.note_silence(doubted)
+        self.relayed.update(one.disk_id for one in left)
+        self.collection.expect(len(left))
+        for replica in left:
+            self.nursery.start_soon(self.ask_through, relays, replica)
+
     async def ask_one(self, replica: Replica) -> None:
         """Add one replica's answer."""
-        scope = ReplicaScope(
-            replica=replica.disk_id,
-            set_revision=self.collection.used.revision,
-        )
+        sent = self.message(replica, self.question.answer_seconds)
         try:
             reply = await self.client.pool.ask(
                 replica.address,
-                self.question.message_of(scope),
-                self.question.reply_kind,
-                timeout_seconds=self.question.answer_seconds,
+                sent.message,
+                sent.reply_kind,
+                timeout_seconds=sent.timeout_seconds,
             )
         except JasminewheelError as error:
             self.client.note_failure(replica, error)
@@ -293,3 +248,29 @@
             self.client.note_success(replica)
             self.collection.add(replica, reply)
         self.collection.end_one()
+
+    async def ask_through(self, relays: RelayClient, replica: Replica) -> None:
+        """Add one replica's answer that another entry passed on."""
+        sent = self.message(replica, self.question.relay_seconds)
+        try:
+            reply = await relays.ask(sent)
+        except JasminewheelError as error:
+            _LOGGER.info('%s', error)
+        else:
+            self.collection.add(replica, reply)
+        self.collection.end_one()
+
+    def message(
+        self, replica: Replica, timeout_seconds: float
+    ) -> ReplicaMessage:
+        """Return what one replica is asked."""
+        scope = wire.ReplicaScope(
+            replica=replica.disk_id,
+            set_revision=self.collection.used.revision,
+        )
+        return ReplicaMessage(
+            replica,
+            self.question.message_of(scope),
+            self.question.reply_kind,
+            timeout_seconds,
+        )
--- a/src/jasminewheel/_internal/conversation/quorum_watch.py
+++ b/src/jasminewheel/_internal/conversation/quorum_watch.py
@@ -1,4 +1,4 @@
-"""Notice when a majority of replicas answers again."""
+"""Notice when replicas answer again."""
 
 import trio
 from attrs import frozen
@@ -20,11 +20,23 @@
 
     async def run(self) -> None:
         """Look at each interval until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.watch_majority)
+            nursery.start_soon(self.watch_suspects)
+
+    async def watch_majority(self) -> None:
+        """Ask all while too few answer."""
         while True:
             await trio.sleep(CHECK_SECONDS)
             if self.quorum.missed_since is not None:
                 await self.probe()
 
+    async def watch_suspects(self) -> None:
+        """Ask those that did not answer, on the direct path."""
+        while True:
+            await trio.sleep(CHECK_SECONDS)
+            await self.quorum.ask_suspects()
+
     async def probe(self) -> None:
         """Ask a question that changes nothing."""
         question = Question(
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/relay_service.py
@@ -0,0 +1,47 @@
+"""Pass messages of entries that are cut off on to the replicas."""
+
+from attrs import frozen
+
+from jasminewheel._internal.conversation.quorum import QuorumClient
+from jasminewheel._internal.conversation.relay import RELAYED
+from jasminewheel._internal.conversation.replica_set import Replica
+from jasminewheel._internal.peer.server import Exchange, Handler
+from jasminewheel._internal.wire.codec import decode, encode
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import PeerError
+
+
+@frozen
+class RelayService:
+    """Ask a replica in the name of another entry, on the direct path only."""
+
+    quorum: QuorumClient
+
+    def handlers(self) -> dict[type, Handler]:
+        """Return the handler of the message."""
+        return {wire.RelayQuestion: self.relay}
+
+    async def relay(
+        self, exchange: Exchange, question: wire.RelayQuestion
+    ) -> wire.RelayAnswer:
+        """Return the replica's answer as it came."""
+        replica = self.reachable(question.replica)
+        if question.message_name not in RELAYED:
+            raise PeerError(f'{question.message_name} is not passed on')
+        message_kind, reply_kind = RELAYED[question.message_name]
+        reply = await self.quorum.pool.ask(
+            replica.address,
+            decode(message_kind, question.message),
+            reply_kind,
+            timeout_seconds=question.timeout_seconds,
+        )
+        return wire.RelayAnswer(message=encode(reply))
+
+    def reachable(self, disk_id: str) -> Replica:
+        """Return a replica; raise PeerError if this entry lacks a path."""
+        replica = self.quorum.sets.current.replica(disk_id)
+        if replica is None:
+            raise PeerError(f'no replica {disk_id} is known here')
+        if self.quorum.is_suspect(replica):
+            raise PeerError(f'{replica.vm} does not answer here either')
+        return replica
--- a/src/jasminewheel/_internal/conversation/replica_set.py
+++ b/src/jasminewheel/_internal/conversation/replica_set.py
@@ -32,6 +32,11 @@
         """Return all disks that take part."""
         return tuple(dict.fromkeys((*self.members, *self.joining)))
 
+    def replica(self, disk_id: str) -> Replica | None:
+        """Return the replica on a disk, or None if it takes no part."""
+        found = (one for one in self.replicas() if one.disk_id == disk_id)
+        return next(found, None)
+
     def has_quorum(self, disk_ids: Collection[str]) -> bool:
         """Tell whether the disks suffice to write."""
         if not _is_majority(self.members, disk_ids):
--- a/src/jasminewheel/_internal/conversation/set_keeper.py
+++ b/src/jasminewheel/_internal/conversation/set_keeper.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 import trio
-from attrs import asdict, define, evolve
+from attrs import asdict, define, evolve, field
 
 from jasminewheel._internal.conversation.catch_up import CatchUp
 from jasminewheel._internal.conversation.replica_set import (
@@ -23,12 +23,11 @@
     SetListener,
 )
 from jasminewheel._internal.events import conversation as events
-from jasminewheel._internal.events import store as store_events
+from jasminewheel._internal.store.listing import StoreListing
 from jasminewheel._internal.store.port import WatchedStore
 from jasminewheel.errors import (
     JasminewheelError,
     StoreConflictError,
-    StoreError,
 )
 
 LEASE_SECONDS = 3.0
@@ -55,58 +54,30 @@
 
     store: WatchedStore
     candidate: Candidate
-    lease: str = ''
-    listed: bool = False
+    listing: StoreListing = field(init=False)
 
-    async def run(self) -> None:
-        """Renew the lease until cancelled."""
-        while True:
-            try:
-                await self.renew()
-            except StoreConflictError:
-                self.lease = ''
-                self.listed = False
-            except StoreError as error:
-                store_events.LEASE_LOST.log(_LOGGER, problem=error)
-                await trio.sleep(RENEW_SECONDS)
-
-    async def renew(self) -> None:
-        """Take a lease, list the disk under it, and renew it from then on."""
-        if not self.lease:
-            self.lease = await self.store.grant_lease(LEASE_SECONDS)
-            store_events.LEASE_GRANTED.log(_LOGGER, lease=self.lease)
-        if not self.listed:
-            await self.write()
-        await trio.sleep(RENEW_SECONDS)
-        await self.store.renew_lease(self.lease)
-
-    async def write(self) -> None:
-        """List the disk."""
-        fields = {
-            'replica': asdict(self.candidate.replica),
-            'copied_revision': self.candidate.copied_revision,
-        }
-        await self.store.put(
+    def __attrs_post_init__(self) -> None:
+        """Be ready to list the disk."""
+        self.listing = StoreListing(
+            self.store,
             DISK_PREFIX + self.candidate.replica.vm,
-            json.dumps(fields).encode(),
-            lease=self.lease,
+            self.text(),
+            LEASE_SECONDS,
+            RENEW_SECONDS,
         )
-        self.listed = True
 
     async def note_copied(self, revision: int) -> None:
         """List the disk as one that copied for a change."""
         self.candidate = evolve(self.candidate, copied_revision=revision)
-        self.listed = False
-        await self.write()
+        await self.listing.rewrite(self.text())
 
-    async def leave(self) -> None:
-        """End the lease, so that others see at once that this one stops."""
-        if not self.lease:
-            return
-        try:
-            await self.store.end_lease(self.lease)
-        except StoreError as error:
-            store_events.LEASE_LOST.log(_LOGGER, problem=error)
+    def text(self) -> bytes:
+        """Return the disk as it is listed."""
+        fields = {
+            'replica': asdict(self.candidate.replica),
+            'copied_revision': self.candidate.copied_revision,
+        }
+        return json.dumps(fields).encode()
 
 
 @define(eq=False)
--- a/src/jasminewheel/_internal/conversation/set_listener.py
+++ b/src/jasminewheel/_internal/conversation/set_listener.py
@@ -7,12 +7,12 @@
 import trio
 from attrs import define, field
 
-from jasminewheel._internal.conversation.quorum import SetHolder
 from jasminewheel._internal.conversation.replica_set import (
     Replica,
     ReplicaSet,
 )
 from jasminewheel._internal.conversation.set_change import Candidate
+from jasminewheel._internal.conversation.set_holder import SetHolder
 from jasminewheel._internal.store.port import StoreItem
 
 OWN_PREFIX = 'jasminewheel/'
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/sufficiency.py
@@ -0,0 +1,102 @@
+"""Say when the answers of replicas suffice, and collect them until then."""
+
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.conversation.replica_set import (
+    Replica,
+    ReplicaSet,
+)
+
+
+class Sufficiency(Protocol):
+    """Say when the answers to one message suffice."""
+
+    def first_asked(
+        self, used: ReplicaSet, ordered: list[Replica]
+    ) -> list[Replica]:
+        """Return the replicas whose answers should suffice."""
+
+    def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
+        """Tell whether the answers, by disk, suffice."""
+
+
+class WriteQuorum:
+    """Need a majority of each set in force."""
+
+    def first_asked(
+        self, used: ReplicaSet, ordered: list[Replica]
+    ) -> list[Replica]:
+        """Return the shortest beginning that is a quorum."""
+        chosen: list[Replica] = []
+        for replica in ordered:
+            if used.has_quorum({one.disk_id for one in chosen}):
+                break
+            chosen.append(replica)
+        return chosen
+
+    def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
+        """Tell whether a quorum answered."""
+        return used.has_quorum(replies)
+
+
+class FoundOrAbsent:
+    """Need one replica that has a turn, or enough that it is nowhere."""
+
+    def first_asked(
+        self, used: ReplicaSet, ordered: list[Replica]
+    ) -> list[Replica]:
+        """Return the nearest replica."""
+        return ordered[:1]
+
+    def met(self, used: ReplicaSet, replies: Mapping[str, Any]) -> bool:
+        """Tell whether the turn is found or certainly absent."""
+        found = any(reply.turns for reply in replies.values())
+        return found or used.knows_absence(replies)
+
+
+@define(eq=False)
+class ReplyCollection:
+    """Hold the answers to one message until they suffice."""
+
+    used: ReplicaSet
+    sufficiency: Sufficiency
+    replies: dict[str, Any] = field(factory=dict)
+    newest_revision: int = 0
+    pending: int = 0
+    done: trio.Event = field(factory=trio.Event)
+
+    def expect(self, count: int) -> None:
+        """Wait for so many answers more."""
+        self.pending += count
+        self.done = trio.Event()
+        self.check()
+
+    def add(self, replica: Replica, reply: Any) -> None:
+        """Take an answer."""
+        if reply.accepted:
+            self.replies[replica.disk_id] = reply
+        self.newest_revision = max(self.newest_revision, reply.set_revision)
+
+    def end_one(self) -> None:
+        """Note that a replica answered or failed."""
+        self.pending -= 1
+        self.check()
+
+    def check(self) -> None:
+        """Wake who waits if the answers suffice or no more will come."""
+        if self.sufficient() or not self.pending:
+            self.done.set()
+
+    def sufficient(self) -> bool:
+        """Tell whether the answers suffice."""
+        return self.sufficiency.met(self.used, self.replies)
+
+    async def sufficient_within(self, seconds: float) -> bool:
+        """Wait for the answers; tell whether they suffice."""
+        with trio.move_on_after(seconds):
+            await self.done.wait()
+        return self.sufficient()
--- a/src/jasminewheel/_internal/events/conversation.py
+++ b/src/jasminewheel/_internal/events/conversation.py
@@ -40,3 +40,18 @@
 STALE_SET_REFUSED = Event(
     1811, logging.INFO, 'a request under an outdated replica set refused'
 )
+RELAY_USED = Event(
+    1812,
+    logging.WARNING,
+    'a replica is reached through another entry',
+    'see what cuts this VM off from the replica',
+)
+RELAY_FAILED = Event(
+    1813, logging.INFO, 'another entry does not reach the replica either'
+)
+ENTRY_SKIPPED = Event(
+    1814,
+    logging.WARNING,
+    'a listed entry cannot be read and is not used',
+    'see which process wrote the key',
+)
--- a/src/jasminewheel/_internal/events/store.py
+++ b/src/jasminewheel/_internal/events/store.py
@@ -14,11 +14,11 @@
 HISTORY_LOST = Event(
     1852, logging.INFO, 'the store forgot changes; all keys are read anew'
 )
-LEASE_GRANTED = Event(1853, logging.INFO, 'lease granted for this disk')
+LEASE_GRANTED = Event(1853, logging.INFO, 'lease granted for this process')
 LEASE_LOST = Event(
     1854,
     logging.WARNING,
-    'lease of this disk not renewed',
+    'lease of this process not renewed',
     'see whether the store runs and this VM reaches it',
 )
 KNOWN_TAKEN = Event(
--- /dev/null
+++ b/src/jasminewheel/_internal/store/listing.py
@@ -0,0 +1,67 @@
+"""Keep a key in the store for as long as this process lives."""
+
+import logging
+
+import trio
+from attrs import define
+
+from jasminewheel._internal.events import store as events
+from jasminewheel._internal.store.port import WatchedStore
+from jasminewheel.errors import StoreConflictError, StoreError
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@define(eq=False)
+class StoreListing:
+    """List this process under a lease that it renews."""
+
+    store: WatchedStore
+    key: str
+    written: bytes
+    lease_seconds: float
+    renew_seconds: float
+    lease: str = ''
+    listed: bool = False
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled."""
+        while True:
+            try:
+                await self.renew()
+            except StoreConflictError:
+                self.lease = ''
+                self.listed = False
+            except StoreError as error:
+                events.LEASE_LOST.log(_LOGGER, problem=error)
+                await trio.sleep(self.renew_seconds)
+
+    async def renew(self) -> None:
+        """Take a lease, write the key under it, and renew it from then on."""
+        if not self.lease:
+            self.lease = await self.store.grant_lease(self.lease_seconds)
+            events.LEASE_GRANTED.log(_LOGGER, lease=self.lease)
+        if not self.listed:
+            await self.write()
+        await trio.sleep(self.renew_seconds)
+        await self.store.renew_lease(self.lease)
+
+    async def write(self) -> None:
+        """Write the key."""
+        await self.store.put(self.key, self.written, lease=self.lease)
+        self.listed = True
+
+    async def rewrite(self, written: bytes) -> None:
+        """Write another value from now on."""
+        self.written = written
+        self.listed = False
+        await self.write()
+
+    async def leave(self) -> None:
+        """End the lease, so that others see at once that this one stops."""
+        if not self.lease:
+            return
+        try:
+            await self.store.end_lease(self.lease)
+        except StoreError as error:
+            events.LEASE_LOST.log(_LOGGER, problem=error)
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1502,6 +1502,178 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RelayQuestion(object):
+    """
+    Attributes:
+     - replica
+     - message_name
+     - message
+     - timeout_seconds
+
+    """
+
+    __slots__ = (
+        'replica',
+        'message_name',
+        'message',
+        'timeout_seconds',
+    )
+
+
+    def __init__(self, replica=None, message_name=None, message=None, timeout_seconds=None,):
+        self.replica = replica
+        self.message_name = message_name
+        self.message = message
+        self.timeout_seconds = timeout_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.message_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.message = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.timeout_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayQuestion')
+        if self.replica is not None:
+            oprot.writeFieldBegin('replica', TType.STRING, 1)
+            oprot.writeString(self.replica.encode('utf-8') if sys.version_info[0] == 2 else self.replica)
+            oprot.writeFieldEnd()
+        if self.message_name is not None:
+            oprot.writeFieldBegin('message_name', TType.STRING, 2)
+            oprot.writeString(self.message_name.encode('utf-8') if sys.version_info[0] == 2 else self.message_name)
+            oprot.writeFieldEnd()
+        if self.message is not None:
+            oprot.writeFieldBegin('message', TType.STRING, 3)
+            oprot.writeBinary(self.message)
+            oprot.writeFieldEnd()
+        if self.timeout_seconds is not None:
+            oprot.writeFieldBegin('timeout_seconds', TType.DOUBLE, 4)
+            oprot.writeDouble(self.timeout_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayAnswer(object):
+    """
+    Attributes:
+     - message
+
+    """
+
+    __slots__ = (
+        'message',
+    )
+
+
+    def __init__(self, message=None,):
+        self.message = message
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.message = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayAnswer')
+        if self.message is not None:
+            oprot.writeFieldBegin('message', TType.STRING, 1)
+            oprot.writeBinary(self.message)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(TurnRecord)
 TurnRecord.thrift_spec = (
     None,  # 0
@@ -1609,5 +1781,18 @@
     None,  # 0
     (1, TType.LIST, 'items', (TType.STRUCT, [KnownItem, None], False), None, ),  # 1
 )
+all_structs.append(RelayQuestion)
+RelayQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'message_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'message', 'BINARY', None, ),  # 3
+    (4, TType.DOUBLE, 'timeout_seconds', None, None, ),  # 4
+)
+all_structs.append(RelayAnswer)
+RelayAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'message', 'BINARY', None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from jasminewheel._internal.conversation.quorum_watch import QuorumWatch
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.peer.pool import PeerPool
@@ -35,14 +34,15 @@
     async with trio.open_nursery() as nursery:
         ingress = Ingress(parts.gateway(nursery))
         web = WebServer(ingress.handle, note_fault)
-        replicas = QuorumWatch(parts.quorum)
+        replicas = await parts.peers.start(nursery)
         readiness = Readiness(parts.routes, replicas)
         questions = WebServer(readiness.answer, note_fault)
         start_followers(nursery, parts, web)
-        nursery.start_soon(replicas.run)
-        await nursery.start(web.serve, *split_address(settings.callers_address))
-        balancer = split_address(settings.readiness_address)
-        await nursery.start(questions.serve, *balancer)
+        await listen(
+            nursery,
+            (settings.callers_address, web),
+            (settings.readiness_address, questions),
+        )
         await start_metrics(nursery, settings, parts.gauges)
         frame.STARTED.log(_LOGGER, vm=settings.vm, zone=settings.zone)
         await stop.wait()
@@ -51,6 +51,18 @@
         nursery.cancel_scope.cancel()
 
 
+async def listen(
+    nursery: trio.Nursery,
+    callers: tuple[str, WebServer],
+    balancer: tuple[str, WebServer],
+) -> None:
+    """Serve callers, and the balancer's questions, at their addresses."""
+    address, web = callers
+    await nursery.start(web.serve, *split_address(address))
+    address, questions = balancer
+    await nursery.start(questions.serve, *split_address(address))
+
+
 def start_followers(
     nursery: trio.Nursery, parts: EntryParts, web: WebServer
 ) -> None:
--- /dev/null
+++ b/src/jasminewheel/platform/entry_peers.py
@@ -0,0 +1,72 @@
+"""Build what an entry uses to reach replicas and other entries."""
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.conversation.entry_list import (
+    EntryList,
+    ListedEntry,
+)
+from jasminewheel._internal.conversation.quorum import QuorumClient
+from jasminewheel._internal.conversation.quorum_watch import QuorumWatch
+from jasminewheel._internal.conversation.relay import RelayClient
+from jasminewheel._internal.conversation.relay_service import RelayService
+from jasminewheel._internal.conversation.set_holder import SetHolder
+from jasminewheel._internal.conversation.set_listener import SetListener
+from jasminewheel._internal.peer.distance import ZoneDistance
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.mirror import MirrorListener
+from jasminewheel.platform.roles import peer_server
+from jasminewheel.platform.settings import NodeSettings
+from jasminewheel.platform.store_client import PlatformStore
+
+
+@define(eq=False)
+class EntryPeers:
+    """Hold the ways to the replicas, and to the entries beside this one."""
+
+    settings: NodeSettings
+    pool: PeerPool
+    store: PlatformStore
+    sets: SetHolder = field(factory=SetHolder)
+    distance: ZoneDistance = field(init=False)
+    entries: EntryList = field(init=False)
+    quorum: QuorumClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Know the zones, and the replicas once they are listed."""
+        node = self.settings
+        self.distance = ZoneDistance(node.zone, node.zone_regions)
+        self.entries = EntryList(node.vm, self.distance)
+        self.quorum = QuorumClient(
+            self.pool,
+            self.sets,
+            self.distance,
+            RelayClient(self.pool, self.entries),
+        )
+
+    async def start(self, nursery: trio.Nursery) -> QuorumWatch:
+        """Serve other entries, list this one, and watch the replicas."""
+        node = self.settings
+        handlers = RelayService(self.quorum).handlers()
+        server = peer_server(node, handlers)
+        await nursery.start(server.serve, node.ip, node.peer_port)
+        address = f'{node.ip}:{node.peer_port}'
+        listed = ListedEntry(node.vm, address, node.zone)
+        nursery.start_soon(listed.listing(self.store).run)
+        watch = QuorumWatch(self.quorum)
+        nursery.start_soon(watch.run)
+        return watch
+
+    def listeners(self) -> list[MirrorListener]:
+        """Return what learns of replicas and entries from the store."""
+        return [SetListener(self.sets), self.entries]
+
+    def gauges(self) -> dict[str, float]:
+        """Return what the metrics show of the peers now."""
+        return {
+            'replica_set_revision': self.sets.current.revision,
+            'majority_missed': float(self.quorum.missed_since is not None),
+            'replicas_doubted': self.quorum.doubted(),
+            'entries_listed': len(self.entries.entries),
+        }
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -38,14 +38,14 @@
         await start_server(nursery, parts, mirror)
         nursery.start_soon(mirror.run)
         nursery.start_soon(known.run)
-        nursery.start_soon(parts.registration.run)
+        nursery.start_soon(parts.registration.listing.run)
         nursery.start_soon(parts.keeper(pool, board).run)
         forget = parts.state.forget_expired
         nursery.start_soon(background(forget, EXPIRY_SECONDS))
         frame.STARTED.log(_LOGGER, vm=settings.vm, disk=parts.disk_id)
         await stop.wait()
         with trio.move_on_after(LEAVE_SECONDS):
-            await parts.registration.leave()
+            await parts.registration.listing.leave()
         nursery.cancel_scope.cancel()
 
 
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -429,3 +429,19 @@
         assert least <= float(refused.headers['retry-after']) <= most
 
     play(scenario)
+
+
+def test_entries_list_themselves_for_each_other(tmp_path):
+    """An entry is found by the others where its peers reach it."""
+
+    async def scenario() -> None:
+        async with platform_fleet(tmp_path) as fleet:
+            fleet.configure()
+            await fleet.start_histories()
+            entry = await fleet.start_entry()
+            while 'jasminewheel/entries/entry-1' not in fleet.store.items:
+                await trio.sleep(0.02)
+            listed = stored_json(fleet, 'jasminewheel/entries/entry-1')
+            assert listed['address'] == f'{entry.ip}:{entry.peer_port}'
+
+    trio.run(scenario)
--- a/tests/turn_replicas.py
+++ b/tests/turn_replicas.py
@@ -14,12 +14,13 @@
     Reservation,
 )
 from jasminewheel._internal.conversation.journal import Journal
-from jasminewheel._internal.conversation.quorum import QuorumClient, SetHolder
+from jasminewheel._internal.conversation.quorum import QuorumClient
 from jasminewheel._internal.conversation.replica_set import (
     Replica,
     ReplicaSet,
 )
 from jasminewheel._internal.conversation.service import ReplicaService
+from jasminewheel._internal.conversation.set_holder import SetHolder
 from jasminewheel._internal.conversation.state import ConversationState
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.pool import PeerPool
@@ -55,6 +56,7 @@
     folder: Path
     nursery: trio.Nursery
     pool: PeerPool
+    stack: AsyncExitStack
     running: list[RunningReplica] = field(factory=list)
 
     async def start(self, number: int, disk_id: str = '') -> RunningReplica:
@@ -102,7 +104,7 @@
         stack.enter_context(trio.fail_after(30))
         nursery = await stack.enter_async_context(trio.open_nursery())
         pool = await stack.enter_async_context(PeerPool(identity, KEY))
-        yield TurnReplicas(folder, nursery, pool)
+        yield TurnReplicas(folder, nursery, pool, stack)
         nursery.cancel_scope.cancel()
 
 
