Load no record types of the product's own log at an entry

Measured by import: history.segment brings 2.6 MB (the thrift types of the product's own log), for one function that writes a file durably. Ruled out: prometheus_client (0.5 MB beside the rest), the frame and conversation types (1.5 and 3.1 MB, both used).

--- a/src/jasminewheel/_internal/conversation/log_file.py
+++ b/src/jasminewheel/_internal/conversation/log_file.py
@@ -9,7 +9,8 @@
 
 from attrs import define, frozen
 
-from jasminewheel._internal.history.segment import FILE_MODE, sync_folder
+from jasminewheel._internal.history.durable_file import sync_folder
+from jasminewheel._internal.history.segment import FILE_MODE
 
 _HEAD = struct.Struct('>IIB')
 _NAME = 'turns-{0:010d}.log'
--- a/src/jasminewheel/_internal/history/disk.py
+++ b/src/jasminewheel/_internal/history/disk.py
@@ -9,6 +9,7 @@
 from typing import Self
 
 from jasminewheel._internal.events import history as events
+from jasminewheel._internal.history.durable_file import sync_folder
 from jasminewheel._internal.history.entry import Entry
 from jasminewheel._internal.history.folder import load_disk_id, lock_folder
 from jasminewheel._internal.history.segment import (
@@ -18,7 +19,6 @@
     position_of,
     segment_numbers,
     segment_of,
-    sync_folder,
 )
 from jasminewheel.errors import DamagedError, DiskFullError
 
--- a/src/jasminewheel/_internal/history/folder.py
+++ b/src/jasminewheel/_internal/history/folder.py
@@ -5,11 +5,13 @@
 import secrets
 from pathlib import Path
 
+from jasminewheel._internal.history.durable_file import (
+    replace_durably,
+    sync_folder,
+)
 from jasminewheel._internal.history.segment import (
     FILE_MODE,
-    replace_durably,
     segment_numbers,
-    sync_folder,
 )
 from jasminewheel.errors import DamagedError, SettingsError
 
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -11,7 +11,7 @@
 from attrs import define, field, frozen
 
 from jasminewheel._internal.events import store as events
-from jasminewheel._internal.history.segment import replace_durably
+from jasminewheel._internal.history.durable_file import replace_durably
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.store.mirror import StoreMirror
