Give test processes ports that no outgoing connection takes

Cause: free_port took a port of the range of outgoing connections and let it go until its process listened; any connection made meanwhile could get it. Change: ports below that range, each given once, in tests/free_port.py.

--- /dev/null
+++ b/tests/free_port.py
@@ -0,0 +1,44 @@
+"""Find ports for the processes of a test."""
+
+import secrets
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+HOST = '127.0.0.1'
+# Ports below are often those of well-known services.
+LOWEST = 15000
+RANGE_PATH = Path('/proc/sys/net/ipv4/ip_local_port_range')
+
+
+def outgoing_ports() -> range:
+    """Return the ports that outgoing connections take at any moment."""
+    lowest, highest = map(int, RANGE_PATH.read_text(encoding='ascii').split())
+    return range(lowest, highest + 1)
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on, and no connection will take."""
+    return next(_FREE)
+
+
+def _candidates() -> Iterator[int]:
+    count = outgoing_ports().start - LOWEST
+    # Tests that run beside these begin elsewhere.
+    first = secrets.randbelow(count)
+    for step in range(count):
+        port = LOWEST + (first + step) % count
+        if _is_free(port):
+            yield port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+_FREE = _candidates()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -21,10 +21,10 @@
 from jasminewheel.platform.roles import peer_pool
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.errors import ConnectionLostError
+from tests.free_port import HOST, free_port
 from tests.platform_runner import RunnerStandIn
 from tests.platform_store import PlatformStoreStandIn
 
-HOST = '127.0.0.1'
 CALLS_HOST = 'desk.example'
 GRACE_SECONDS = 5.0
 ROUTES = MappingProxyType(
@@ -173,7 +173,7 @@
         self, serve, settings: NodeSettings, pool: PeerPool
     ) -> None:
         """Serve until stopped."""
-        await serve(settings, pool, self.stops[settings.vm])
+        await serve(settings, pool, self.stops[settings.vm], EarlySockets())
 
     async def start_histories(self) -> None:
         """Start three histories and wait until their set stands."""
@@ -248,13 +248,6 @@
     return asked.status == 200
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with trio.socket.socket() as probe:
-        probe._sock.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def _ignore(_fault) -> None:
     """Expect faults of clients."""
 
