Log each request that is turned away, and leave out plain successes first

Requests without a route, without a configuration, malformed ones and those that come while a process stops raised before the line was written. Besides, the bound on lines left out refusals as readily as plain successes, and lines that a full pipe dropped were counted nowhere. Change: event 1886 with id, host, path, version and reason; a routing step of its own before the call is served; successes leave room for 100 lines of other kinds; a line carries the counts of those left out and dropped. Test: tests/unit/test_log_lines.py, and test_request_without_a_route_is_logged.

--- a/src/jasminewheel/_internal/events/event.py
+++ b/src/jasminewheel/_internal/events/event.py
@@ -14,6 +14,8 @@
     level: int
     text: str
     remedy: str = ''
+    # A plain success, which is left out first where there are many lines.
+    routine: bool = False
 
     def log(self, logger: logging.Logger, **fields: Any) -> None:
         """Log this event with its fields through the module's logger."""
@@ -26,5 +28,9 @@
             self.number,
             self.text,
             details,
-            extra={'event': self.number, 'fields': fields},
+            extra={
+                'event': self.number,
+                'fields': fields,
+                'routine': self.routine,
+            },
         )
--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -4,7 +4,7 @@
 
 from jasminewheel._internal.events.event import Event
 
-ENDED = Event(1870, logging.INFO, 'request ended')
+ENDED = Event(1870, logging.INFO, 'request ended', routine=True)
 REFUSED = Event(
     1871, logging.INFO, 'request refused or failed; the verdict says how'
 )
@@ -42,3 +42,6 @@
     'a route cannot be read and is left out',
     'write the configuration again',
 )
+TURNED_AWAY = Event(
+    1886, logging.INFO, 'request turned away before it had a route'
+)
--- a/src/jasminewheel/_internal/gateway/gateway.py
+++ b/src/jasminewheel/_internal/gateway/gateway.py
@@ -4,7 +4,7 @@
 from zlib import crc32
 
 import trio
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.attempts import CallRecord, failed
@@ -40,6 +40,7 @@
     """Hold the newest configuration; an older one never comes back."""
 
     current: RoutingTable = NO_ROUTES
+    known: trio.Event = field(factory=trio.Event)
 
     def adopt(self, table: RoutingTable) -> bool:
         """Use the configuration if it is newer; tell whether it was."""
@@ -52,9 +53,19 @@
             routes=len(table.routes),
         )
         self.current = table
+        self.known.set()
         return True
 
 
+@frozen
+class RoutedCall:
+    """Hold a call, and the configuration that it is answered by."""
+
+    call: Call
+    route: Route
+    table: RoutingTable
+
+
 @frozen
 class Gateway:
     """Answer each call as its route says."""
@@ -63,10 +74,14 @@
     plain: PlainFlow
     turns: TurnFlow
 
-    async def serve(self, call: Call, answer: AnswerWriter) -> None:
-        """Answer one call, or raise the CallError that it ends with."""
+    def route(self, call: Call) -> RoutedCall:
+        """Return the call with its route, or raise CallError for none."""
         table = self.routes.current
-        route = self.route_of(call, table)
+        return RoutedCall(call, self.route_of(call, table), table)
+
+    async def serve(self, routed: RoutedCall, answer: AnswerWriter) -> None:
+        """Answer one call, or raise the CallError that it ends with."""
+        call, route, table = routed.call, routed.route, routed.table
         share = crc32((call.turn.program_id or call.call_id).encode())
         record = CallRecord(
             call,
--- a/src/jasminewheel/_internal/observability/json_lines.py
+++ b/src/jasminewheel/_internal/observability/json_lines.py
@@ -5,11 +5,12 @@
 import os
 import sys
 import time
-from contextlib import suppress
 
 # Lines below a warning above this rate are left out and counted.
 LINES_PER_SECOND = 100
 BURST_LINES = 200
+# Plain successes leave so much for refusals, retries and changed beliefs.
+KEPT_LINES = 100
 _STDOUT = 1
 
 
@@ -39,6 +40,9 @@
         left_out = getattr(record, 'left_out', 0)
         if left_out:
             line['left_out_before'] = left_out
+        dropped = getattr(record, 'dropped', 0)
+        if dropped:
+            line['dropped_before'] = dropped
         if record.exc_info:
             line['trace'] = self.formatException(record.exc_info)
         return json.dumps(line, default=str)
@@ -60,7 +64,8 @@
         refill = (now - self.refilled_at) * LINES_PER_SECOND
         self.allowance = min(BURST_LINES, self.allowance + refill)
         self.refilled_at = now
-        if self.allowance < 1 and record.levelno < logging.WARNING:
+        kept = KEPT_LINES if getattr(record, 'routine', False) else 0
+        if self.allowance < 1 + kept and record.levelno < logging.WARNING:
             self.left_out += 1
             return False
         self.allowance -= 1
@@ -71,17 +76,22 @@
 class StandardOutput(logging.Handler):
     """Write lines without ever waiting; what does not fit is dropped."""
 
-    def __init__(self) -> None:
+    def __init__(self, descriptor: int = _STDOUT) -> None:
         """Make standard output non-blocking."""
         super().__init__()
-        os.set_blocking(_STDOUT, False)
+        self.descriptor = descriptor
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write the line of a record."""
+        """Write the line of a record, with the count of those dropped."""
+        record.dropped = self.dropped
         line = f'{self.format(record)}\n'.encode()
-        # A full pipe has no other place to be told of.
-        with suppress(OSError):
-            os.write(_STDOUT, line)
+        try:
+            os.write(self.descriptor, line)
+        except OSError:
+            # A full pipe; the next line that fits tells of it.
+            self.dropped += 1
 
 
 def start_json_logging(process: str, level: str = 'INFO') -> None:
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -1,9 +1,12 @@
 """Turn the requests of the platform's clients into calls, and errors back."""
 
+import logging
+
 from attrs import define
 
+from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.call import Call, TurnRequest
-from jasminewheel._internal.gateway.gateway import Gateway
+from jasminewheel._internal.gateway.gateway import Gateway, RoutedCall
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.headers import (
     Headers,
@@ -36,6 +39,7 @@
     b'kv-fetch',
 )
 _CALL_ID = b'request-id'
+_LOGGER = logging.getLogger(__name__)
 
 
 @define(eq=False)
@@ -48,17 +52,38 @@
     async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
         """Answer one request; one that was cut ends its connection."""
         try:
-            if self.closed:
-                raise UnavailableError(
-                    'this process stops',
-                    retry_after_seconds=STOPPING_RETRY_SECONDS,
-                )
-            call = decode_call(request)
-            await self.gateway.serve(call, answer)
+            admitted = self.admit(request)
+        except CallError as error:
+            self.note_turned_away(request, error)
+            await send_error(request, answer, error)
+            return
+        try:
+            await self.gateway.serve(admitted, answer)
         except CallError as error:
             if not answer.started:
                 await send_error(request, answer, error)
 
+    def admit(self, request: HttpRequest) -> RoutedCall:
+        """Return the call with its route; raise CallError if it has none."""
+        if self.closed:
+            raise UnavailableError(
+                'this process stops',
+                retry_after_seconds=STOPPING_RETRY_SECONDS,
+            )
+        return self.gateway.route(decode_call(request))
+
+    def note_turned_away(self, request: HttpRequest, error: CallError) -> None:
+        """Log a request that no route was found for."""
+        events.TURNED_AWAY.log(
+            _LOGGER,
+            request=field_text(request.headers, _CALL_ID),
+            host=field_text(request.headers, b'host'),
+            path=request.target.decode('latin-1'),
+            version=self.gateway.routes.current.version,
+            code=error.code,
+            problem=error.message,
+        )
+
 
 async def send_error(
     request: HttpRequest, answer: AnswerWriter, error: CallError
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from jasminewheel._internal.events import gateway as events
 from tests.platform_fleet import is_ready, platform_fleet, stored_json
 
 
@@ -445,3 +446,23 @@
             assert listed['address'] == f'{entry.ip}:{entry.peer_port}'
 
     trio.run(scenario)
+
+
+def test_request_without_a_route_is_logged(play, caplog):
+    """Each request that is turned away leaves a line with its id."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(fleet, entry) -> None:
+        answered = await fleet.ask(entry, '/nowhere/')
+        assert answered.status == 404
+        nameless = await fleet.ask(entry, '/look/1', Request_Id='')
+        assert nameless.status == 400
+
+    play(scenario)
+    fields = [
+        record.fields
+        for record in caplog.records
+        if getattr(record, 'event', 0) == events.TURNED_AWAY.number
+    ]
+    assert [one['code'] for one in fields] == ['not-found', 'malformed-request']
+    assert fields[0]['request'] == 'q1'
--- /dev/null
+++ b/tests/unit/test_log_lines.py
@@ -0,0 +1,63 @@
+"""Check what is left out of the log where there are too many lines."""
+
+import json
+import logging
+import os
+
+import pytest
+
+from jasminewheel._internal.events import gateway as events
+from jasminewheel._internal.observability.json_lines import (
+    JsonFormatter,
+    LineBound,
+    StandardOutput,
+)
+
+MANY = 1000
+
+
+@pytest.fixture
+def pipe():
+    """Give both ends of a pipe."""
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def _logger(handler: logging.Handler) -> logging.Logger:
+    logger = logging.Logger('test', logging.INFO)
+    handler.setFormatter(JsonFormatter('entry-1'))
+    logger.addHandler(handler)
+    return logger
+
+
+def test_refusals_are_kept_before_plain_successes(pipe):
+    """A flood of successes leaves room for refusals, and is counted."""
+    reader, writer = pipe
+    handler = StandardOutput(writer)
+    handler.addFilter(LineBound())
+    logger = _logger(handler)
+    for number in range(MANY):
+        events.ENDED.log(logger, request=f'r{number}')
+    for number in range(10):
+        events.REFUSED.log(logger, request=f'refused-{number}')
+    text = os.read(reader, 1000000).decode()
+    lines = [json.loads(line) for line in text.splitlines()]
+    refused = [one for one in lines if one['event'] == events.REFUSED.number]
+    assert len(refused) == 10
+    assert len(lines) < MANY
+    assert refused[0]['left_out_before'] == MANY + 10 - len(lines)
+
+
+def test_dropped_lines_are_counted(pipe):
+    """A reader that does not read costs no time, and is told of the loss."""
+    reader, writer = pipe
+    logger = _logger(StandardOutput(writer))
+    wide = 'x' * 1000
+    for _ in range(MANY):
+        events.REFUSED.log(logger, request=wide)
+    text = os.read(reader, 1000000).decode()
+    events.REFUSED.log(logger, request='last')
+    last = json.loads(os.read(reader, 1000000))
+    assert last['dropped_before'] == MANY - text.count('\n')
