Take the newest that others tell of the store, while it cannot be read

Cause: test_entry_starts_while_the_store_is_away failed twice, once in a run beside processes that bind ports, with 503 for 200. A process that starts without the store took what the first history told and asked no more; that one may lag behind by its last watch. A process that lost the store later asked nobody, though the store may turn away only that process. Change: answers carry the revision up to which they are complete; at first all histories are asked at once, then one after the other while the store is away, and only newer ones are used. The watch goes on from there. Test: three in tests/unit/test_store_mirror.py, which fail before.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -96,6 +96,7 @@
 
 struct KnownItems {
   1: list<KnownItem> items,
+  2: i64 revision,             // up to which changes are among the items
 }
 
 // Asked of another entry by one that does not reach a replica itself.
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -23,6 +23,8 @@
 WRITE_SECONDS = 0.5
 ASK_SECONDS = 1.0
 RETRY_SECONDS = 0.3
+# Between questions of a process that knows something already.
+PAUSE_SECONDS = 0.6
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -88,24 +90,37 @@
             wire.KnownItem(key=one.key, value=one.value, revision=one.revision)
             for one in self.mirror.items.values()
         ]
-        return wire.KnownItems(items=found)
+        return wire.KnownItems(items=found, revision=self.mirror.known_revision)
 
 
 @frozen
 class KnownItemsAsker:
-    """Ask other processes while the store cannot be read after a start."""
+    """Ask other processes in turn while the store cannot be read.
+
+    One of them may have missed the last changes, or may still read a store
+    that turns this process away: the newest that is told is used.
+    """
 
     mirror: StoreMirror
     pool: PeerPool
     addresses: tuple[str, ...]
 
     async def run(self) -> None:
-        """Ask one after the other until the store or one of them told."""
+        """Ask until cancelled, but not while the store can be read."""
         addresses = cycle(self.addresses)
-        while self.addresses and not self.mirror.loaded.is_set():
-            await trio.sleep(RETRY_SECONDS)
-            if not self.mirror.available and not self.mirror.items:
+        while self.addresses:
+            if not self.mirror.items:
+                await self.ask_all()
+            elif not self.mirror.available:
                 await self.ask(next(addresses))
+            known = self.mirror.items
+            await trio.sleep(PAUSE_SECONDS if known else RETRY_SECONDS)
+
+    async def ask_all(self) -> None:
+        """Ask all at once, for the first to tell may lag behind."""
+        async with trio.open_nursery() as nursery:
+            for address in self.addresses:
+                nursery.start_soon(self.ask, address)
 
     async def ask(self, address: str) -> None:
         """Take what one process knows."""
@@ -119,10 +134,16 @@
         except JasminewheelError as error:
             _LOGGER.info('%s tells nothing of the store: %s', address, error)
             return
-        events.KNOWN_TAKEN.log(_LOGGER, address=address, items=len(told.items))
-        self.mirror.take_known(
+        found = [
             StoreItem(one.key, one.value, one.revision) for one in told.items
-        )
+        ]
+        if self.mirror.take_known(found, told.revision):
+            events.KNOWN_TAKEN.log(
+                _LOGGER,
+                address=address,
+                items=len(found),
+                revision=told.revision,
+            )
 
 
 def _to_text(items: Iterable[StoreItem]) -> str:
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -48,7 +48,10 @@
     store: WatchedStore
     listeners: list[MirrorListener] = field(factory=list)
     items: dict[str, StoreItem] = field(factory=dict)
+    # From where changes are asked for; zero asks for all values anew.
     revision: int = 0
+    # Up to which revision changes are among the items.
+    known_revision: int = 0
     available: bool = True
     loaded: trio.Event = field(factory=trio.Event)
 
@@ -79,10 +82,20 @@
         self.take_snapshot(snapshot.items, snapshot.revision)
         self.loaded.set()
 
-    def take_known(self, found: Iterable[StoreItem]) -> None:
-        """Use what another process knew, until the store can be read."""
-        if not self.loaded.is_set():
-            self.take_snapshot(found, 0)
+    def take_known(self, found: Iterable[StoreItem], revision: int = 0) -> bool:
+        """Use what another process knows while the store cannot be read.
+
+        Tell whether that was newer than what is known here.
+        """
+        items = tuple(found)
+        newest = max((one.revision for one in items), default=0)
+        revision = max(revision, newest)
+        readable = self.available and self.loaded.is_set()
+        if readable or revision <= self.known_revision:
+            return False
+        self.take_snapshot(items, revision if self.revision else 0)
+        self.known_revision = revision
+        return True
 
     def take_snapshot(self, found: Iterable[StoreItem], revision: int) -> None:
         """Replace all items."""
@@ -93,6 +106,7 @@
         }
         self.items = items
         self.revision = revision
+        self.known_revision = max(self.known_revision, revision)
         self.tell(changed)
 
     def take_changes(self, changes: StoreChanges) -> None:
@@ -102,6 +116,7 @@
         for key in changes.removed:
             self.items.pop(key, None)
         self.revision = changes.revision
+        self.known_revision = changes.revision
         self.tell({*(one.key for one in changes.written), *changes.removed})
 
     def tell(self, keys: set[str]) -> None:
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1431,16 +1431,19 @@
     """
     Attributes:
      - items
+     - revision
 
     """
 
     __slots__ = (
         'items',
+        'revision',
     )
 
 
-    def __init__(self, items=None,):
+    def __init__(self, items=None, revision=None,):
         self.items = items
+        self.revision = revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1462,6 +1465,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1479,6 +1487,10 @@
                 iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1780,6 +1792,7 @@
 KnownItems.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'items', (TType.STRUCT, [KnownItem, None], False), None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
 )
 all_structs.append(RelayQuestion)
 RelayQuestion.thrift_spec = (
--- a/tests/unit/test_store_mirror.py
+++ b/tests/unit/test_store_mirror.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from trio.testing import MockClock
 
+from jasminewheel._internal.store.known_items import KnownItemsAsker
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.store.port import (
     StoreChanges,
@@ -13,6 +14,7 @@
     StoreItem,
     StoreSnapshot,
 )
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import StoreUnavailableError
 
 SILENT_ANSWER_SECONDS = 1.5
@@ -118,3 +120,87 @@
         assert set(mirror.items) == {'new'}
 
     _follow(scenario)
+
+
+@define(eq=False)
+class AwayStore:
+    """Answer nobody."""
+
+    asked_after: list[int] = field(factory=list)
+
+    async def snapshot(self) -> StoreSnapshot:
+        """Refuse."""
+        await trio.sleep(0)
+        raise StoreUnavailableError('away')
+
+    async def changes(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Refuse, and remember from where changes were asked for."""
+        await trio.sleep(0)
+        self.asked_after.append(after_revision)
+        raise StoreUnavailableError('away')
+
+
+@define(eq=False)
+class TellingPeers:
+    """Tell for each address what a process there knows."""
+
+    told: dict[str, wire.KnownItems]
+
+    async def ask(self, address, message, reply_kind, *, timeout_seconds):
+        """Return what is known at the address."""
+        await trio.sleep(0)
+        return self.told[address]
+
+
+def _told(**revisions: int) -> wire.KnownItems:
+    return wire.KnownItems(
+        items=[
+            wire.KnownItem(key=key, value=b'', revision=revision)
+            for key, revision in revisions.items()
+        ],
+        revision=max(revisions.values()),
+    )
+
+
+def _ask_for(mirror: StoreMirror, told: dict[str, wire.KnownItems]) -> None:
+    asker = KnownItemsAsker(mirror, TellingPeers(told), tuple(told))
+
+    async def scenario() -> None:
+        with trio.move_on_after(6):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(mirror.run)
+                nursery.start_soon(asker.run)
+
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def test_the_newest_that_is_told_is_used():
+    """A process that starts is not content with one that lags behind."""
+    mirror = StoreMirror(AwayStore())
+    told = {'lags': _told(a=3), 'knows': _told(a=3, b=5), 'old': _told(a=2)}
+    _ask_for(mirror, told)
+    assert set(mirror.items) == {'a', 'b'}
+    assert mirror.known_revision == 5
+
+
+def test_process_without_the_store_learns_from_others():
+    """A store that turns one process away still reaches it by the others."""
+    store = AwayStore()
+    mirror = StoreMirror(store)
+    mirror.take_snapshot([StoreItem('a', b'', 3)], 4)
+    mirror.loaded.set()
+    _ask_for(mirror, {'reads': _told(a=3, b=9)})
+    assert set(mirror.items) == {'a', 'b'}
+    assert store.asked_after[0] == 4
+    assert store.asked_after[-1] == 9
+
+
+def test_process_with_the_store_believes_only_the_store():
+    """What another process tells is not used then."""
+    mirror = StoreMirror(AwayStore())
+    mirror.take_snapshot([StoreItem('a', b'', 3)], 4)
+    mirror.loaded.set()
+    assert not mirror.take_known([StoreItem('b', b'', 9)], 9)
+    assert set(mirror.items) == {'a'}
