--- /dev/null
+++ b/tests/unit/test_response_parser.py
@@ -0,0 +1,63 @@
+"""Check what the client makes of any bytes that a runner may send."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jasminewheel._internal.web.response_parser import ResponseParser
+
+LENGTH = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%b'
+BODIES = st.binary(max_size=200)
+
+
+def _fed(sent: bytes, cuts: list[int]) -> ResponseParser:
+    parser = ResponseParser()
+    edges = sorted({0, len(sent), *(cut % (len(sent) + 1) for cut in cuts)})
+    for start, end in zip(edges, edges[1:], strict=False):
+        parser.feed(sent[start:end])
+    return parser
+
+
+CUTS = st.lists(st.integers(0, 1000), max_size=8)
+
+
+@given(sent=st.binary(max_size=400), cuts=CUTS)
+def test_any_bytes_end_in_a_response_or_a_broken_parser(sent, cuts):
+    """No bytes raise, and only whole responses count as complete."""
+    parser = _fed(sent, cuts)
+    for response in parser.responses:
+        assert 100 <= response.status <= 999 or not response.complete
+
+
+@given(body=BODIES, cuts=CUTS)
+def test_body_is_the_same_however_it_is_cut(body, cuts):
+    """Pieces of any size give the same whole body."""
+    parser = _fed(LENGTH % (len(body), body), cuts)
+    assert parser.responses[0].complete
+    assert b''.join(parser.responses[0].parts) == body
+
+
+@given(body=BODIES.filter(bool), missing=st.integers(1, 200), cuts=CUTS)
+def test_short_body_is_never_complete(body, missing, cuts):
+    """A response that lacks bytes does not count."""
+    parser = _fed(LENGTH % (len(body) + missing, body), cuts)
+    parser.feed(b'')
+    assert not parser.responses[0].complete
+
+
+@given(chunks=st.lists(BODIES.filter(bool), min_size=1, max_size=5))
+def test_chunks_without_their_end_are_never_complete(chunks):
+    """A chunked response is complete with its last chunk only."""
+    parts = [b'%x\r\n%b\r\n' % (len(one), one) for one in chunks]
+    sent = CHUNKED % b''.join(parts)
+    assert not _fed(sent, []).responses[0].complete
+    whole = _fed(b'%b0\r\n\r\n' % sent, []).responses[0]
+    assert whole.complete
+    assert b''.join(whole.parts) == b''.join(chunks)
+
+
+@given(extra=st.binary(min_size=1, max_size=50))
+def test_bytes_after_a_whole_response_are_not_part_of_it(extra):
+    """What follows belongs to no request, and the connection ends."""
+    parser = _fed(LENGTH % (4, b'body%b' % extra), [])
+    assert b''.join(parser.responses[0].parts) == b'body'
