Say once how replicas are probed and doubted, and how sockets are accepted on

Cause: read again as a whole, the change had the probe question twice, the lines that doubt a replica twice, three listeners with the same empty methods, a runner's load decoded twice for each answer, the address of a process built twice, and the accepting of a socket three times (one of them in the peers' server, which stood before). Change: PROBE and doubt in quorum, empty defaults in MirrorListener, own_address in the settings, accept_on in peer.sockets for both servers. Ruled out: merging SetHolder with RoutesHolder, which share only a shape. Behaviour as it was; at the very instant that a doubt ends a failure is now logged.

--- a/src/jasminewheel/_internal/conversation/entry_list.py
+++ b/src/jasminewheel/_internal/conversation/entry_list.py
@@ -10,6 +10,7 @@
 from jasminewheel._internal.events import conversation as events
 from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.store.listing import StoreListing
+from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import StoreItem, WatchedStore
 
 ENTRY_PREFIX = f'{OWN_PREFIX}entries/'
@@ -39,7 +40,7 @@
 
 
 @define(eq=False)
-class EntryList:
+class EntryList(MirrorListener):
     """Hold the entries that are listed, apart from this one."""
 
     own_vm: str
@@ -71,9 +72,3 @@
             self.entries.values(),
             key=lambda one: (self.distance(one.zone), one.vm),
         )
-
-    def store_lost(self) -> None:
-        """Keep what is known."""
-
-    def store_back(self) -> None:
-        """Keep what is known."""
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -71,6 +71,14 @@
         return self.message_bytes / LINK_BYTES_PER_SECOND
 
 
+def _probe_message(scope: wire.ReplicaScope) -> wire.ReadProgramTokens:
+    return wire.ReadProgramTokens(scope=scope, program_id='')
+
+
+# Changes nothing, and asks for nothing that is kept.
+PROBE = Question(_probe_message, wire.ProgramTokens)
+
+
 @define(eq=False)
 class QuorumClient:
     """Ask the replicas of the newest set.
@@ -133,12 +141,9 @@
         used = self.sets.current
         suspects = [one for one in used.replicas() if self.is_suspect(one)]
         collection = ReplyCollection(used, WriteQuorum())
-        question = Question(
-            lambda scope: wire.ReadProgramTokens(scope=scope, program_id=''),
-            wire.ProgramTokens,
-        )
         async with trio.open_nursery() as nursery:
-            _Asker(self, nursery, question, collection).ask_directly(suspects)
+            asker = _Asker(self, nursery, PROBE, collection)
+            asker.ask_directly(suspects)
 
     def doubted(self) -> int:
         """Return how many replicas did not answer a moment ago."""
@@ -161,17 +166,20 @@
 
     def note_failure(self, replica: Replica, error: JasminewheelError) -> None:
         """Ask a replica last for a while."""
-        now = trio.current_time()
-        if self.suspects.get(replica.disk_id, 0) < now:
+        if not self.is_suspect(replica):
             events.REPLICA_LOST.log(_LOGGER, vm=replica.vm, problem=error)
-        self.suspects[replica.disk_id] = now + SUSPECT_SECONDS
+        self.doubt(replica)
 
     def note_silence(self, replica: Replica) -> None:
         """Doubt the direct path to a replica, until it answers there."""
-        now = trio.current_time()
         if not self.is_suspect(replica):
             events.RELAY_USED.log(_LOGGER, vm=replica.vm)
-        self.suspects[replica.disk_id] = now + SUSPECT_SECONDS
+        self.doubt(replica)
+
+    def doubt(self, replica: Replica) -> None:
+        """Trust a replica no more for a while."""
+        until = trio.current_time() + SUSPECT_SECONDS
+        self.suspects[replica.disk_id] = until
 
     def note_success(self, replica: Replica) -> None:
         """Trust a replica that answered."""
--- a/src/jasminewheel/_internal/conversation/quorum_watch.py
+++ b/src/jasminewheel/_internal/conversation/quorum_watch.py
@@ -3,8 +3,7 @@
 import trio
 from attrs import frozen
 
-from jasminewheel._internal.conversation.quorum import Question, QuorumClient
-from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel._internal.conversation.quorum import PROBE, QuorumClient
 from jasminewheel.errors import QuorumError
 
 CHECK_SECONDS = 0.2
@@ -46,12 +45,8 @@
 
     async def probe(self) -> bool:
         """Ask a question that changes nothing; tell whether that worked."""
-        question = Question(
-            lambda scope: wire.ReadProgramTokens(scope=scope, program_id=''),
-            wire.ProgramTokens,
-        )
         try:
-            await self.quorum.ask_now(question)
+            await self.quorum.ask_now(PROBE)
         except QuorumError:
             return False
         return True
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -172,8 +172,9 @@
     def takes(self, answer: RunnerAnswer) -> bool:
         """Learn from the head of an answer; tell whether it is final."""
         now = trio.current_time()
-        if answer.load:
-            self.view.load.reported(answer.load, now)
+        load = answer.load
+        if load:
+            self.view.load.reported(load, now)
         if answer.refused:
             self.record.attempts -= 1
             self.avoid('refused', answer.status)
--- a/src/jasminewheel/_internal/peer/server.py
+++ b/src/jasminewheel/_internal/peer/server.py
@@ -15,7 +15,7 @@
 from jasminewheel._internal.peer.frames import BROKEN_ERRORS
 from jasminewheel._internal.peer.hello import PeerLink, greet
 from jasminewheel._internal.peer.identity import PeerIdentity
-from jasminewheel._internal.peer.sockets import tune
+from jasminewheel._internal.peer.sockets import accept_on, tune
 from jasminewheel._internal.wire.codec import decode, encode
 from jasminewheel._internal.wire.gen.frame.ttypes import Envelope, FrameKind
 from jasminewheel.errors import JasminewheelError, OverloadedError, PeerError
@@ -79,8 +79,7 @@
     ) -> None:
         """Listen until cancelled; the started value is the bound port."""
         listeners = await trio.open_tcp_listeners(port, host=host)
-        task_status.started(listeners[0].socket.getsockname()[1])
-        await trio.serve_listeners(self.accept, listeners)
+        await accept_on(listeners, self.accept, task_status)
 
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve one connection; a fault on it ends only this one."""
--- a/src/jasminewheel/_internal/peer/sockets.py
+++ b/src/jasminewheel/_internal/peer/sockets.py
@@ -1,6 +1,7 @@
 """Set socket options that show silent connections early."""
 
 import socket
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -17,6 +18,16 @@
 )
 
 
+async def accept_on(
+    listeners: list[trio.SocketListener],
+    accept: Callable[[trio.SocketStream], Awaitable[None]],
+    task_status: trio.TaskStatus[int],
+) -> None:
+    """Accept until cancelled; the started value is the first bound port."""
+    task_status.started(listeners[0].socket.getsockname()[1])
+    await trio.serve_listeners(accept, listeners)
+
+
 def tune(opened: trio.socket.SocketType) -> None:
     """Send small messages at once and notice a peer that vanished."""
     tcp = socket.IPPROTO_TCP
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -14,7 +14,10 @@
 from jasminewheel._internal.history.durable_file import replace_durably
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Exchange
-from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.store.mirror import (
+    MirrorListener,
+    StoreMirror,
+)
 from jasminewheel._internal.store.port import StoreItem
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import JasminewheelError
@@ -29,7 +32,7 @@
 
 
 @define(eq=False)
-class KnownItemsFile:
+class KnownItemsFile(MirrorListener):
     """Write the newest items to a file, and read them after a restart."""
 
     path: Path
@@ -57,12 +60,6 @@
         self.items = items
         self.changed.set()
 
-    def store_lost(self) -> None:
-        """Keep what is known."""
-
-    def store_back(self) -> None:
-        """Keep what is known."""
-
     async def run(self) -> None:
         """Write after changes until cancelled."""
         while True:
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -27,7 +27,7 @@
 
 
 class MirrorListener(Protocol):
-    """Take what changed in the store."""
+    """Take what changed in the store; by default keep it while it is away."""
 
     def items_changed(
         self, items: Mapping[str, StoreItem], keys: frozenset[str]
--- a/src/jasminewheel/_internal/web/server.py
+++ b/src/jasminewheel/_internal/web/server.py
@@ -9,7 +9,10 @@
 import trio
 from attrs import define, field
 
-from jasminewheel._internal.peer.sockets import BROKEN_STREAM_ERRORS
+from jasminewheel._internal.peer.sockets import (
+    BROKEN_STREAM_ERRORS,
+    accept_on,
+)
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.request_parser import (
     HttpRequest,
@@ -179,8 +182,7 @@
     ) -> None:
         """Listen until cancelled; the started value is the bound port."""
         listeners = await trio.open_tcp_listeners(port, host=host)
-        task_status.started(listeners[0].socket.getsockname()[1])
-        await trio.serve_listeners(self.accept, listeners)
+        await accept_on(listeners, self.accept, task_status)
 
     async def serve_early(
         self,
@@ -189,10 +191,8 @@
     ) -> None:
         """Accept on a socket that listens already, until cancelled."""
         listening = trio.socket.from_stdlib_socket(early)
-        task_status.started(listening.getsockname()[1])
-        await trio.serve_listeners(
-            self.accept, [trio.SocketListener(listening)]
-        )
+        listeners = [trio.SocketListener(listening)]
+        await accept_on(listeners, self.accept, task_status)
 
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -55,8 +55,7 @@
     def own_replica(self) -> Replica:
         """Return this disk as others reach it."""
         node = self.settings
-        address = f'{node.ip}:{node.peer_port}'
-        return Replica(self.disk_id, node.vm, address, node.zone)
+        return Replica(self.disk_id, node.vm, node.own_address, node.zone)
 
     def server(self, mirror: StoreMirror) -> PeerServer:
         """Return the server that answers entries and other replicas."""
--- a/src/jasminewheel/platform/retire.py
+++ b/src/jasminewheel/platform/retire.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import StoreItem, WatchedStore
 
 _ASKED_PREFIX = 'op/retire/'
@@ -17,7 +18,7 @@
 
 
 @define(eq=False)
-class PlatformRetireBoard:
+class PlatformRetireBoard(MirrorListener):
     """Hold the VMs that are to be emptied."""
 
     store: WatchedStore
@@ -36,12 +37,6 @@
                 self.asked.discard(vm)
                 self.reported.pop(vm, None)
 
-    def store_lost(self) -> None:
-        """Keep what is known."""
-
-    def store_back(self) -> None:
-        """Keep what is known."""
-
     def retiring(self) -> frozenset[str]:
         """Return the VMs that are to be emptied."""
         return frozenset(self.asked)
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -37,6 +37,11 @@
     disks_lost: int
     store_address: str
 
+    @property
+    def own_address(self) -> str:
+        """Return where the other processes of the product connect."""
+        return f'{self.ip}:{self.peer_port}'
+
     def clients_addresses(self) -> tuple[str, ...]:
         """Return where callers and the balancer connect, if they do."""
         found = (self.callers_address, self.readiness_address)
--- a/tests/echo_server.py
+++ b/tests/echo_server.py
@@ -33,15 +33,11 @@
 async def main() -> None:
     """Serve until ended."""
     async with trio.open_nursery() as nursery:
-        web = WebServer(answer, _ignore)
+        web = WebServer(answer, lambda _fault: None)
         port = await nursery.start(web.serve, '127.0.0.1', 0)
         sys.stdout.write(f'{port}\n')
         sys.stdout.flush()
 
 
-def _ignore(_fault: object) -> None:
-    """Expect no faults."""
-
-
 if __name__ == '__main__':
     trio.run(main)
