Follow signals and split addresses by one piece of code each

Cause: the platform's roles followed SIGTERM beside _internal/process.py, which they do not import since it brings the tracing library; and HOST:PORT was split in six places. Ruled out: the split in the platform's list of runners, which checks what it is given, and that of a Host field, which may have no port. Behaviour as it was, but for the logger's name on lines 1000 to 1003.

--- a/src/jasminewheel/_internal/observability/metrics.py
+++ b/src/jasminewheel/_internal/observability/metrics.py
@@ -4,6 +4,8 @@
 
 from statsd import StatsClient
 
+from jasminewheel._internal.address import split_address
+
 
 class Metrics(Protocol):
     """Count and time what the process does."""
@@ -35,5 +37,5 @@
     """Return a client for a statsd address `ip:port`, or NoMetrics if empty."""
     if not address:
         return NoMetrics()
-    host, _, port = address.rpartition(':')
-    return StatsClient(host, int(port), prefix=prefix)
+    host, port = split_address(address)
+    return StatsClient(host, port, prefix=prefix)
--- a/src/jasminewheel/_internal/peer/pool.py
+++ b/src/jasminewheel/_internal/peer/pool.py
@@ -9,6 +9,7 @@
 import trio
 from attrs import define, field
 
+from jasminewheel._internal.address import split_address
 from jasminewheel._internal.observability.spans import current_traceparent
 from jasminewheel._internal.peer.connection import PeerConnection
 from jasminewheel._internal.peer.hello import greet
@@ -142,12 +143,12 @@
 
     async def dial(self, address: str) -> PeerConnection:
         """Connect to the address and authenticate."""
-        host, _, port = address.rpartition(':')
         try:
+            host, port = split_address(address)
             with trio.fail_after(DIAL_SECONDS):
                 stream = await trio.open_tcp_stream(
                     host,
-                    int(port),
+                    port,
                     happy_eyeballs_delay=math.inf,
                 )
         except (OSError, trio.TooSlowError, ValueError) as error:
--- /dev/null
+++ b/src/jasminewheel/_internal/stop_signals.py
@@ -0,0 +1,38 @@
+"""Run until a signal asks to stop."""
+
+import logging
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import trio
+
+from jasminewheel._internal.events import frame
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_LOGGER = logging.getLogger(__name__)
+
+
+async def serve_until_stopped(
+    serve: Callable[[trio.Event], Awaitable[None]],
+    numbers: tuple[signal.Signals, ...] = STOP_SIGNALS,
+) -> None:
+    """Run serve with an event that is set when a stop is asked."""
+    stop = trio.Event()
+    with trio.open_signal_receiver(*numbers) as received:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follow_signals, received, stop)
+            await serve(stop)
+            nursery.cancel_scope.cancel()
+    frame.STOPPED.log(_LOGGER)
+
+
+async def follow_signals(
+    received: AsyncIterator[int], stop: trio.Event
+) -> None:
+    """Ask for a stop; log a change of the settings on SIGHUP."""
+    async for number in received:
+        if number == signal.SIGHUP:
+            frame.RELOADED.log(_LOGGER)
+        else:
+            frame.STOPPING.log(_LOGGER, signal=signal.Signals(number).name)
+            stop.set()
--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -6,6 +6,7 @@
 import trio
 from attrs import define, field, frozen
 
+from jasminewheel._internal.address import split_address
 from jasminewheel._internal.peer.sockets import BROKEN_STREAM_ERRORS, tune
 from jasminewheel._internal.web.headers import (
     Headers,
@@ -127,11 +128,10 @@
     address: str, timeout_seconds: float
 ) -> HttpConnection:
     """Connect to the address; raise ConnectionLostError, with nothing sent."""
-    host, _, port = address.rpartition(':')
     opened = trio.socket.socket()
     try:
         with trio.fail_after(timeout_seconds):
-            await opened.connect((host, int(port)))
+            await opened.connect(split_address(address))
     except (OSError, trio.TooSlowError, ValueError) as error:
         opened.close()
         raise ConnectionLostError(
--- a/src/jasminewheel/_internal/web/early_sockets.py
+++ b/src/jasminewheel/_internal/web/early_sockets.py
@@ -7,6 +7,8 @@
 import socket
 from collections.abc import Iterable
 
+from jasminewheel._internal.address import split_address
+
 # Callers that may wait for the program.
 BACKLOG = 1024
 
@@ -22,10 +24,9 @@
 
     def open(self, address: str) -> None:
         """Listen at an address; its server reports one that is taken."""
-        host, _, port = address.rpartition(':')
         try:
             self.waiting[address] = socket.create_server(
-                (host, int(port)), backlog=BACKLOG
+                split_address(address), backlog=BACKLOG
             )
         except OSError:
             # Its server tries again, and ends the start with the error.
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -5,6 +5,7 @@
 import trio
 from attrs import frozen
 
+from jasminewheel._internal.address import split_address
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.peer.pool import PeerPool
@@ -15,7 +16,7 @@
 from jasminewheel.platform.ingress import Ingress
 from jasminewheel.platform.metrics import note_fault, start_metrics
 from jasminewheel.platform.readiness import Readiness
-from jasminewheel.platform.roles import background, split_address
+from jasminewheel.platform.roles import background
 from jasminewheel.platform.settings import NodeSettings
 
 # Share of the grace in which new requests are taken. The balancer needs two
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from jasminewheel._internal.address import split_address
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.known_items import KnownItemsFile
@@ -13,7 +14,7 @@
 from jasminewheel.platform.history_parts import HistoryParts
 from jasminewheel.platform.metrics import start_metrics
 from jasminewheel.platform.retire import PlatformRetireBoard
-from jasminewheel.platform.roles import background, split_address
+from jasminewheel.platform.roles import background
 from jasminewheel.platform.settings import NodeSettings
 
 KNOWN_ITEMS_NAME = 'store-items.json'
--- a/src/jasminewheel/platform/roles.py
+++ b/src/jasminewheel/platform/roles.py
@@ -1,6 +1,5 @@
 """Put the parts of a role together and run it until it is stopped."""
 
-import logging
 import secrets
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
@@ -10,18 +9,22 @@
 import trio
 from attrs import frozen
 
-from jasminewheel._internal.events import frame
 from jasminewheel._internal.observability.json_lines import start_json_logging
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Handler, PeerServer
+from jasminewheel._internal.stop_signals import (
+    STOP_SIGNALS,
+    serve_until_stopped,
+)
 from jasminewheel._internal.web.early_sockets import EarlySockets
 from jasminewheel.platform.settings import NodeSettings
 
 # The platform hands out no secret; its network is what keeps strangers out.
 PEER_KEY = b'jasminewheel'
+# A changed settings file is no reason to stop.
+SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 _INCARNATION_BYTES = 4
-_LOGGER = logging.getLogger(__name__)
 
 Serve = Callable[
     [NodeSettings, PeerPool, trio.Event, EarlySockets], Awaitable[None]
@@ -38,15 +41,12 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
-        stop = trio.Event()
-        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*numbers) as received:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(follow_signals, received, stop)
-                async with peer_pool(self.settings) as pool:
-                    await self.serve(self.settings, pool, stop, self.early)
-                nursery.cancel_scope.cancel()
-        frame.STOPPED.log(_LOGGER)
+        await serve_until_stopped(self.serve_peers, SIGNALS)
+
+    async def serve_peers(self, stop: trio.Event) -> None:
+        """Serve with connections to the other processes."""
+        async with peer_pool(self.settings) as pool:
+            await self.serve(self.settings, pool, stop, self.early)
 
 
 def run_role(serve: Serve, settings: NodeSettings, early: EarlySockets) -> None:
@@ -56,18 +56,6 @@
     trio.run(process.run)
 
 
-async def follow_signals(
-    received: AsyncIterator[int], stop: trio.Event
-) -> None:
-    """Stop on SIGTERM; log a change of the settings on SIGHUP."""
-    async for number in received:
-        if number == signal.SIGHUP:
-            frame.RELOADED.log(_LOGGER)
-        else:
-            frame.STOPPING.log(_LOGGER, signal=signal.Signals(number).name)
-            stop.set()
-
-
 @asynccontextmanager
 async def peer_pool(settings: NodeSettings) -> AsyncIterator[PeerPool]:
     """Give connections to the other processes of the product."""
@@ -88,12 +76,6 @@
     return PeerIdentity(settings.vm, incarnation, settings.zone)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 async def tick(seconds: float, step: Callable[[float], object]) -> None:
     """Call step with the present time at each interval."""
     while True:
