Log rewrites, slow writes, copies and turns that could not be kept

What callers saw: LOST, without a record. The lines of today could not tell the three hypotheses apart: no line says that a log was rewritten or how long a write took (1), from whom and how fast a newcomer copied (2), or that a finished stream was cut because its turn could not be kept; JW1807 and JW1809 name neither the disk that was meant nor who did answer (3). Ruled out: reading it from JW1806 alone, whose text was empty for a time-out. Change: JW1815 to JW1818 and JW1887, the disk in JW1807 and JW1812, the answering VMs and the kind of set in JW1809, repr of the problem in JW1806. No decision changes.

--- a/src/jasminewheel/_internal/conversation/catch_up.py
+++ b/src/jasminewheel/_internal/conversation/catch_up.py
@@ -39,6 +39,13 @@
 
     async def run(self, replica_set: ReplicaSet) -> None:
         """Copy from a read quorum; raise QuorumError if too few answer."""
+        began = trio.current_time()
+        events.COPY_BEGUN.log(
+            _LOGGER,
+            revision=replica_set.revision,
+            members=[one.vm for one in replica_set.members],
+            turns=len(self.journal.state.turns),
+        )
         await self.note_revision(replica_set.revision)
         copied: set[str] = set()
         async with trio.open_nursery() as nursery:
@@ -51,6 +58,7 @@
             _LOGGER,
             revision=replica_set.revision,
             turns=len(self.journal.state.turns),
+            seconds=round(trio.current_time() - began, 3),
         )
 
     async def note_revision(self, revision: int) -> None:
@@ -71,18 +79,33 @@
             ),
             known_turns=list(self.journal.state.turns),
         )
+        began = trio.current_time()
         try:
             with trio.fail_after(COPY_SECONDS):
-                await self.take_pages(replica, request)
+                turns = await self.take_pages(replica, request)
         except (JasminewheelError, trio.TooSlowError) as error:
-            events.CATCH_UP_FAILED.log(_LOGGER, vm=replica.vm, problem=error)
+            events.CATCH_UP_FAILED.log(
+                _LOGGER,
+                vm=replica.vm,
+                disk=replica.disk_id,
+                seconds=round(trio.current_time() - began, 3),
+                problem=repr(error),
+            )
         else:
+            events.COPIED_FROM.log(
+                _LOGGER,
+                vm=replica.vm,
+                disk=replica.disk_id,
+                turns=turns,
+                seconds=round(trio.current_time() - began, 3),
+            )
             copying.note(replica)
 
     async def take_pages(
         self, replica: Replica, request: wire.ReadMissingRecords
-    ) -> None:
-        """Store page after page."""
+    ) -> int:
+        """Store page after page; return how many turns came."""
+        turns = 0
         async with self.pool.stream(
             replica.address, request, wire.RecordPage
         ) as pages:
@@ -90,6 +113,8 @@
                 if not page.accepted:
                     raise QuorumError('the replica set changed meanwhile')
                 await self.store(page)
+                turns += len(page.turns)
+        return turns
 
     async def store(self, page: wire.RecordPage) -> None:
         """Keep the records of a page durably."""
--- a/src/jasminewheel/_internal/conversation/journal.py
+++ b/src/jasminewheel/_internal/conversation/journal.py
@@ -29,6 +29,8 @@
 REWRITE_BYTES = 33554432
 # A pause before a disk that failed is tried again.
 RETRY_SECONDS = 0.5
+# A quarter of the time for which entries wait for an answer.
+SLOW_WRITE_SECONDS = 0.25
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -96,6 +98,7 @@
 
     async def write(self, group: WriteGroup) -> None:
         """Write a group; after a failure everything is written anew."""
+        began = trio.current_time()
         try:
             await self.append(group.entries)
         except OSError as fault:
@@ -106,13 +109,33 @@
                 remedy='replace this disk VM if this goes on',
             )
             await trio.sleep(RETRY_SECONDS)
+        self.note_slow(group, trio.current_time() - began)
+
+    def note_slow(self, group: WriteGroup, seconds: float) -> None:
+        """Log a group that took long."""
+        if seconds < SLOW_WRITE_SECONDS:
+            return
+        events.WRITE_SLOW.log(
+            _LOGGER,
+            entries=len(group.entries),
+            seconds=round(seconds, 3),
+            log_bytes=self.log_file.size if self.log_file else 0,
+            turns=len(self.state.turns),
+        )
 
     async def append(self, entries: list[LogEntry]) -> None:
         """Write the entries, or all that lives if a new file is due."""
         log_file = self.log_file
         if log_file is None or log_file.size > REWRITE_BYTES:
+            began = trio.current_time()
             block = join_entries(self.live_entries())
             await trio.to_thread.run_sync(self.rewrite, block)
+            events.LOG_REWRITTEN.log(
+                _LOGGER,
+                written=len(block),
+                before=log_file.size if log_file else 0,
+                seconds=round(trio.current_time() - began, 3),
+            )
         else:
             block = join_entries(entries)
             await trio.to_thread.run_sync(log_file.append, block)
--- a/src/jasminewheel/_internal/conversation/quorum.py
+++ b/src/jasminewheel/_internal/conversation/quorum.py
@@ -167,13 +167,18 @@
     def note_failure(self, replica: Replica, error: JasminewheelError) -> None:
         """Ask a replica last for a while."""
         if not self.is_suspect(replica):
-            events.REPLICA_LOST.log(_LOGGER, vm=replica.vm, problem=error)
+            events.REPLICA_LOST.log(
+                _LOGGER,
+                vm=replica.vm,
+                disk=replica.disk_id,
+                problem=error,
+            )
         self.doubt(replica)
 
     def note_silence(self, replica: Replica) -> None:
         """Doubt the direct path to a replica, until it answers there."""
         if not self.is_suspect(replica):
-            events.RELAY_USED.log(_LOGGER, vm=replica.vm)
+            events.RELAY_USED.log(_LOGGER, vm=replica.vm, disk=replica.disk_id)
         self.doubt(replica)
 
     def doubt(self, replica: Replica) -> None:
@@ -198,7 +203,9 @@
             _LOGGER,
             revision=used.revision,
             answered=answered,
+            by=sorted(one.vm for one in collection.answered()),
             replicas=len(used.replicas()),
+            joint=bool(used.joining),
         )
         return QuorumError(
             f'only {answered} replicas answered under set {used.revision}',
--- a/src/jasminewheel/_internal/conversation/sufficiency.py
+++ b/src/jasminewheel/_internal/conversation/sufficiency.py
@@ -81,6 +81,12 @@
             self.replies[replica.disk_id] = reply
         self.newest_revision = max(self.newest_revision, reply.set_revision)
 
+    def answered(self) -> list[Replica]:
+        """Return the replicas whose answers count."""
+        return [
+            one for one in self.used.replicas() if one.disk_id in self.replies
+        ]
+
     def end_one(self) -> None:
         """Note that a replica answered or failed."""
         self.pending -= 1
--- a/src/jasminewheel/_internal/events/conversation.py
+++ b/src/jasminewheel/_internal/events/conversation.py
@@ -55,3 +55,14 @@
     'a listed entry cannot be read and is not used',
     'see which process wrote the key',
 )
+LOG_REWRITTEN = Event(
+    1815, logging.INFO, 'all that lives was written anew to a new file'
+)
+WRITE_SLOW = Event(
+    1816,
+    logging.WARNING,
+    'records took long to become durable',
+    'see whether the disk of this VM is slow or its log is written anew',
+)
+COPY_BEGUN = Event(1817, logging.INFO, 'this disk copies for a change')
+COPIED_FROM = Event(1818, logging.INFO, 'records copied from one replica')
--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -45,3 +45,9 @@
 TURNED_AWAY = Event(
     1886, logging.INFO, 'request turned away before it had a route'
 )
+TURN_NOT_KEPT = Event(
+    1887,
+    logging.WARNING,
+    'a turn that the caller got could not be kept; its stream is cut',
+    'see why the disks did not answer',
+)
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import trio
 from attrs import define, field, frozen
 
 from jasminewheel._internal.conversation.client import (
@@ -20,6 +21,7 @@
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.headers import end_to_end
 from jasminewheel._internal.wire.gen.conversation.ttypes import TurnRecord
+from jasminewheel.errors import UnavailableError
 
 _OK = 200
 _LOGGER = logging.getLogger(__name__)
@@ -102,10 +104,26 @@
             return
         await self.pass_on(found)
         if self.record.route.retains_history:
-            await self.conversations.commit(self.kept())
+            await self.keep()
         await self.answer.finish()
         self.record.notes['events'] = self.progress.events
 
+    async def keep(self) -> None:
+        """Keep the finished turn; raise UnavailableError if that failed."""
+        began = trio.current_time()
+        try:
+            await self.conversations.commit(self.kept())
+        except UnavailableError as error:
+            events.TURN_NOT_KEPT.log(
+                _LOGGER,
+                request=self.record.call.call_id,
+                runner=self.record.runner,
+                events=self.progress.events,
+                seconds=round(trio.current_time() - began, 3),
+                problem=error.message,
+            )
+            raise
+
     async def pass_on(self, found: RunnerAnswer) -> None:
         """Send each event on as soon as it is whole."""
         await self.answer.start(found.status, end_to_end(found.headers))
