--- /dev/null
+++ b/tests/functional/test_lost_disks.py
@@ -0,0 +1,90 @@
+"""Check what entries ask while disks are lost and the others are slow."""
+
+from collections import Counter
+
+import trio
+
+from tests.relay_entries import start_entries
+from tests.turn_replicas import turn, turn_replicas
+
+ENTRIES = 16
+DISKS = 5
+LOST = 2
+# Longer than a question waits for the near disks before it asks the others.
+SLOW_SECONDS = 0.2
+TURNS = 72
+AT_ONCE = 6
+# Entries that are asked for one lost disk within a second.
+MOST_A_SECOND = 3
+
+
+async def _serve_turns(entry) -> float:
+    began = trio.current_time()
+    left = [f't{number}' for number in range(TURNS)]
+
+    async def work() -> None:
+        while left:
+            await entry.conversations.commit(turn(left.pop()))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(AT_ONCE):
+            nursery.start_soon(work)
+    return trio.current_time() - began
+
+
+async def _asked_beside(tmp_path, lose) -> tuple[int, float]:
+    async with turn_replicas(tmp_path) as replicas:
+        await replicas.start_all(DISKS)
+        entries = await start_entries(replicas, ENTRIES)
+        for lost in replicas.running[:LOST]:
+            lose(entries, lost)
+        busy = entries[0]
+        busy.pool.delay_seconds = SLOW_SECONDS
+        seconds = await _serve_turns(busy)
+        others = {one.listed.address for one in entries[1:]}
+        asked = Counter(busy.pool.asked)
+        return sum(asked[address] for address in others), seconds
+
+
+def _stop(_entries, lost) -> None:
+    lost.stop()
+
+
+def _silence(entries, lost) -> None:
+    for entry in entries:
+        entry.pool.silent.add(lost.replica.address)
+
+
+def _check(tmp_path, lose) -> None:
+    asked, seconds = trio.run(_asked_beside, tmp_path, lose)
+    assert asked <= MOST_A_SECOND * LOST * (seconds + 1)
+
+
+def test_dead_disks_are_not_asked_for_with_each_turn(tmp_path):
+    """What other entries do not reach either is not asked for each turn."""
+    _check(tmp_path, _stop)
+
+
+def test_silent_disks_are_not_asked_for_with_each_turn(tmp_path):
+    """A disk that no entry hears is looked for now and then only."""
+    _check(tmp_path, _silence)
+
+
+def test_empty_disk_is_not_asked_for_the_records_it_lost(tmp_path):
+    """The process there says that the disk is gone, so nobody asks on."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            await replicas.start_all(DISKS)
+            entries = await start_entries(replicas, 2)
+            busy = entries[0]
+            lost = replicas.running[0]
+            await replicas.lose_disk(lost)
+            busy.pool.delay_seconds = SLOW_SECONDS
+            busy.pool.asked.clear()
+            await _serve_turns(busy)
+            asked = Counter(busy.pool.asked)
+            assert asked[lost.replica.address] <= 3
+            assert not asked[entries[1].listed.address]
+
+    trio.run(scenario)
--- a/tests/relay_entries.py
+++ b/tests/relay_entries.py
@@ -29,10 +29,12 @@
         super().__init__(identity, KEY)
         self.silent: set[str] = set()
         self.asked: list[str] = []
+        self.delay_seconds: float = 0
 
     async def ask(self, address, message, reply_kind, *, timeout_seconds):
-        """Wait in vain where the way is cut."""
+        """Wait in vain where the way is cut, and longer where it is slow."""
         self.asked.append(address)
+        await trio.sleep(self.delay_seconds)
         if address not in self.silent:
             return await super().ask(
                 address, message, reply_kind, timeout_seconds=timeout_seconds
--- a/tests/turn_replicas.py
+++ b/tests/turn_replicas.py
@@ -59,6 +59,21 @@
     stack: AsyncExitStack
     running: list[RunningReplica] = field(factory=list)
 
+    async def start_all(self, count: int) -> None:
+        """Start replicas on the first disks."""
+        while len(self.running) < count:
+            await self.start(len(self.running))
+
+    async def lose_disk(self, lost: RunningReplica) -> None:
+        """Serve an empty disk of another identity at a replica's address."""
+        lost.stop()
+        folder = self.folder / 'empty'
+        folder.mkdir()
+        port = int(lost.replica.address.rpartition(':')[2])
+        journal = Journal(folder, ConversationState())
+        serve = partial(serve_replica, journal, 'empty', port=port)
+        await self.nursery.start(serve)
+
     async def start(self, number: int, disk_id: str = '') -> RunningReplica:
         """Start a replica on the disk of this number."""
         folder = self.folder / f'disk-{number}-{disk_id}'
@@ -109,7 +124,10 @@
 
 
 async def serve_replica(
-    journal: Journal, disk_id: str, task_status: trio.TaskStatus
+    journal: Journal,
+    disk_id: str,
+    task_status: trio.TaskStatus,
+    port: int = 0,
 ) -> None:
     """Serve one replica until its scope is cancelled."""
     identity = PeerIdentity(disk_id, 'i1', ZONES[0])
@@ -118,7 +136,7 @@
     with trio.CancelScope() as scope:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(journal.run)
-            port = await nursery.start(server.serve, '127.0.0.1', 0)
+            port = await nursery.start(server.serve, '127.0.0.1', port)
             task_status.started((port, scope))
 
 
