Write a disk's log in files of bounded size, cleaned in the background

What callers saw: LOST on the grown site; here, streams cut after a runner had answered whole, since their turns could not be kept. The class: a cost for each operation that grows with what is kept. Ruled out: raising the limit (moves the size), checking for twice what lives as the comment said (a rewrite of 64 MiB still holds up every commit for its time, and needs it twice in memory). Change: files of 8 MiB that are only appended to; a task moves what still counts out of files of which less than half does, 32 records in a group, and removes them. Records are put into the state when they are durable, before their writers go on, so a failed group leaves nothing behind and needs no rewrite. A revision counts as durable only once it is. The two tests of test_large_live_set.py failed before and pass.

--- a/src/jasminewheel/_internal/conversation/catch_up.py
+++ b/src/jasminewheel/_internal/conversation/catch_up.py
@@ -5,11 +5,11 @@
 import trio
 from attrs import frozen
 
-from jasminewheel._internal.conversation.journal import (
-    Journal,
-    reservation_entry,
-    revision_entry,
-    turn_entry,
+from jasminewheel._internal.conversation.journal import Journal
+from jasminewheel._internal.conversation.records import (
+    StoredReservation,
+    StoredRevision,
+    StoredTurn,
 )
 from jasminewheel._internal.conversation.replica_set import (
     Replica,
@@ -63,9 +63,8 @@
 
     async def note_revision(self, revision: int) -> None:
         """Refuse older sets here as well."""
-        state = self.journal.state
-        state.set_revision = max(state.set_revision, revision)
-        await self.journal.store(revision_entry(state.set_revision))
+        self.journal.state.note_revision(revision)
+        await self.journal.store(StoredRevision(revision))
 
     async def copy(self, replica: Replica, copying: '_Copying') -> None:
         """Copy from one replica and note when that succeeded."""
@@ -118,14 +117,9 @@
 
     async def store(self, page: wire.RecordPage) -> None:
         """Keep the records of a page durably."""
-        now = trio.current_time()
-        for turn in page.turns:
-            self.journal.state.add_turn(turn, now)
-        for taken in page.reservations:
-            self.journal.state.add_reservation(taken, now)
         await self.journal.store(
-            *map(turn_entry, page.turns),
-            *map(reservation_entry, page.reservations),
+            *map(StoredTurn, page.turns),
+            *map(StoredReservation, page.reservations),
         )
 
 
--- a/src/jasminewheel/_internal/conversation/log_file.py
+++ b/src/jasminewheel/_internal/conversation/log_file.py
@@ -3,7 +3,7 @@
 import os
 import struct
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from enum import IntEnum
 from pathlib import Path
 
@@ -77,11 +77,6 @@
         os.close(self.descriptor)
 
 
-def join_entries(entries: Iterable[LogEntry]) -> bytes:
-    """Return the entries one after the other."""
-    return b''.join(entry.to_bytes() for entry in entries)
-
-
 def read_entries(path: Path) -> Iterator[LogEntry]:
     """Yield the whole entries before the first that is not."""
     stored = path.read_bytes()
--- /dev/null
+++ b/src/jasminewheel/_internal/conversation/segments.py
@@ -0,0 +1,154 @@
+"""Keep the log of one disk in files of bounded size.
+
+Answers disks that keep much: a write costs what it adds, whatever lives.
+"""
+
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+from attrs import define, field, frozen
+
+from jasminewheel._internal.conversation.log_file import (
+    LogFile,
+    file_number,
+    log_files,
+    read_entries,
+)
+from jasminewheel._internal.conversation.records import (
+    RecordKey,
+    StoredRecord,
+    record_of,
+)
+from jasminewheel._internal.conversation.state import ConversationState
+from jasminewheel._internal.history.durable_file import sync_folder
+
+# 8 MiB; a larger file takes no more records.
+SEGMENT_BYTES = 8388608
+
+
+@frozen
+class LoggedRecord:
+    """Name one record in a file, and how many bytes it takes there."""
+
+    key: RecordKey
+    stored_bytes: int
+
+
+@frozen
+class LogBlock:
+    """Hold records as they are written together."""
+
+    logged: tuple[LoggedRecord, ...]
+    block: bytes
+
+    @classmethod
+    def of(cls, records: Iterable[StoredRecord]) -> 'LogBlock':
+        """Return the block of records."""
+        written = tuple(records)
+        entries = [one.to_entry().to_bytes() for one in written]
+        pairs = zip(written, entries, strict=True)
+        logged = tuple(
+            LoggedRecord(one.key, len(entry)) for one, entry in pairs
+        )
+        return cls(logged, b''.join(entries))
+
+
+@define(eq=False)
+class Segment:
+    """Hold what stands in one file."""
+
+    path: Path
+    stored_bytes: int = 0
+    logged: list[LoggedRecord] = field(factory=list)
+
+    @property
+    def number(self) -> int:
+        """Return the file's number."""
+        return file_number(self.path)
+
+    def live_bytes(self, state: ConversationState) -> int:
+        """Return the bytes of the records that still count."""
+        return sum(
+            one.stored_bytes for one in self.logged if one.key.find(state)
+        )
+
+    def live_records(self, state: ConversationState) -> list[StoredRecord]:
+        """Return the records that still count."""
+        found = (one.key.find(state) for one in self.logged)
+        return list(filter(None, found))
+
+
+@define(eq=False)
+class SegmentedLog:
+    """Append to the newest file; older ones are only removed."""
+
+    folder: Path
+    # Files that take no more records, by number.
+    closed: dict[int, Segment] = field(factory=dict)
+    head: Segment | None = None
+    head_file: LogFile | None = None
+
+    @property
+    def stored_bytes(self) -> int:
+        """Return the size of all files."""
+        newest = self.head.stored_bytes if self.head else 0
+        return newest + sum(one.stored_bytes for one in self.closed.values())
+
+    @property
+    def needs_head(self) -> bool:
+        """Tell whether the next block opens a new file."""
+        return self.head is None or self.head.stored_bytes > SEGMENT_BYTES
+
+    def load(self) -> Iterator[StoredRecord]:
+        """Yield all records of the folder's files."""
+        for path in log_files(self.folder):
+            segment = Segment(path, path.stat().st_size)
+            self.closed[segment.number] = segment
+            yield from _records_of(segment)
+
+    def append(self, written: LogBlock) -> None:
+        """Write a block durably."""
+        if self.needs_head:
+            self.open_head()
+        self.head_file.append(written.block)
+        self.head.stored_bytes += len(written.block)
+        self.head.logged.extend(written.logged)
+
+    def open_head(self) -> None:
+        """Go on in a new file."""
+        number = max(self.closed, default=0)
+        if self.head:
+            number = max(number, self.head.number)
+        head_file = LogFile.create(self.folder, number + 1)
+        self.close_head()
+        self.head_file = head_file
+        self.head = Segment(head_file.path)
+
+    def close_head(self) -> None:
+        """Write no more to the newest file; what it holds stays."""
+        if self.head:
+            self.closed[self.head.number] = self.head
+            self.head_file.close()
+        self.head = None
+        self.head_file = None
+
+    def mostly_dead(self, state: ConversationState) -> Segment | None:
+        """Return a closed file of which less than half still counts."""
+        for segment in self.closed.values():
+            if 2 * segment.live_bytes(state) < segment.stored_bytes:
+                return segment
+        return None
+
+    def remove(self, segment: Segment) -> None:
+        """Remove a closed file."""
+        segment.path.unlink()
+        sync_folder(self.folder)
+        self.closed.pop(segment.number)
+
+
+def _records_of(segment: Segment) -> Iterator[StoredRecord]:
+    for entry in read_entries(segment.path):
+        record = record_of(entry)
+        size = len(entry.to_bytes())
+        segment.logged.append(LoggedRecord(record.key, size))
+        yield record
--- a/src/jasminewheel/_internal/conversation/service.py
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -4,14 +4,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-import trio
 from attrs import frozen
 
-from jasminewheel._internal.conversation.journal import (
-    Journal,
-    reservation_entry,
-    revision_entry,
-    turn_entry,
+from jasminewheel._internal.conversation.journal import Journal
+from jasminewheel._internal.conversation.records import (
+    StoredReservation,
+    StoredRevision,
+    StoredTurn,
 )
 from jasminewheel._internal.conversation.state import turn_bytes
 from jasminewheel._internal.events import conversation as events
@@ -57,9 +56,9 @@
                 _LOGGER, used=scope.set_revision, newest=self.revision
             )
             return False
-        if scope.set_revision > self.revision:
-            self.journal.state.set_revision = scope.set_revision
-            await self.journal.store(revision_entry(scope.set_revision))
+        if scope.set_revision > self.journal.state.durable_revision:
+            self.journal.state.note_revision(scope.set_revision)
+            await self.journal.store(StoredRevision(scope.set_revision))
         return True
 
     async def reserve(
@@ -143,16 +142,13 @@
 
     async def store_turn(self, turn: wire.TurnRecord) -> None:
         """Keep a turn durably, with its tokens settled."""
-        now = trio.current_time()
-        settled = settled_tokens(turn)
-        self.journal.state.add_turn(turn, now)
-        self.journal.state.add_reservation(settled, now)
-        await self.journal.store(turn_entry(turn), reservation_entry(settled))
+        await self.journal.store(
+            StoredTurn(turn), StoredReservation(settled_tokens(turn))
+        )
 
     async def store_reservation(self, taken: wire.TokenReservation) -> None:
         """Keep a reservation durably."""
-        self.journal.state.add_reservation(taken, trio.current_time())
-        await self.journal.store(reservation_entry(taken))
+        await self.journal.store(StoredReservation(taken))
 
 
 def settled_tokens(turn: wire.TurnRecord) -> wire.TokenReservation:
--- a/src/jasminewheel/_internal/conversation/state.py
+++ b/src/jasminewheel/_internal/conversation/state.py
@@ -39,7 +39,14 @@
 
     turns: dict[str, KeptTurn] = field(factory=dict)
     programs: dict[str, ProgramLedger] = field(factory=dict)
+    # The newest replica set seen; writes under older ones are refused.
     set_revision: int = 0
+    # Up to here that outlives a start.
+    durable_revision: int = 0
+
+    def note_revision(self, revision: int) -> None:
+        """Refuse writes under older replica sets from now on."""
+        self.set_revision = max(self.set_revision, revision)
 
     def add_turn(self, record: TurnRecord, now: float) -> None:
         """Keep a turn; all before it are kept as long."""
--- a/src/jasminewheel/_internal/events/conversation.py
+++ b/src/jasminewheel/_internal/events/conversation.py
@@ -8,7 +8,7 @@
 DISK_FAILED = Event(
     1801,
     logging.ERROR,
-    'disk failed, its log is written anew',
+    'disk failed, its log goes on in a new file',
     'replace this disk VM if this goes on',
 )
 SET_ADOPTED = Event(1802, logging.INFO, 'replica set in force')
@@ -55,14 +55,20 @@
     'a listed entry cannot be read and is not used',
     'see which process wrote the key',
 )
-LOG_REWRITTEN = Event(
-    1815, logging.INFO, 'all that lives was written anew to a new file'
+FILE_CLEANED = Event(
+    1815, logging.INFO, 'an old file of the log was emptied and removed'
 )
 WRITE_SLOW = Event(
     1816,
     logging.WARNING,
     'records took long to become durable',
-    'see whether the disk of this VM is slow or its log is written anew',
+    'see whether the disk of this VM is slow',
 )
 COPY_BEGUN = Event(1817, logging.INFO, 'this disk copies for a change')
 COPIED_FROM = Event(1818, logging.INFO, 'records copied from one replica')
+CLEANING_FAILED = Event(
+    1819,
+    logging.WARNING,
+    'an old file of the log could not be removed; it is tried again',
+    'see whether the disk of this VM is full or failed',
+)
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -5,6 +5,7 @@
 import trio
 
 from jasminewheel._internal.address import split_address
+from jasminewheel._internal.conversation.cleaner import LogCleaner
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.known_items import KnownItemsFile
@@ -59,6 +60,7 @@
 ) -> None:
     """Listen for peers, also where those without the store ask first."""
     nursery.start_soon(parts.journal.run)
+    nursery.start_soon(LogCleaner(parts.journal).run)
     server = parts.server(mirror)
     settings = parts.settings
     await start_metrics(nursery, settings, parts.gauges)
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -81,10 +81,10 @@
 
     def gauges(self) -> dict[str, float]:
         """Return what the metrics show of this disk now."""
-        log_file = self.journal.log_file
         return {
             'replica_set_revision': self.listener.holder.current.revision,
             'turns_kept': len(self.state.turns),
             'programs_kept': len(self.state.programs),
-            'log_bytes': log_file.size if log_file else 0,
+            'log_bytes': self.journal.log.stored_bytes,
+            'log_files': len(self.journal.log.closed) + 1,
         }
--- a/tests/functional/test_large_live_set.py
+++ b/tests/functional/test_large_live_set.py
@@ -2,8 +2,9 @@
 
 import trio
 
-from jasminewheel._internal.conversation.journal import Journal, turn_entry
+from jasminewheel._internal.conversation.journal import Journal
 from jasminewheel._internal.conversation.log_file import LogFile
+from jasminewheel._internal.conversation.records import StoredTurn
 from jasminewheel._internal.conversation.state import ConversationState
 from jasminewheel._internal.wire.gen.conversation.ttypes import TurnRecord
 
@@ -29,8 +30,7 @@
 
 
 async def _keep(journal: Journal, record: TurnRecord) -> None:
-    journal.state.add_turn(record, trio.current_time())
-    await journal.store(turn_entry(record))
+    await journal.store(StoredTurn(record))
 
 
 async def _keep_small(journal: Journal) -> None:
@@ -42,9 +42,7 @@
 
 async def _fill(journal: Journal) -> None:
     records = [_record(number, PROMPT) for number in range(RECORDS)]
-    for record in records:
-        journal.state.add_turn(record, trio.current_time())
-    await journal.store(*map(turn_entry, records))
+    await journal.store(*map(StoredTurn, records))
 
 
 def test_small_writes_do_not_rewrite_a_large_live_set(tmp_path, monkeypatch):
--- a/tests/unit/test_local_commands.py
+++ b/tests/unit/test_local_commands.py
@@ -4,14 +4,12 @@
 
 import pytest
 
-from jasminewheel._internal.conversation.journal import (
-    reservation_entry,
-    turn_entry,
-)
-from jasminewheel._internal.conversation.log_file import (
-    LogFile,
-    join_entries,
+from jasminewheel._internal.conversation.log_file import LogFile
+from jasminewheel._internal.conversation.records import (
+    StoredReservation,
+    StoredTurn,
 )
+from jasminewheel._internal.conversation.segments import LogBlock
 from jasminewheel.cli.ctl import app
 from jasminewheel.commands.ctl.exit_codes import ExitCode
 from tests.turn_replicas import reservation, turn
@@ -101,11 +99,11 @@
 def test_folder_with_a_torn_end_is_reported(tmp_path, capsys):
     """Whole entries are counted, and what came after them."""
     log_file = LogFile.create(tmp_path, 1)
-    entries = (
-        turn_entry(turn('t2', 't1')),
-        reservation_entry(reservation('t3', 5).to_wire()),
+    written = (
+        StoredTurn(turn('t2', 't1')),
+        StoredReservation(reservation('t3', 5).to_wire()),
     )
-    log_file.append(join_entries(entries))
+    log_file.append(LogBlock.of(written).block)
     log_file.append(b'torn')
     log_file.close()
     assert _run('check-turns', str(tmp_path)) == ExitCode.done
