Copy each record to a newcomer once, from near members first, in rounds

Cause: a newcomer asked all members at once for all they hold, so each record came from each holder, also over the link between regions, and up to 32 MiB of each answer waited unread in memory. The class: work in proportion to copies, not to what is missing. Ruled out: one member only (a read quorum is needed); a bound on the rate (it makes the time in which a further loss is not borne longer). Change: the members are first made to refuse older sets, all at once; then the nearest read quorum is copied from, one after the other, each asked only for what is not here yet, in rounds of 8 MiB that end with whether that is all.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -71,7 +71,8 @@
   3: list<TurnRecord> turns,   // newest first; empty: the turn is not here
 }
 
-// Answered by a stream of RecordPage with what is not among the known.
+// Answered by a stream of RecordPage with what is not among the known, up to
+// a bound; the last page says whether that is all.
 struct ReadMissingRecords {
   1: ReplicaScope scope,
   2: list<string> known_turns,
@@ -82,6 +83,7 @@
   2: i64 set_revision,
   3: list<TurnRecord> turns,
   4: list<TokenReservation> reservations,
+  5: bool complete,            // the asker then has all that is here
 }
 
 // What a process that cannot reach the store asks of one that could before.
--- a/src/jasminewheel/_internal/conversation/catch_up.py
+++ b/src/jasminewheel/_internal/conversation/catch_up.py
@@ -3,7 +3,7 @@
 import logging
 
 import trio
-from attrs import frozen
+from attrs import define, field, frozen
 
 from jasminewheel._internal.conversation.journal import Journal
 from jasminewheel._internal.conversation.records import (
@@ -16,12 +16,17 @@
     ReplicaSet,
 )
 from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import JasminewheelError, QuorumError
 
-# One replica's records are not waited for any longer.
-COPY_SECONDS = 20.0
+# One round of one replica's records is not waited for any longer.
+ROUND_SECONDS = 10.0
+# Members that do not answer by then are not copied from.
+FENCE_SECONDS = 1.0
+# Once enough answered, nearer ones have this long to answer as well.
+NEARER_SECONDS = 0.1
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -29,13 +34,15 @@
 class CatchUp:
     """Copy records for one change of the replica set.
 
-    Each replica asked first stores the change's revision. From then on it
-    refuses writes under older sets, so nothing can be missed.
+    Each replica copied from first stores the change's revision. From then on
+    it refuses writes under older sets, so nothing can be missed. Near ones
+    come first, and each is asked only for what is not here yet.
     """
 
     disk_id: str
     journal: Journal
     pool: PeerPool
+    distance: Distance
 
     async def run(self, replica_set: ReplicaSet) -> None:
         """Copy from a read quorum; raise QuorumError if too few answer."""
@@ -47,13 +54,14 @@
             turns=len(self.journal.state.turns),
         )
         await self.note_revision(replica_set.revision)
-        copied: set[str] = set()
-        async with trio.open_nursery() as nursery:
-            copying = _Copying(replica_set, copied, nursery.cancel_scope)
-            for replica in replica_set.members:
-                nursery.start_soon(self.copy, replica, copying)
+        copied = {self.disk_id}
+        sources = await self.fenced(replica_set)
+        while sources and not replica_set.is_read_quorum(copied):
+            source = sources.pop(0)
+            if await self.copy(source, replica_set.revision):
+                copied.add(source.disk_id)
         if not replica_set.is_read_quorum(copied):
-            raise QuorumError(f'copied from {len(copied)} replicas only')
+            raise QuorumError('copied from too few replicas')
         events.CAUGHT_UP.log(
             _LOGGER,
             revision=replica_set.revision,
@@ -66,45 +74,77 @@
         self.journal.state.note_revision(revision)
         await self.journal.store(StoredRevision(revision))
 
-    async def copy(self, replica: Replica, copying: '_Copying') -> None:
-        """Copy from one replica and note when that succeeded."""
-        if replica.disk_id == self.disk_id:
-            copying.note(replica)
+    async def fenced(self, replica_set: ReplicaSet) -> list[Replica]:
+        """Return the other members that refuse older sets, near ones first."""
+        fence = _Fence(replica_set, {self.disk_id})
+        with trio.move_on_after(FENCE_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for replica in fence.asked():
+                    nursery.start_soon(self.ask_fence, replica, fence)
+                await fence.enough.wait()
+                await trio.sleep(NEARER_SECONDS)
+                nursery.cancel_scope.cancel()
+        return sorted(fence.answered, key=lambda one: self.distance(one.zone))
+
+    async def ask_fence(self, replica: Replica, fence: '_Fence') -> None:
+        """Make one member refuse older sets."""
+        scope = _scope(replica, fence.replica_set.revision)
+        try:
+            told = await self.pool.ask(
+                replica.address,
+                wire.ReadProgramTokens(scope=scope, program_id=''),
+                wire.ProgramTokens,
+                timeout_seconds=FENCE_SECONDS,
+            )
+        except JasminewheelError as error:
+            self.note_failure(replica, error)
             return
-        request = wire.ReadMissingRecords(
-            scope=wire.ReplicaScope(
-                replica=replica.disk_id,
-                set_revision=copying.replica_set.revision,
-            ),
-            known_turns=list(self.journal.state.turns),
-        )
+        if told.accepted:
+            fence.note(replica)
+
+    async def copy(self, replica: Replica, revision: int) -> bool:
+        """Copy what one replica has and this disk lacks; tell whether all."""
         began = trio.current_time()
+        before = len(self.journal.state.turns)
         try:
-            with trio.fail_after(COPY_SECONDS):
-                turns = await self.take_pages(replica, request)
+            await self.take_all(replica, revision)
         except (JasminewheelError, trio.TooSlowError) as error:
-            events.CATCH_UP_FAILED.log(
-                _LOGGER,
-                vm=replica.vm,
-                disk=replica.disk_id,
-                seconds=round(trio.current_time() - began, 3),
-                problem=repr(error),
-            )
-        else:
-            events.COPIED_FROM.log(
-                _LOGGER,
-                vm=replica.vm,
-                disk=replica.disk_id,
-                turns=turns,
-                seconds=round(trio.current_time() - began, 3),
+            self.note_failure(replica, error)
+            return False
+        events.COPIED_FROM.log(
+            _LOGGER,
+            vm=replica.vm,
+            disk=replica.disk_id,
+            turns=len(self.journal.state.turns) - before,
+            seconds=round(trio.current_time() - began, 3),
+        )
+        return True
+
+    def note_failure(self, replica: Replica, error: Exception) -> None:
+        """Log that a replica cannot be copied from now."""
+        events.CATCH_UP_FAILED.log(
+            _LOGGER,
+            vm=replica.vm,
+            disk=replica.disk_id,
+            problem=repr(error),
+        )
+
+    async def take_all(self, replica: Replica, revision: int) -> None:
+        """Take round after round until the replica has nothing more."""
+        complete = False
+        while not complete:
+            request = wire.ReadMissingRecords(
+                scope=_scope(replica, revision),
+                known_turns=list(self.journal.state.turns),
             )
-            copying.note(replica)
+            with trio.fail_after(ROUND_SECONDS):
+                complete = await self.take_round(replica, request)
 
-    async def take_pages(
+    async def take_round(
         self, replica: Replica, request: wire.ReadMissingRecords
-    ) -> int:
-        """Store page after page; return how many turns came."""
-        turns = 0
+    ) -> bool:
+        """Store page after page; tell whether nothing more is there."""
+        complete = False
         async with self.pool.stream(
             replica.address, request, wire.RecordPage
         ) as pages:
@@ -112,8 +152,8 @@
                 if not page.accepted:
                     raise QuorumError('the replica set changed meanwhile')
                 await self.store(page)
-                turns += len(page.turns)
-        return turns
+                complete = page.complete
+        return complete
 
     async def store(self, page: wire.RecordPage) -> None:
         """Keep the records of a page durably."""
@@ -123,14 +163,36 @@
         )
 
 
-@frozen
-class _Copying:
+@define(eq=False)
+class _Fence:
     replica_set: ReplicaSet
-    copied: set[str]
-    scope: trio.CancelScope
+    held: set[str]
+    answered: list[Replica] = field(factory=list)
+    enough: trio.Event = field(factory=trio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Ask nobody where this disk alone suffices."""
+        self.check()
+
+    def asked(self) -> list[Replica]:
+        """Return the members that are to be asked."""
+        return [
+            one
+            for one in self.replica_set.members
+            if one.disk_id not in self.held
+        ]
 
     def note(self, replica: Replica) -> None:
-        """Note a replica that was copied; stop when they are enough."""
-        self.copied.add(replica.disk_id)
-        if self.replica_set.is_read_quorum(self.copied):
-            self.scope.cancel()
+        """Note that a member refuses older sets."""
+        self.answered.append(replica)
+        self.check()
+
+    def check(self) -> None:
+        """Wake who waits once a read quorum answered."""
+        found = self.held.union(one.disk_id for one in self.answered)
+        if self.replica_set.is_read_quorum(found):
+            self.enough.set()
+
+
+def _scope(replica: Replica, revision: int) -> wire.ReplicaScope:
+    return wire.ReplicaScope(replica=replica.disk_id, set_revision=revision)
--- a/src/jasminewheel/_internal/conversation/service.py
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -1,7 +1,8 @@
 """Answer entries and other replicas from one disk."""
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
+from itertools import accumulate
 from typing import Any
 
 from attrs import frozen
@@ -21,6 +22,8 @@
 PAGE_RECORDS = 64
 # 1 MiB; a page holds one record more than that at the most.
 PAGE_BYTES = 1048576
+# 8 MiB; who copies asks again, so that what is on the way stays bounded.
+ROUND_BYTES = 8388608
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -119,23 +122,24 @@
     async def read_missing(
         self, exchange: Exchange, request: wire.ReadMissingRecords
     ) -> wire.RecordPage:
-        """Give all reservations and the turns that the asker lacks."""
-        accepted = await self.admit(request.scope)
-        state = self.journal.state
+        """Give turns that the asker lacks and, with the last, reservations."""
+        if not await self.admit(request.scope):
+            return self.page(accepted=False)
         known = frozenset(request.known_turns)
-        turns = tuple(state.missing_turns(known)) if accepted else ()
-        taken = tuple(state.reservations()) if accepted else ()
-        pages = [self.page(accepted, turns=some) for some in _pages(turns)]
-        pages.extend(
-            self.page(accepted, reservations=some) for some in _pages(taken)
-        )
+        missing = list(self.journal.state.missing_turns(known))
+        sent = _within(missing, ROUND_BYTES)
+        complete = len(sent) == len(missing)
+        pages = [self.page(turns=some) for some in _pages(sent)]
+        if complete:
+            taken = tuple(self.journal.state.reservations())
+            pages.extend(self.page(reservations=some) for some in _pages(taken))
         while pages:
             await exchange.reply(pages.pop())
-        return self.page(accepted)
+        return self.page(complete=complete)
 
-    def page(self, accepted: bool, **records: Any) -> wire.RecordPage:
+    def page(self, *, accepted: bool = True, **records: Any) -> wire.RecordPage:
         """Return one page of records."""
-        held = {'turns': [], 'reservations': [], **records}
+        held = {'turns': [], 'reservations': [], 'complete': False, **records}
         return wire.RecordPage(
             accepted=accepted, set_revision=self.revision, **held
         )
@@ -162,7 +166,13 @@
     )
 
 
-def _pages(records: tuple[Any, ...]) -> Iterator[list[Any]]:
+def _within(turns: list[wire.TurnRecord], most_bytes: int) -> list:
+    sizes = accumulate(map(turn_bytes, turns))
+    pairs = zip(turns, sizes, strict=True)
+    return [turn for turn, size in pairs if size <= most_bytes] or turns[:1]
+
+
+def _pages(records: Sequence[Any]) -> Iterator[list[Any]]:
     page: list[Any] = []
     page_bytes = 0
     for record in records:
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1170,6 +1170,7 @@
      - set_revision
      - turns
      - reservations
+     - complete
 
     """
 
@@ -1178,14 +1179,16 @@
         'set_revision',
         'turns',
         'reservations',
+        'complete',
     )
 
 
-    def __init__(self, accepted=None, set_revision=None, turns=None, reservations=None,):
+    def __init__(self, accepted=None, set_revision=None, turns=None, reservations=None, complete=None,):
         self.accepted = accepted
         self.set_revision = set_revision
         self.turns = turns
         self.reservations = reservations
+        self.complete = complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1228,6 +1231,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1260,6 +1268,10 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 5)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1777,6 +1789,7 @@
     (2, TType.I64, 'set_revision', None, None, ),  # 2
     (3, TType.LIST, 'turns', (TType.STRUCT, [TurnRecord, None], False), None, ),  # 3
     (4, TType.LIST, 'reservations', (TType.STRUCT, [TokenReservation, None], False), None, ),  # 4
+    (5, TType.BOOL, 'complete', None, None, ),  # 5
 )
 all_structs.append(ReadKnownItems)
 ReadKnownItems.thrift_spec = (
--- a/src/jasminewheel/platform/entry_peers.py
+++ b/src/jasminewheel/platform/entry_peers.py
@@ -13,7 +13,7 @@
 from jasminewheel._internal.conversation.relay_service import RelayService
 from jasminewheel._internal.conversation.set_holder import SetHolder
 from jasminewheel._internal.conversation.set_listener import SetListener
-from jasminewheel._internal.peer.distance import ZoneDistance
+from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel.platform.roles import peer_server
@@ -29,14 +29,14 @@
     pool: PeerPool
     store: PlatformStore
     sets: SetHolder = field(factory=SetHolder)
-    distance: ZoneDistance = field(init=False)
+    distance: Distance = field(init=False)
     entries: EntryList = field(init=False)
     quorum: QuorumClient = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Know the zones, and the replicas once they are listed."""
         node = self.settings
-        self.distance = ZoneDistance(node.zone, node.zone_regions)
+        self.distance = node.distance
         self.entries = EntryList(node.vm, self.distance)
         self.quorum = QuorumClient(
             self.pool,
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -72,13 +72,17 @@
             self.store,
             self.listener,
             self.registration,
-            CatchUp(self.disk_id, self.journal, pool),
+            self.catch_up(pool),
             board,
             wanted_size=2 * self.settings.disks_lost + 1,
             may_form=self.settings.first_start,
             started_at=trio.current_time(),
         )
 
+    def catch_up(self, pool: PeerPool) -> CatchUp:
+        """Return what copies from the other disks."""
+        return CatchUp(self.disk_id, self.journal, pool, self.settings.distance)
+
     def gauges(self) -> dict[str, float]:
         """Return what the metrics show of this disk now."""
         return {
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from jasminewheel._internal.peer.distance import ZoneDistance
 from jasminewheel.errors import SettingsError
 
 FILE_VARIABLE = 'JASMINEWHEEL_NODE_FILE'
@@ -42,6 +43,11 @@
         """Return where the other processes of the product connect."""
         return f'{self.ip}:{self.peer_port}'
 
+    @property
+    def distance(self) -> ZoneDistance:
+        """Return how far other availability zones are from this VM."""
+        return ZoneDistance(self.zone, self.zone_regions)
+
     def clients_addresses(self) -> tuple[str, ...]:
         """Return where callers and the balancer connect, if they do."""
         found = (self.callers_address, self.readiness_address)
--- a/tests/functional/test_newcomer_copies.py
+++ b/tests/functional/test_newcomer_copies.py
@@ -3,10 +3,12 @@
 import trio
 from attrs import evolve
 
+from jasminewheel._internal.conversation import service
 from jasminewheel._internal.peer.traffic import TRAFFIC
-from tests.turn_replicas import turn, turn_replicas
+from tests.turn_replicas import reservation, turn, turn_replicas
 
 TURNS = 40
+SILENT_SECONDS = 2.0
 PROMPT = bytes(65536)
 
 
@@ -37,3 +39,46 @@
             assert came < 1.5 * TURNS * len(PROMPT)
 
     trio.run(scenario)
+
+
+def test_dead_members_do_not_hold_up_a_copy(tmp_path):
+    """Two lost disks of five cost a copy less than it may take."""
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            await replicas.start_all(5)
+            old = replicas.set_of()
+            _keep_everywhere(replicas)
+            for lost in replicas.running[:2]:
+                lost.stop()
+            fresh = await replicas.start(0, 'fresh')
+            change = evolve(
+                old, revision=2, joining=(fresh.replica, *old.members[1:])
+            )
+            with trio.fail_after(SILENT_SECONDS):
+                await replicas.catch_up(fresh, change)
+            assert len(fresh.state.turns) == TURNS
+
+    trio.run(scenario)
+
+
+def test_copy_larger_than_a_round_is_whole(tmp_path, monkeypatch):
+    """A newcomer asks until the member has nothing more."""
+    monkeypatch.setattr(service, 'ROUND_BYTES', 3 * len(PROMPT))
+
+    async def scenario() -> None:
+        async with turn_replicas(tmp_path) as replicas:
+            await replicas.start_all(3)
+            old = replicas.set_of()
+            _keep_everywhere(replicas)
+            client = replicas.client(old)
+            await client.reserve(reservation('t-new', 5), 100)
+            fresh = await replicas.start(3)
+            change = evolve(
+                old, revision=2, joining=(fresh.replica, *old.members[1:])
+            )
+            await replicas.catch_up(fresh, change)
+            assert len(fresh.state.turns) == TURNS
+            assert list(fresh.state.reservations())
+
+    trio.run(scenario)
--- a/tests/turn_replicas.py
+++ b/tests/turn_replicas.py
@@ -107,7 +107,7 @@
     ) -> None:
         """Copy to the replica for a change."""
         own_id = replica.replica.disk_id
-        copying = CatchUp(own_id, replica.journal, self.pool)
+        copying = CatchUp(own_id, replica.journal, self.pool, ZONES.index)
         await copying.run(replica_set)
 
 
