Refuse a write whose replica set aged while its revision was stored

Cause: the check against the newest set came before the wait for the request's own revision to become durable; a request under a newer set could come in that wait, a newcomer could copy, and the older write was then accepted after the copy, on fewer disks than a majority of the new set. Ruled out: that state put in before it is durable hides it: it did not, the write came after the copy all the same. Change: the check comes after the wait. Figures: none but the test, which failed before and passes.

--- a/src/jasminewheel/_internal/conversation/service.py
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -54,14 +54,15 @@
         """Tell whether the asker's replica set is the newest seen here."""
         if scope.replica != self.disk_id:
             raise DiskReplacedError(f'the disk here is {self.disk_id}')
+        if scope.set_revision > self.journal.state.durable_revision:
+            self.journal.state.note_revision(scope.set_revision)
+            await self.journal.store(StoredRevision(scope.set_revision))
+        # A newer set may have come while this one was stored.
         if scope.set_revision < self.revision:
             events.STALE_SET_REFUSED.log(
                 _LOGGER, used=scope.set_revision, newest=self.revision
             )
             return False
-        if scope.set_revision > self.journal.state.durable_revision:
-            self.journal.state.note_revision(scope.set_revision)
-            await self.journal.store(StoredRevision(scope.set_revision))
         return True
 
     async def reserve(
