Replace disks that were lost together in one change of the replica set

Cause: one change replaced one disk, and each waited for a copy of all records. Change: one change gives each free disk the place of one that is gone, at most as many as may be lost at once, so that those that stay hold a majority of the new set. Conclusion: the time without a spare is that of one copy instead of two.

--- a/src/jasminewheel/_internal/conversation/set_change.py
+++ b/src/jasminewheel/_internal/conversation/set_change.py
@@ -110,16 +110,31 @@
 
 
 def _replaced(view: SetView, now: float) -> ReplicaSet | None:
+    """Give each free disk the place of one that is gone.
+
+    Those that stay hold a majority, so that none but them has to be copied.
+    """
     members = view.replica_set.members
+    most = max(1, (len(members) - 1) // 2)
+    joining = list(members)
     for free in view.free():
-        same_vm = [one for one in members if one.vm == free.vm]
-        leaving = [one for one in members if one.vm in view.retiring]
-        absent = [one for one in members if view.is_absent(one, now)]
-        gone = same_vm or leaving or absent
-        if gone:
-            joining = [one for one in members if one != gone[0]]
-            return view.replica_set.changed([*joining, free])
-    return None
+        replaced = len(set(members).difference(joining))
+        gone = _first_gone(view, joining, free, now)
+        if gone and replaced < most:
+            joining.remove(gone)
+            joining.append(free)
+    if joining == list(members):
+        return None
+    return view.replica_set.changed(joining)
+
+
+def _first_gone(
+    view: SetView, joining: list[Replica], free: Replica, now: float
+) -> Replica | None:
+    same_vm = [one for one in joining if one.vm == free.vm]
+    leaving = [one for one in joining if one.vm in view.retiring]
+    absent = [one for one in joining if view.is_absent(one, now)]
+    return next(iter((*same_vm, *leaving, *absent)), None)
 
 
 def _grown(view: SetView) -> ReplicaSet | None:
--- a/tests/unit/test_set_change.py
+++ b/tests/unit/test_set_change.py
@@ -170,3 +170,28 @@
         absent_since={lost.disk_id: NOW - 5},
     )
     assert next_set(view, NOW).joining == (left, middle, other)
+
+
+def test_disks_lost_together_are_replaced_in_one_change():
+    """The time in which no further loss is borne is that of one copy."""
+    five = tuple(map(_replica, 'abcde'))
+    fresh = (_replica('a', 'fresh-a'), _replica('b', 'fresh-b'))
+    view = _view(ReplicaSet(7, five), (*fresh, *five[2:]), wanted_size=5)
+    proposed = next_set(view, NOW)
+    assert set(proposed.joining) == {*fresh, *five[2:]}
+    assert set(proposed.newcomers()) == set(fresh)
+
+
+def test_no_more_are_replaced_at_once_than_may_be_lost():
+    """Those that stay hold a majority of the set to come."""
+    five = tuple(map(_replica, 'abcde'))
+    fresh = tuple(_replica(vm, f'fresh-{vm}') for vm in 'abc')
+    view = _view(ReplicaSet(7, five), (*fresh, *five[3:]), wanted_size=5)
+    assert len(next_set(view, NOW).newcomers()) == 2
+
+
+def test_only_disk_can_be_replaced():
+    """A set of one follows a VM that is to be emptied."""
+    view = _view(ReplicaSet(7, (ONE,)), (ONE, TWO), wanted_size=1)
+    moved = next_set(evolve(view, retiring=frozenset('a')), NOW)
+    assert moved.joining == (TWO,)
