Keep trying to keep a finished turn until its time is up

Cause: the entry asked the disks once to keep a finished turn, and cut the stream when too few answered within some 1.7 s, though the caller waited longer and the disks were only slow. Ruled out: a log that is rewritten (no JW1816 line, 10 to 14 MB of log), answers 404 (none for kept turns), lost power (no disk was down then but one, restarted at 8 s). Change: the end of the stream waits while the turn is tried again each 0.1 s, until the call's deadline or its route's time; a turn is the same however often it is stored. JW1898 says that a turn waits, JW1887 that it was not kept in its time.

--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -48,6 +48,11 @@
 TURN_NOT_KEPT = Event(
     1887,
     logging.WARNING,
-    'a turn that the caller got could not be kept; its stream is cut',
+    'a turn that the caller got was not kept in its time; its stream is cut',
     'see why the disks did not answer',
 )
+TURN_WAITS = Event(
+    1898,
+    logging.INFO,
+    'a finished turn waits for the disks; they are asked again',
+)
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -10,6 +10,7 @@
     Reservation,
 )
 from jasminewheel._internal.events import gateway as events
+from jasminewheel._internal.events.event import Event
 from jasminewheel._internal.gateway.attempts import Attempts, CallRecord
 from jasminewheel._internal.gateway.choice import Need
 from jasminewheel._internal.gateway.event_splitter import (
@@ -24,6 +25,8 @@
 from jasminewheel.errors import UnavailableError
 
 _OK = 200
+# Disks that did not answer are asked again after this pause.
+KEEP_PAUSE_SECONDS = 0.1
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -109,21 +112,46 @@
         self.record.notes['events'] = self.progress.events
 
     async def keep(self) -> None:
-        """Keep the finished turn; raise UnavailableError if that failed."""
+        """Keep the finished turn; try until the call's time is up.
+
+        Only the end of the stream waits for it, and a runner has answered
+        all that comes before.
+        """
         began = trio.current_time()
         try:
-            await self.conversations.commit(self.kept())
-        except UnavailableError as error:
-            events.TURN_NOT_KEPT.log(
-                _LOGGER,
-                request=self.record.call.call_id,
-                runner=self.record.runner,
-                events=self.progress.events,
-                seconds=round(trio.current_time() - began, 3),
-                problem=error.message,
-            )
+            await self.keep_at_last(self.kept(), began)
+        except trio.Cancelled:
+            self.note(events.TURN_NOT_KEPT, began, 'the time was up')
             raise
 
+    async def keep_at_last(self, turn: TurnRecord, began: float) -> None:
+        """Ask the disks until enough of them keep the turn."""
+        problem = await self.try_to_keep(turn)
+        if problem:
+            self.note(events.TURN_WAITS, began, problem)
+        while problem:
+            await trio.sleep(KEEP_PAUSE_SECONDS)
+            problem = await self.try_to_keep(turn)
+
+    async def try_to_keep(self, turn: TurnRecord) -> str:
+        """Keep the turn; return why it could not be kept, if so."""
+        try:
+            await self.conversations.commit(turn)
+        except UnavailableError as error:
+            return error.message
+        return ''
+
+    def note(self, event: Event, began: float, problem: str) -> None:
+        """Log what becomes of the finished turn."""
+        event.log(
+            _LOGGER,
+            request=self.record.call.call_id,
+            runner=self.record.runner,
+            events=self.progress.events,
+            seconds=round(trio.current_time() - began, 3),
+            problem=problem,
+        )
+
     async def pass_on(self, found: RunnerAnswer) -> None:
         """Send each event on as soon as it is whole."""
         await self.answer.start(found.status, end_to_end(found.headers))
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -9,6 +9,9 @@
 from jasminewheel._internal.events import gateway as events
 from tests.platform_fleet import is_ready, platform_fleet, stored_json
 
+SLOW_EVENT_SECONDS = 0.2
+DISKS_AWAY_SECONDS = 1.5
+
 
 @pytest.fixture
 def play(tmp_path):
@@ -201,6 +204,34 @@
     play(scenario)
 
 
+def test_finished_turn_waits_for_disks_that_come_back(play):
+    """A stream that a runner has answered whole is not cut for them."""
+
+    async def scenario(fleet, entry) -> None:
+        await _turn(fleet, entry, b'one.')
+        for runner in fleet.runners.values():
+            runner.slow_seconds = SLOW_EVENT_SECONDS
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await _turn(fleet, entry, b'two.'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(SLOW_EVENT_SECONDS)
+            fleet.scopes['store-1'].cancel()
+            fleet.scopes['store-2'].cancel()
+            await trio.sleep(DISKS_AWAY_SECONDS)
+            fleet.start_again('store-1')
+            fleet.start_again('store-2')
+        assert answers[0].whole
+        assert answers[0].status == 200
+        answered = await _turn(fleet, entry, b'three.', Previous_Turn='q2')
+        assert answered.status == 200
+
+    play(scenario)
+
+
 def test_client_that_leaves_stops_the_work(play):
     """A runner is cut off when its client has closed."""
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -66,6 +66,8 @@
     runners: dict[str, RunnerStandIn] = field(factory=dict)
     stops: dict[str, trio.Event] = field(factory=dict)
     scopes: dict[str, trio.CancelScope] = field(factory=dict)
+    # What each VM runs, to start it again.
+    roles: dict[str, tuple] = field(factory=dict)
     sent: int = 0
     seeds: list[str] = field(factory=list)
 
@@ -159,10 +161,15 @@
     async def start(self, serve, vm: str, zone: str) -> NodeSettings:
         """Start a role."""
         settings = self.settings(vm, zone)
+        self.roles[vm] = (serve, settings)
+        self.start_again(vm)
+        return settings
+
+    def start_again(self, vm: str) -> None:
+        """Start what the VM runs, on the same disk and address."""
         self.stops[vm] = trio.Event()
         self.scopes[vm] = trio.CancelScope()
-        self.nursery.start_soon(self.run, serve, settings)
-        return settings
+        self.nursery.start_soon(self.run, *self.roles[vm])
 
     async def run(self, serve, settings: NodeSettings) -> None:
         """Run a role until its scope is cancelled."""
