Change what is known of a log's files on one side of the thread only

What callers saw: nothing yet; found in the review of the log in bounded files. Causes: the writing thread changed the dictionary of files while the loop iterated over it, which ends the process; a removal whose folder could not be synced once was retried as a removal of a missing file for good, and moved the same records each time; what a failed write left behind was not counted and not removed. Ruled out: a lock (only the writing itself belongs in the thread). Change: the loop prepares a file, the thread writes, the loop notes; removal may be done again; a file closed by a fault is counted by its size; a revision counts as live by what is durable.

--- a/src/jasminewheel/_internal/conversation/journal.py
+++ b/src/jasminewheel/_internal/conversation/journal.py
@@ -110,11 +110,13 @@
 
     async def append(self, group: WriteGroup) -> None:
         """Write a group; a new file begins with the revision in force."""
+        self.log.prepare()
         written = [*group.records, *group.moved]
-        if self.log.needs_head:
+        if self.log.head is None:
             written.insert(0, StoredRevision(self.state.durable_revision))
         block = LogBlock.of(written)
-        await trio.to_thread.run_sync(self.log.append, block)
+        await trio.to_thread.run_sync(self.log.write, block)
+        self.log.note_written(block)
 
     def apply(self, records: list[StoredRecord]) -> None:
         """Put durable records into the state, before their writers go on.
@@ -141,4 +143,5 @@
 
     async def remove(self, segment: Segment) -> None:
         """Remove a file of which nothing is needed any more."""
-        await trio.to_thread.run_sync(self.log.remove, segment)
+        await trio.to_thread.run_sync(self.log.unlink, segment)
+        self.log.forget(segment)
--- a/src/jasminewheel/_internal/conversation/records.py
+++ b/src/jasminewheel/_internal/conversation/records.py
@@ -119,7 +119,7 @@
 
     def find(self, state: ConversationState) -> 'StoredRevision | None':
         """Return the revision while none is newer."""
-        return self if self.revision == state.set_revision else None
+        return self if self.revision == state.durable_revision else None
 
     def to_entry(self) -> LogEntry:
         """Return the revision as it stands in the log."""
--- a/src/jasminewheel/_internal/conversation/segments.py
+++ b/src/jasminewheel/_internal/conversation/segments.py
@@ -85,6 +85,7 @@
     folder: Path
     # Files that take no more records, by number.
     closed: dict[int, Segment] = field(factory=dict)
+    newest_number: int = 0
     head: Segment | None = None
     head_file: LogFile | None = None
 
@@ -94,58 +95,65 @@
         newest = self.head.stored_bytes if self.head else 0
         return newest + sum(one.stored_bytes for one in self.closed.values())
 
-    @property
-    def needs_head(self) -> bool:
-        """Tell whether the next block opens a new file."""
-        return self.head is None or self.head.stored_bytes > SEGMENT_BYTES
-
     def load(self) -> Iterator[StoredRecord]:
         """Yield all records of the folder's files."""
         for path in log_files(self.folder):
             segment = Segment(path, path.stat().st_size)
             self.closed[segment.number] = segment
+            self.newest_number = segment.number
             yield from _records_of(segment)
 
-    def append(self, written: LogBlock) -> None:
-        """Write a block durably."""
-        if self.needs_head:
-            self.open_head()
+    def prepare(self) -> None:
+        """Be ready to write; a full file is closed."""
+        if self.head and self.head.stored_bytes > SEGMENT_BYTES:
+            self.close_head()
+        if self.head is None:
+            self.newest_number += 1
+
+    def write(self, written: LogBlock) -> None:
+        """Write a block durably; touches no other file, for a thread."""
+        if self.head_file is None:
+            self.head_file = LogFile.create(self.folder, self.newest_number)
         self.head_file.append(written.block)
+
+    def note_written(self, written: LogBlock) -> None:
+        """Count what was written."""
+        if self.head is None:
+            self.head = Segment(self.head_file.path)
         self.head.stored_bytes += len(written.block)
         self.head.logged.extend(written.logged)
 
-    def open_head(self) -> None:
-        """Go on in a new file."""
-        number = max(self.closed, default=0)
-        if self.head:
-            number = max(number, self.head.number)
-        head_file = LogFile.create(self.folder, number + 1)
-        self.close_head()
-        self.head_file = head_file
-        self.head = Segment(head_file.path)
-
     def close_head(self) -> None:
         """Write no more to the newest file; what it holds stays."""
-        if self.head:
-            self.closed[self.head.number] = self.head
+        if self.head_file:
+            closed = self.head or Segment(self.head_file.path)
+            closed.stored_bytes = _size(closed.path)
+            self.closed[closed.number] = closed
             self.head_file.close()
         self.head = None
         self.head_file = None
 
     def mostly_dead(self, state: ConversationState) -> Segment | None:
-        """Return a closed file of which less than half still counts."""
+        """Return a closed file of which at most half still counts."""
         for segment in self.closed.values():
-            if 2 * segment.live_bytes(state) < segment.stored_bytes:
+            if 2 * segment.live_bytes(state) <= segment.stored_bytes:
                 return segment
         return None
 
-    def remove(self, segment: Segment) -> None:
-        """Remove a closed file."""
-        segment.path.unlink()
+    def unlink(self, segment: Segment) -> None:
+        """Remove a closed file durably; may be done again, for a thread."""
+        segment.path.unlink(missing_ok=True)
         sync_folder(self.folder)
+
+    def forget(self, segment: Segment) -> None:
+        """Count a removed file no more."""
         self.closed.pop(segment.number)
 
 
+def _size(path: Path) -> int:
+    return path.stat().st_size if path.exists() else 0
+
+
 def _records_of(segment: Segment) -> Iterator[StoredRecord]:
     for entry in read_entries(segment.path):
         record = record_of(entry)
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -8,7 +8,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jasminewheel._internal.conversation import segments
 from jasminewheel._internal.conversation.cleaner import LogCleaner
 from jasminewheel._internal.conversation.journal import Journal
 from jasminewheel._internal.conversation.log_file import LogFile, log_files
@@ -17,10 +16,12 @@
     StoredRevision,
     StoredTurn,
 )
+from jasminewheel._internal.conversation.segments import LogBlock
 from jasminewheel._internal.conversation.state import ConversationState
 from jasminewheel.errors import DiskFullError
 from tests.turn_replicas import reservation, turn
 
+SEGMENTS = 'jasminewheel._internal.conversation.segments'
 SMALL_SEGMENT = 400
 
 
@@ -57,7 +58,7 @@
 @pytest.fixture(autouse=True)
 def small_segments(monkeypatch):
     """Use files that a few records fill."""
-    monkeypatch.setattr(segments, 'SEGMENT_BYTES', SMALL_SEGMENT)
+    monkeypatch.setattr(f'{SEGMENTS}.SEGMENT_BYTES', SMALL_SEGMENT)
 
 
 def test_space_of_forgotten_turns_is_given_back(tmp_path):
@@ -100,6 +101,47 @@
     assert {'t1', 't3'} <= set(_loaded(tmp_path).state.turns)
 
 
+def test_bytes_of_failed_writes_are_given_back(tmp_path, monkeypatch):
+    """A file that a fault left behind is counted, and removed."""
+    journal = _loaded(tmp_path)
+    with monkeypatch.context() as patch:
+        patch.setattr(os, 'fdatasync', _fail)
+        with pytest.raises(ExceptionGroup):
+            _keep(journal, StoredTurn(turn('t1')))
+    stored = sum(path.stat().st_size for path in log_files(tmp_path))
+    assert stored
+    assert journal.log.stored_bytes == stored
+    _keep(journal, StoredTurn(turn('t2')))
+    _clean(journal)
+    assert len(log_files(tmp_path)) == 1
+
+
+def test_removal_that_failed_once_is_done_again(tmp_path, monkeypatch):
+    """Nothing is moved twice, and later files are cleaned too."""
+    journal = _loaded(tmp_path)
+    names = [f't{number}' for number in range(30)]
+    _keep(journal, *(StoredTurn(turn(name)) for name in names))
+    journal.state.turns.clear()
+    with monkeypatch.context() as patch:
+        patch.setattr(f'{SEGMENTS}.sync_folder', _fail)
+        with pytest.raises(ExceptionGroup):
+            _clean(journal)
+    _clean(journal)
+    assert len(log_files(tmp_path)) == 1
+
+
+def test_files_change_only_beside_no_thread(tmp_path):
+    """What the loop reads of the files, no writing thread changes."""
+    journal = _loaded(tmp_path)
+    _keep(journal, *(StoredTurn(turn(f't{number}')) for number in range(5)))
+    before = dict(journal.log.closed), journal.log.head
+    journal.log.prepare()
+    prepared = dict(journal.log.closed), journal.log.head
+    journal.log.write(LogBlock.of([StoredTurn(turn('t9'))]))
+    assert (dict(journal.log.closed), journal.log.head) == prepared
+    assert before[0].keys() <= prepared[0].keys()
+
+
 def _fail(_descriptor: int) -> None:
     raise OSError('the disk is stuck')
 
