Close connections that are given up, and let a dial outlive its asker

Cause: a question that timed out dropped the connection to its peer without closing it, also one over which others were answered, and the dial ran in the task of the asker, so that its end broke the handshake off: over a long or full way a connection was never made, and each try left one behind. Ruled out: the server's limit (2,048 connections, never logged as reached). Change: one dial at a time runs beside its askers; a connection is closed and replaced only if nothing came over it since the question was asked; a dial takes 1 s at most, as it did when its asker ended it.

--- a/src/jasminewheel/_internal/peer/connection.py
+++ b/src/jasminewheel/_internal/peer/connection.py
@@ -70,12 +70,26 @@
     inboxes: dict[int, Inbox] = field(factory=dict)
     numbers: count = field(factory=lambda: count(1))
     closed: bool = False
+    # When the peer sent something last.
+    heard_at: float = 0
+    running: trio.CancelScope = field(factory=trio.CancelScope)
 
     async def run(self) -> None:
-        """Read and write until the connection breaks."""
+        """Read and write until the connection breaks or is given up."""
         with ExitStack() as stack:
             stack.callback(self.close, 'the connection was closed')
-            await self.exchange_frames()
+            with self.running:
+                await self.exchange_frames()
+
+    def end_if_silent(self, since: float) -> None:
+        """Give the connection up if nothing came over it since then.
+
+        One over which others are answered is slow, and a new one would not
+        be faster.
+        """
+        if self.heard_at < since:
+            self.close('the connection went silent')
+            self.running.cancel()
 
     async def exchange_frames(self) -> None:
         """Read and write; a break fails the open exchanges."""
@@ -90,6 +104,7 @@
         """Hand frames out; a frame of a forgotten exchange is dropped."""
         while True:
             envelope = await self.link.reader.receive()
+            self.heard_at = trio.current_time()
             inbox = self.inboxes.get(envelope.exchange)
             if inbox:
                 inbox.put(envelope)
--- a/src/jasminewheel/_internal/peer/pool.py
+++ b/src/jasminewheel/_internal/peer/pool.py
@@ -2,9 +2,9 @@
 
 import math
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from types import TracebackType
-from typing import Any, Self, TypeVar
+from typing import Any, NoReturn, Self, TypeVar
 
 import trio
 from attrs import define, field
@@ -12,6 +12,7 @@
 from jasminewheel._internal.address import split_address
 from jasminewheel._internal.observability.spans import current_traceparent
 from jasminewheel._internal.peer.connection import PeerConnection
+from jasminewheel._internal.peer.frames import BROKEN_ERRORS
 from jasminewheel._internal.peer.hello import greet
 from jasminewheel._internal.peer.identity import PeerIdentity
 from jasminewheel._internal.peer.sockets import tune
@@ -19,7 +20,8 @@
 from jasminewheel._internal.wire.gen.frame.ttypes import Envelope, FrameKind
 from jasminewheel.errors import JasminewheelError, PeerError
 
-DIAL_SECONDS = 3.0
+# A VM without power may be back; its answer to an earlier dial is not.
+DIAL_SECONDS = 1.0
 # Who asks again so soon after a failed dial gets the same error.
 REDIAL_SECONDS = 0.25
 ReplyT = TypeVar('ReplyT')
@@ -27,10 +29,12 @@
 
 @define
 class PeerSlot:
-    """Hold the connection to one address; one task at a time dials."""
+    """Hold the connection to one address; one dial serves all who wait."""
 
     connection: PeerConnection | None = None
-    lock: trio.Lock = field(factory=trio.Lock)
+    dialing: bool = False
+    # Set when the present dial has ended.
+    dialed: trio.Event = field(factory=trio.Event)
     error: PeerError | None = None
     redial_at: float = 0
 
@@ -44,6 +48,23 @@
         if self.error and now < self.redial_at:
             raise PeerError(self.error.message, sent=False)
 
+    def raise_error(self, address: str) -> NoReturn:
+        """Raise why there is no connection; nothing was sent."""
+        problem = f'the connection to {address} closed at once'
+        if self.error:
+            problem = self.error.message
+        raise PeerError(problem, sent=False)
+
+    def begin_dial(self) -> None:
+        """Let all who need the connection wait for one dial."""
+        self.dialing = True
+        self.dialed = trio.Event()
+
+    def end_dial(self) -> None:
+        """Wake who waits."""
+        self.dialing = False
+        self.dialed.set()
+
     def live(self) -> PeerConnection | None:
         """Return the connection unless it broke."""
         if self.connection and not self.connection.closed:
@@ -86,21 +107,21 @@
         timeout_seconds: float,
     ) -> ReplyT:
         """Return the peer's answer to one message."""
-        sent = False
+        began = trio.current_time()
+        connection: PeerConnection | None = None
         try:
             with trio.fail_after(timeout_seconds):
                 connection = await self.connect(address)
-                sent = True
                 async with _exchange(
                     connection, message, reply_kind
                 ) as replies:
                     return await anext(replies)
         except trio.TooSlowError as error:
-            # The connection may have gone silent: the next ask dials anew.
-            self.slots[address].connection = None
+            if connection:
+                connection.end_if_silent(began)
             raise PeerError(
                 f'{address} did not answer in {timeout_seconds} s',
-                sent=sent,
+                sent=bool(connection),
             ) from error
         except StopAsyncIteration as empty:
             raise PeerError(f'{address} answered with nothing') from empty
@@ -123,24 +144,32 @@
         connection = slot.live()
         if connection:
             return connection
-        async with slot.lock:
-            connection = slot.live()
-            if connection is None:
-                connection = await self.redial(slot, address)
-            return connection
-
-    async def redial(self, slot: PeerSlot, address: str) -> PeerConnection:
-        """Connect to the address, unless that failed a moment ago."""
-        slot.check_redial(trio.current_time())
-        try:
-            connection = await self.dial(address)
-        except PeerError as error:
-            slot.note_failure(error, trio.current_time())
-            raise
-        slot.connection = connection
-        self.nursery.start_soon(connection.run)
+        if not slot.dialing:
+            slot.check_redial(trio.current_time())
+            slot.begin_dial()
+            self.nursery.start_soon(self.redial, slot, address)
+        await slot.dialed.wait()
+        connection = slot.live()
+        if connection is None:
+            slot.raise_error(address)
         return connection
 
+    async def redial(self, slot: PeerSlot, address: str) -> None:
+        """Connect to the address, whoever still waits for it."""
+        with ExitStack() as stack:
+            stack.callback(slot.end_dial)
+            try:
+                connection = await self.dial(address)
+            except PeerError as error:
+                slot.note_failure(error, trio.current_time())
+            except BROKEN_ERRORS as error:
+                broken = PeerError(f'cannot reach {address}: {error!r}')
+                slot.note_failure(broken, trio.current_time())
+            else:
+                slot.error = None
+                slot.connection = connection
+                self.nursery.start_soon(connection.run)
+
     async def dial(self, address: str) -> PeerConnection:
         """Connect to the address and authenticate."""
         try:
--- /dev/null
+++ b/tests/functional/test_peer_connections.py
@@ -0,0 +1,122 @@
+"""Check what connections questions to a silent or far peer leave behind."""
+
+from contextlib import asynccontextmanager
+
+import trio
+
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import PeerServer
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import PeerError
+
+KEY = b'k' * 32
+QUESTIONS = 60
+TIMEOUT_SECONDS = 0.1
+BETWEEN_SECONDS = 0.02
+DIAL_SECONDS = 0.2
+SHORT_SECONDS = 0.05
+
+
+class FarPool(PeerPool):
+    """Take a while for each dial, as over a long way."""
+
+    def __init__(self, identity: PeerIdentity, key: bytes) -> None:
+        """Count from zero."""
+        super().__init__(identity, key)
+        self.dials = 0
+
+    async def dial(self, address):
+        """Dial late."""
+        self.dials += 1
+        await trio.sleep(DIAL_SECONDS)
+        return await super().dial(address)
+
+
+async def _silent(_exchange, _request) -> None:
+    await trio.sleep_forever()
+
+
+async def _answer(_exchange, _request) -> wire.KnownItems:
+    return wire.KnownItems(items=[], revision=0)
+
+
+@asynccontextmanager
+async def _peers(pool_kind, handler):
+    async with trio.open_nursery() as nursery:
+        server = PeerServer(
+            PeerIdentity('server', 'i1', 'z'),
+            KEY,
+            {wire.ReadKnownItems: handler},
+        )
+        port = await nursery.start(server.serve, '127.0.0.1', 0)
+        async with pool_kind(PeerIdentity('asker', 'i1', 'z'), KEY) as pool:
+            yield server, pool, f'127.0.0.1:{port}'
+        nursery.cancel_scope.cancel()
+
+
+async def _ask(pool, address, seconds) -> bool:
+    try:
+        await pool.ask(
+            address,
+            wire.ReadKnownItems(),
+            wire.KnownItems,
+            timeout_seconds=seconds,
+        )
+    except PeerError:
+        return False
+    return True
+
+
+def test_questions_that_time_out_leave_no_connections_open():
+    """Each connection that is given up is closed."""
+
+    async def scenario() -> None:
+        async with _peers(PeerPool, _silent) as (server, pool, address):
+            async with trio.open_nursery() as nursery:
+                left = QUESTIONS
+                while left:
+                    left -= 1
+                    nursery.start_soon(_ask, pool, address, TIMEOUT_SECONDS)
+                    await trio.sleep(BETWEEN_SECONDS)
+            await trio.sleep(TIMEOUT_SECONDS)
+            assert server.connections <= 1
+
+    trio.run(scenario)
+
+
+def test_dial_goes_on_when_its_first_asker_has_left():
+    """Questions that end before a far peer is reached do not start anew."""
+
+    async def scenario() -> None:
+        async with _peers(FarPool, _answer) as (_server, pool, address):
+            answered = False
+            began = trio.current_time()
+            while not answered:
+                answered = await _ask(pool, address, SHORT_SECONDS)
+            assert pool.dials == 1
+            assert trio.current_time() - began < 3 * DIAL_SECONDS
+
+    async def bounded() -> None:
+        with trio.fail_after(10):
+            await scenario()
+
+    trio.run(bounded)
+
+
+def test_slow_answer_does_not_end_a_heard_connection():
+    """Other questions over the same connection are answered."""
+
+    async def scenario() -> None:
+        async with _peers(PeerPool, _answer) as (server, pool, address):
+            assert await _ask(pool, address, 1)
+            connection = pool.slots[address].live()
+            connection.end_if_silent(connection.heard_at)
+            assert await _ask(pool, address, 1)
+            assert pool.slots[address].live() is connection
+            connection.end_if_silent(trio.current_time())
+            assert await _ask(pool, address, 1)
+            assert pool.slots[address].live() is not connection
+            assert server.connections <= 2
+
+    trio.run(scenario)
