Leave room on the link between regions while a newcomer copies

What callers saw: LOST on the grown site. Cause: a copy took what the link gave, and requests that need a disk beyond it waited behind it. Ruled out: slow disks (no JW1816), copies from near members (kept as fast). Change: who copies from another region says how many bytes a second it wants, 1.5 MB, and the sender pauses after each page; members have 3 s instead of 1 s to refuse older sets. Conclusion: a copy takes longer, by its size over 1.5 MB/s, and requests go on beside it.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -76,6 +76,7 @@
 struct ReadMissingRecords {
   1: ReplicaScope scope,
   2: list<string> known_turns,
+  3: i64 bytes_per_second,     // 0: as fast as the way allows
 }
 
 struct RecordPage {
--- a/src/jasminewheel/_internal/conversation/catch_up.py
+++ b/src/jasminewheel/_internal/conversation/catch_up.py
@@ -16,17 +16,22 @@
     ReplicaSet,
 )
 from jasminewheel._internal.events import conversation as events
-from jasminewheel._internal.peer.distance import Distance
+from jasminewheel._internal.peer.distance import (
+    OTHER_REGION_SECONDS,
+    Distance,
+)
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import JasminewheelError, QuorumError
 
 # One round of one replica's records is not waited for any longer.
-ROUND_SECONDS = 10.0
+ROUND_SECONDS = 15.0
 # Members that do not answer by then are not copied from.
-FENCE_SECONDS = 1.0
+FENCE_SECONDS = 3.0
 # Once enough answered, nearer ones have this long to answer as well.
 NEARER_SECONDS = 0.1
+# 1.5 MB; requests need the rest of a narrow link between regions.
+FAR_BYTES_PER_SECOND = 1500000
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -136,10 +141,16 @@
             request = wire.ReadMissingRecords(
                 scope=_scope(replica, revision),
                 known_turns=list(self.journal.state.turns),
+                bytes_per_second=self.pace(replica),
             )
             with trio.fail_after(ROUND_SECONDS):
                 complete = await self.take_round(replica, request)
 
+    def pace(self, replica: Replica) -> int:
+        """Return the bytes a second that a replica may send, 0 for any."""
+        near = self.distance(replica.zone) < OTHER_REGION_SECONDS
+        return 0 if near else FAR_BYTES_PER_SECOND
+
     async def take_round(
         self, replica: Replica, request: wire.ReadMissingRecords
     ) -> bool:
--- a/src/jasminewheel/_internal/conversation/service.py
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -5,6 +5,7 @@
 from itertools import accumulate
 from typing import Any
 
+import trio
 from attrs import frozen
 
 from jasminewheel._internal.conversation.journal import Journal
@@ -24,9 +25,26 @@
 PAGE_BYTES = 1048576
 # 8 MiB; who copies asks again, so that what is on the way stays bounded.
 ROUND_BYTES = 8388608
+# About as many as one takes on its way.
+RESERVATION_BYTES = 64
 _LOGGER = logging.getLogger(__name__)
 
 
+@frozen
+class Pace:
+    """Leave room for others on the way of a copy; zero stands for none."""
+
+    bytes_per_second: int
+
+    def pause_seconds(self, page: wire.RecordPage) -> float:
+        """Return how long to wait after a page."""
+        if not self.bytes_per_second:
+            return 0
+        reservations = RESERVATION_BYTES * len(page.reservations)
+        size = reservations + sum(map(turn_bytes, page.turns))
+        return size / self.bytes_per_second
+
+
 @frozen
 class ReplicaService:
     """Keep turns and reservations for whoever uses the newest replica set."""
@@ -134,8 +152,11 @@
         if complete:
             taken = tuple(self.journal.state.reservations())
             pages.extend(self.page(reservations=some) for some in _pages(taken))
+        pace = Pace(request.bytes_per_second or 0)
         while pages:
-            await exchange.reply(pages.pop())
+            page = pages.pop()
+            await exchange.reply(page)
+            await trio.sleep(pace.pause_seconds(page))
         return self.page(complete=complete)
 
     def page(self, *, accepted: bool = True, **records: Any) -> wire.RecordPage:
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1079,18 +1079,21 @@
     Attributes:
      - scope
      - known_turns
+     - bytes_per_second
 
     """
 
     __slots__ = (
         'scope',
         'known_turns',
+        'bytes_per_second',
     )
 
 
-    def __init__(self, scope=None, known_turns=None,):
+    def __init__(self, scope=None, known_turns=None, bytes_per_second=None,):
         self.scope = scope
         self.known_turns = known_turns
+        self.bytes_per_second = bytes_per_second
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1117,6 +1120,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.bytes_per_second = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1138,6 +1146,10 @@
                 oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.bytes_per_second is not None:
+            oprot.writeFieldBegin('bytes_per_second', TType.I64, 3)
+            oprot.writeI64(self.bytes_per_second)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1781,6 +1793,7 @@
     None,  # 0
     (1, TType.STRUCT, 'scope', [ReplicaScope, None], None, ),  # 1
     (2, TType.LIST, 'known_turns', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I64, 'bytes_per_second', None, None, ),  # 3
 )
 all_structs.append(RecordPage)
 RecordPage.thrift_spec = (
