Store a turn once, however often it comes

What callers saw: nothing by itself; tries through other entries and again until the time is up each wrote the turn again, and each copy counted as live. Found in the review. Ruled out: keeping the copies apart in the log's accounts (the write itself is the cost). Change: a turn that the state holds is durable, so it is acknowledged without a write. Figures: the test found the log grown by a turn before, unchanged after. Conclusion: repeating the commit costs the disk nothing.

--- a/src/jasminewheel/_internal/conversation/service.py
+++ b/src/jasminewheel/_internal/conversation/service.py
@@ -168,6 +168,9 @@
 
     async def store_turn(self, turn: wire.TurnRecord) -> None:
         """Keep a turn durably, with its tokens settled."""
+        if turn.turn_id in self.journal.state.turns:
+            # It is durable, and may come again through another entry.
+            return
         await self.journal.store(
             StoredTurn(turn), StoredReservation(settled_tokens(turn))
         )
--- a/tests/unit/test_replica_admission.py
+++ b/tests/unit/test_replica_admission.py
@@ -41,3 +41,20 @@
         assert 't5' not in journal.state.turns
 
     trio.run(scenario)
+
+
+def test_turn_that_comes_again_is_not_written_again(tmp_path):
+    """Tries through other ways cost no space."""
+
+    async def scenario() -> None:
+        journal = Journal(tmp_path, ConversationState())
+        service = ReplicaService('d0', journal)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(journal.run)
+            assert (await service.commit(None, _commit(5))).accepted
+            before = journal.log.stored_bytes
+            assert (await service.commit(None, _commit(5))).accepted
+            assert journal.log.stored_bytes == before
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
