End a search for a way to a disk whatever happens in it

Found in the review: an error of another kind in the search would have left its waiters waiting. Change: the search wakes them by a callback. Conclusion: no question waits for a search that is over.

--- a/src/jasminewheel/_internal/conversation/relay.py
+++ b/src/jasminewheel/_internal/conversation/relay.py
@@ -7,6 +7,7 @@
 import logging
 from collections import deque
 from collections.abc import Mapping
+from contextlib import ExitStack
 from types import MappingProxyType
 from typing import Any
 
@@ -83,6 +84,11 @@
         known = self.entry or self.searching
         return not known and now >= self.none_until
 
+    def end_search(self) -> None:
+        """Wake the questions that wait for the search."""
+        self.searching = False
+        self.settled.set()
+
     def begin_search(self) -> None:
         """Let later questions wait for the search that begins."""
         self.searching = True
@@ -131,22 +137,26 @@
 
     async def search(self, sent: ReplicaMessage, way: WayToDisk) -> None:
         """Look for an entry that reaches the disk."""
-        probe = sent.probe()
-        usable = self.usable(sent.replica, trio.current_time())
-        asked = len(usable)
-        while usable and way.entry is None:
-            entry = usable.popleft()
-            try:
-                await self.ask_through(entry, probe)
-            except JasminewheelError as error:
-                self.note_failure(entry, sent.replica, error)
-            else:
-                way.entry = entry
-        if way.entry is None:
-            way.none_until = trio.current_time() + SEARCH_SECONDS
-            events.NO_WAY.log(_LOGGER, replica=sent.replica.vm, asked=asked)
-        way.searching = False
-        way.settled.set()
+        with ExitStack() as stack:
+            stack.callback(way.end_search)
+            usable = self.usable(sent.replica, trio.current_time())
+            asked = len(usable)
+            while usable and way.entry is None:
+                await self.probe(usable.popleft(), sent, way)
+            if way.entry is None:
+                way.none_until = trio.current_time() + SEARCH_SECONDS
+                events.NO_WAY.log(_LOGGER, replica=sent.replica.vm, asked=asked)
+
+    async def probe(
+        self, entry: ListedEntry, sent: ReplicaMessage, way: WayToDisk
+    ) -> None:
+        """Use an entry as the way to the disk if it reaches it."""
+        try:
+            await self.ask_through(entry, sent.probe())
+        except JasminewheelError as error:
+            self.note_failure(entry, sent.replica, error)
+        else:
+            way.entry = entry
 
     def usable(self, replica: Replica, now: float) -> deque[ListedEntry]:
         """Return near entries that have not failed a moment ago."""
