Keep a finished turn after its runner was let go

What callers saw: nothing yet; found in the review. A turn that waited for the disks held its runner's connection and counted as running there, so idle runners looked busy for as long as the disks were late. Ruled out: a longer list of free connections. Change: the answer of the runner is read to its end, its connection given back, and only then the turn is kept and the stream ended. Gauge jasminewheel_calls_at_runners. Conclusion: late disks cost runners nothing.

--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -48,7 +48,7 @@
 TURN_NOT_KEPT = Event(
     1887,
     logging.WARNING,
-    'a turn that the caller got was not kept in its time; its stream is cut',
+    'a turn that the caller got was not kept when its call ended; it is cut',
     'see why the disks did not answer',
 )
 TURN_WAITS = Event(
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -61,6 +61,8 @@
     progress: StreamProgress
     chain: list[TurnRecord] = field(factory=list)
     reservation: Reservation | None = None
+    # The runner has answered all, and the caller got it.
+    passed_on: bool = False
 
     async def __aenter__(self) -> 'OpenTurn':
         """Read the chain and take tokens of the program's budget."""
@@ -101,11 +103,20 @@
         )
 
     async def read(self, found: RunnerAnswer) -> None:
-        """Pass on the runner's answer and keep the finished turn."""
+        """Pass on the runner's answer, but for the end of a stream."""
         if found.status != _OK:
             await hand_back(self.answer, found)
             return
         await self.pass_on(found)
+        self.passed_on = True
+
+    async def end(self) -> None:
+        """End a stream that was passed on, once its turn is kept.
+
+        The runner is free by now, however long the disks take.
+        """
+        if not self.passed_on:
+            return
         if self.record.route.retains_history:
             await self.keep()
         await self.answer.finish()
@@ -121,7 +132,7 @@
         try:
             await self.keep_at_last(self.kept(), began)
         except trio.Cancelled:
-            self.note(events.TURN_NOT_KEPT, began, 'the time was up')
+            self.note(events.TURN_NOT_KEPT, began, 'the call ended before')
             raise
 
     async def keep_at_last(self, turn: TurnRecord, began: float) -> None:
@@ -197,6 +208,7 @@
         async with opened:
             body = whole_prompt(opened.chain, record.call.body)
             await self.attempts.run(record, body, opened.need(), opened.read)
+            await opened.end()
 
 
 def whole_prompt(chain: list[TurnRecord], added: bytes) -> bytes:
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -62,12 +62,14 @@
     def gauges(self) -> dict[str, float]:
         """Return what the metrics show of this entry now."""
         now = trio.current_time()
-        usable = sum(view.usable(now) for view in self.directory.views.values())
+        views = self.directory.views.values()
+        usable = sum(view.usable(now) for view in views)
         return {
             **self.peers.gauges(),
             'configuration_version': self.routes.current.version,
             'store_away': float(self.directory.store_away),
             'runners_listed': len(self.directory.views),
             'runners_usable': usable,
+            'calls_at_runners': sum(view.load.own_running for view in views),
             'connections_opened': self.connections.opened,
         }
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -204,6 +204,13 @@
     play(scenario)
 
 
+async def _runs_at_models(fleet, entry) -> int:
+    scraped = (await fleet.scrape(entry)).body.decode()
+    name = 'jasminewheel_calls_at_runners '
+    lines = [line for line in scraped.splitlines() if line.startswith(name)]
+    return int(float(lines[0].removeprefix(name)))
+
+
 def test_finished_turn_waits_for_disks_that_come_back(play):
     """A stream that a runner has answered whole is not cut for them."""
 
@@ -222,6 +229,7 @@
             fleet.scopes['store-1'].cancel()
             fleet.scopes['store-2'].cancel()
             await trio.sleep(DISKS_AWAY_SECONDS)
+            assert not await _runs_at_models(fleet, entry)
             fleet.start_again('store-1')
             fleet.start_again('store-2')
         assert answers[0].whole
