Copy each log of a moving slot once, also beside writes without a pause

The owner had not copied its slot when the patience of the change's carrier ended.

Cause, one of two: OwnedSlot.copy read every log at all replicas and wrote it again, also those that an append or a read had recovered under the same fence a moment before. Copies go log by log, and the logs not reached yet grow by what the writers append meanwhile, so with the rate of writing over the rate of copying as r each next log takes (1 + r) times as long as the one before it: the copy grows without a bound that its start could give.

Change: a log that is known under the fence of the copy is not copied again. It is whole at a majority of both sets, since recovery waits for that, and what was appended since went to the same sets. What the owner may write, and when the slot is marked as copied, is as before; the specification's owner recovers once a fence already.

The other cause is that the carrier does not see progress; the entry stays in KNOWN-RED until that is mended.

--- a/src/jasminewheel/_internal/replication/slot.py
+++ b/src/jasminewheel/_internal/replication/slot.py
@@ -63,11 +63,20 @@
             tail.forget()
 
     async def copy(self) -> None:
-        """Make all logs whole at a majority, and mark the slot as copied."""
+        """Make all logs whole at a majority, and mark the slot as copied.
+
+        A log that was read or appended to under this fence is whole already,
+        and what follows goes to the same sets: copying it again would take
+        the longer, the faster it grows.
+        """
         target = self.session.target
         left = sorted(self.logs.live)
         while left:
-            await self.read(left.pop())
+            log_id = left.pop()
+            tail = self.tail(log_id)
+            async with tail.lock:
+                if not tail.known:
+                    await self.recover(log_id, tail)
         if target is self.session.target:
             await self.session.mark_copied(target)
 
--- /dev/null
+++ b/tests/timed_replicas.py
@@ -0,0 +1,147 @@
+"""Run histories in virtual time, with disks that take a stated time.
+
+Requests reach the handlers of the histories without sockets, and no thread is
+used, so that the load of the machine changes nothing.
+"""
+
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
+
+import trio
+from attrs import define, field
+from trio.testing import MockClock
+
+from jasminewheel._internal.history.disk import DiskLog
+from jasminewheel._internal.history.gate import Gate
+from jasminewheel._internal.history.journal import Journal
+from jasminewheel._internal.history.service import history_handlers
+from jasminewheel._internal.history.state import DiskState
+from jasminewheel._internal.peer.identity import PeerIdentity
+from jasminewheel._internal.replication.ownership import Ownership
+from jasminewheel._internal.replication.placement import PlacementView
+from jasminewheel.errors import PeerError
+
+QUOTA_BYTES = 1 << 30
+# What one write or read takes, and what each entry in it adds.
+ACCESS_SECONDS = 0.005
+ENTRY_SECONDS = 0.001
+# The way of a request or an answer.
+WAY_SECONDS = 0.001
+SCENARIO_SECONDS = 600
+
+
+async def timed_access(work, items):
+    """Stand for trio.to_thread.run_sync with a disk's access."""
+    await trio.sleep(ACCESS_SECONDS + ENTRY_SECONDS * len(items))
+    return work(items)
+
+
+@define
+class PageExchange:
+    """Take the pages that a handler sends before its last message."""
+
+    pages: list
+
+    async def reply(self, message):
+        """Keep a page."""
+        self.pages.append(message)
+
+
+@define
+class TimedPool:
+    """Stand for a pool of connections to the histories."""
+
+    nursery: trio.Nursery
+    handlers: dict
+
+    async def ask(self, address, message, reply_kind, *, timeout_seconds):
+        """Return the answer of a history."""
+        try:
+            with trio.fail_after(timeout_seconds):
+                return await self.answer(address, message, [])
+        except trio.TooSlowError as error:
+            raise PeerError(f'{address} did not answer') from error
+
+    @asynccontextmanager
+    async def stream(self, address, message, reply_kind):
+        """Give the pages of an answer."""
+        pages = []
+        last = await self.answer(address, message, pages)
+        yield each([*pages, last])
+
+    async def answer(self, address, message, pages):
+        """Run the handler of a message."""
+        handlers = self.handlers.get(address)
+        if handlers is None:
+            raise PeerError(f'cannot reach {address}', sent=False)
+        await trio.sleep(WAY_SECONDS)
+        handler = handlers[type(message)]
+        answer = await handler(PageExchange(pages), message)
+        await trio.sleep(WAY_SECONDS)
+        return answer
+
+
+async def each(pages):
+    """Give the pages of a list."""
+    for page in pages:
+        yield page
+
+
+@define
+class TimedFleet:
+    """Hold histories by name, and the nursery of what runs beside them."""
+
+    nursery: trio.Nursery
+    journals: dict = field(factory=dict)
+    handlers: dict = field(factory=dict)
+
+    def start(self, stack, folder, member):
+        """Serve one disk."""
+        disk = stack.enter_context(DiskLog(folder / member, QUOTA_BYTES))
+        journal = Journal(disk, DiskState(disk.read_head))
+        journal.load()
+        self.nursery.start_soon(journal.run)
+        self.journals[member] = journal
+        self.handlers[member] = history_handlers(Gate(journal, member), member)
+
+    def stop(self, member):
+        """Answer nothing for a history any more."""
+        self.handlers.pop(member)
+
+    def replicas(self, *members):
+        """Return the names under which placements list the disks."""
+        return tuple(
+            Gate(self.journals[member], member).replica for member in members
+        )
+
+    def owner(self, member, placement):
+        """Return an owner that works in the fleet's nursery."""
+        return Ownership(
+            TimedPool(self.nursery, self.handlers),
+            PeerIdentity(member, f'{member}-1', 'leicester-a'),
+            PlacementView(placement),
+            str,
+        )
+
+
+@asynccontextmanager
+async def timed_fleet(folder, *members):
+    """Run histories of these names until the block ends."""
+    async with AsyncExitStack() as stack:
+        files = stack.enter_context(ExitStack())
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        fleet = TimedFleet(nursery)
+        for member in members:
+            fleet.start(files, folder, member)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def run_timed(scenario, folder, monkeypatch):
+    """Run a scenario in virtual time, with a deadline in it."""
+    monkeypatch.setattr(trio.to_thread, 'run_sync', timed_access)
+
+    async def bounded():
+        with trio.fail_after(SCENARIO_SECONDS):
+            await scenario(folder)
+
+    trio.run(bounded, clock=MockClock(autojump_threshold=0))
