End a change of replica sets only once its replicas say that all is copied

What callers would see: acknowledged records are gone once the disks that the change left out, and one more, are lost.

Cause: ReplicaChange.copy_next took a slot for copied when copy_slot returned. For a slot that the carrier itself owns, copy_slot calls Ownership.move, which returned at once if the task that follows placements had sealed the slot already: while its copy was still under way, or after that copy had failed. The carrier then wrote the new sets alone into the store.

Ruled out: slots of other owners and of none. They left the list after a look at the replicas, or after a copy that this task had waited for.

Change: a slot leaves the list only by is_copied, which asks the replicas for the durable mark. Ownership.move copies also where it does not seal, so that it returns after the copy, and a copy that failed is done again at the carrier's next step.

Tests in virtual time, both failed before (a reader under the new sets found 0 of 20 records in logs not yet copied; the step after a failed copy ended the change) and pass: test_carrier_that_owns_a_slot_waits_for_its_copy, test_failed_copy_of_an_own_slot_does_not_end_the_change.

--- a/src/jasminewheel/_internal/replication/change.py
+++ b/src/jasminewheel/_internal/replication/change.py
@@ -138,15 +138,18 @@
     async def copy_next(
         self, placement: Placement, slots: list[int], deadline: float
     ) -> list[int]:
-        """Look after the first slot; return those still to be copied."""
+        """Look after the first slot; return those still to be copied.
+
+        A slot is done only once its replicas say so: that a copy was begun
+        or waited for here proves nothing.
+        """
         slot, *others = slots
         if await self.is_copied(placement, slot):
             return others
-        if trio.current_time() < deadline and not self.is_own(slot):
-            # Its owner copies it as soon as it has the new placement.
-            return [*others, slot]
-        await self.copy_slot(placement, slot)
-        return others
+        # Its owner copies it as soon as it has the new placement.
+        if trio.current_time() >= deadline or self.is_own(slot):
+            await self.copy_slot(placement, slot)
+        return [*others, slot]
 
     def is_own(self, slot: int) -> bool:
         """Tell whether this process owns the slot."""
--- a/src/jasminewheel/_internal/replication/ownership.py
+++ b/src/jasminewheel/_internal/replication/ownership.py
@@ -116,20 +116,26 @@
                 await self.try_move(due.pop(), self.placement_source.current)
 
     async def move(self, slot: int, placement: Placement) -> None:
-        """Seal an owned slot under a newer placement and copy its logs."""
+        """Seal an owned slot under a newer placement and copy its logs.
+
+        Also returns only after the copy if another task has sealed it or a
+        copy before this one failed.
+        """
+        former = None
         async with self.locks.setdefault(slot, trio.Lock()):
             owned = self.owned(slot)
-            sets = placement.sets_of(slot)
-            if owned is None or not is_due(owned, sets):
+            if owned is None:
                 return
-            former = owned.session.target
-            with owned.session.move():
-                sealed = await self.seal(slot, placement)
-                owned.move(sealed.session.target, sealed.logs)
-        if sets.is_changing:
+            if is_due(owned, placement.sets_of(slot)):
+                former = owned.session.target
+                with owned.session.move():
+                    sealed = await self.seal(slot, placement)
+                    owned.move(sealed.session.target, sealed.logs)
+        if owned.session.target.sets.is_changing:
             await owned.copy()
-        owned.session.void_former(former)
-        events.SLOT_MOVED.log(_LOGGER, slot=slot, epoch=placement.epoch)
+        if former:
+            owned.session.void_former(former)
+            events.SLOT_MOVED.log(_LOGGER, slot=slot, epoch=placement.epoch)
 
     def owned(self, slot: int) -> OwnedSlot | None:
         """Return the slot if this process owns it, as far as it knows."""
--- a/tests/functional/test_copy_of_owner.py
+++ b/tests/functional/test_copy_of_owner.py
@@ -1,11 +1,24 @@
 """Check in virtual time that a live owner copies its slots in a change."""
 
+from contextlib import asynccontextmanager
 from itertools import product
 
+import pytest
 import trio
 from attrs import evolve
 
+from jasminewheel._internal.replication.change import (
+    ChangeTiming,
+    ReplicaChange,
+)
+from jasminewheel._internal.replication.placement import (
+    PLACEMENT_KEY,
+    Placement,
+    PlacementView,
+)
+from jasminewheel.errors import QuorumError
 from tests.histories import placement_of
+from tests.memory_store import MemoryStore
 from tests.timed_replicas import run_timed, timed_fleet
 
 FOUR = ('h1', 'h2', 'h3', 'h4')
@@ -13,6 +26,12 @@
 RECORDS = 20
 # A copy beside writes may share its disks with as much again.
 MOST_TIMES_LONGER = 2
+TIMING = ChangeTiming(
+    interval_seconds=0.05,
+    absent_seconds=0.2,
+    owner_seconds=1,
+    pause_seconds=0.05,
+)
 
 
 async def fill(*slots):
@@ -22,6 +41,19 @@
             nursery.start_soon(append_numbered, slot, log_id, RECORDS)
 
 
+async def count_records(slot):
+    """Return how many records each log has."""
+    counts = {}
+
+    async def count_log(log_id):
+        counts[log_id] = len(await slot.read(log_id))
+
+    async with trio.open_nursery() as nursery:
+        for log_id in LOGS:
+            nursery.start_soon(count_log, log_id)
+    return counts
+
+
 async def append_numbered(slot, log_id, count):
     """Append numbered records."""
     index = 0
@@ -74,3 +106,92 @@
         assert busy <= MOST_TIMES_LONGER * quiet
 
     run_timed(scenario, tmp_path, monkeypatch)
+
+
+class Moving:
+    """Hold a change of replica sets that one owner and one carrier work on."""
+
+    def __init__(self, fleet, slots=1):
+        """Start with three disks, before the change."""
+        self.fleet = fleet
+        self.store = MemoryStore()
+        self.first = placement_of(*fleet.replicas(*FOUR[:3]), slots=slots)
+        self.view = PlacementView(self.first)
+        self.owner = fleet.owner('owner', self.first)
+        self.carrier = self.carried_by(fleet.owner('carrier', self.first))
+
+    def carried_by(self, ownership):
+        """Return the change as carried by the process of an ownership."""
+        return ReplicaChange(self.store, ownership, list, TIMING)
+
+    async def begin(self):
+        """Put both sets into the store, and let the owner know."""
+        joint = joint_of(self.fleet, self.first)
+        await self.store.put(PLACEMENT_KEY, joint.to_json(), 0)
+        self.view.install(joint)
+
+    async def placement(self):
+        """Return the placement in the store."""
+        stored = await self.store.get(PLACEMENT_KEY)
+        return Placement.from_json(stored.value)
+
+
+@asynccontextmanager
+async def carrier_that_copies(folder):
+    """Give a change whose carrier owns the slot and is amid its copy.
+
+    Only h1 and h3 hold the records, so h2 and h4 would miss them.
+    """
+    async with timed_fleet(folder, *FOUR) as fleet:
+        change = Moving(fleet)
+        slot = await change.owner.own(0)
+        away = fleet.handlers.pop('h2')
+        await fill(slot)
+        fleet.handlers['h2'] = away
+        fleet.nursery.start_soon(change.owner.follow, change.view)
+        change.carrier = change.carried_by(change.owner)
+        await change.begin()
+        await trio.sleep(0.1)
+        yield change
+
+
+async def assert_kept_without(change, *lost):
+    """Check that a new owner finds all records once these disks are lost."""
+    for member in lost:
+        change.fleet.stop(member)
+    reader = change.fleet.owner('reader', await change.placement())
+    slot = await reader.own(0)
+    assert await count_records(slot) == dict.fromkeys(LOGS, RECORDS)
+
+
+def test_carrier_that_owns_a_slot_waits_for_its_copy(tmp_path, monkeypatch):
+    """A change does not end before the carrier's own slots are copied."""
+
+    async def scenario(folder):
+        async with carrier_that_copies(folder) as change:
+            await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is None
+            await assert_kept_without(change, 'h1', 'h3')
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_failed_copy_of_an_own_slot_does_not_end_the_change(
+    tmp_path, monkeypatch
+):
+    """A carrier that could not copy its own slot copies it again."""
+
+    async def scenario(folder):
+        async with carrier_that_copies(folder) as change:
+            serving = change.fleet.handlers
+            away = {name: serving.pop(name) for name in ('h3', 'h4')}
+            await trio.sleep(1)
+            with pytest.raises(QuorumError):
+                await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is not None
+            serving.update(away)
+            await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is None
+            await assert_kept_without(change, 'h1', 'h3')
+
+    run_timed(scenario, tmp_path, monkeypatch)
