Take a slot over in a change only from an owner that makes no progress

Cause, the second of two: the carrier gave all owners one fixed time from the start of the change, owner_seconds, for all their slots, and then took over each slot that was not marked as copied. It could not see progress: a replica tells of a slot only its fence and whether it is copied. So any copy that takes longer, for its size or its disks, costs live owners their slots, and their calls.

Ruled out: writes alone. The test below has none.

Change: an owner counts steps of its copy that only rise, within a log too, and tells the replicas, in memory, each 0.25 s while it moves on (NoteCopying). DescribeSlot gives them. The carrier looks at all slots each look_seconds, asks 64 at once, and takes a slot over only when its owner has made no progress with any of its slots for owner_seconds, since an owner copies its slots in turn. No progress are: appends, a recovery done again, a take-over, answers of a replica that was silent. Without a majority of answers it does not judge. It looks anew before it has copied for longer than look_seconds. An old history does not know NoteCopying; its owners are then judged by fences and marks, as before.

Safety: fences, seals and marks are as before; progress only delays a take-over that was always allowed, so the specification stays as it is.

Tests in virtual time: test_carrier_leaves_slots_to_an_owner_that_copies and test_owner_amid_a_long_log_is_waited_for failed before (the carrier had the slots) and pass; test_owner_that_copies_nothing_is_replaced passed before and after (the change ends although the owner appends without a pause). Unit tests of both counts.

--- a/idl/history.thrift
+++ b/idl/history.thrift
@@ -116,12 +116,19 @@
   1: WireFence promised,
   2: i64 joined_epoch,
   3: i64 copied_epoch,   // the slot was copied for this epoch's replica sets
+  4: i64 copying_steps,  // told last by the owner of the fence promised
 }
 
 struct MarkCopied {
   1: Scope scope,
 }
 
+// Tells how far the owner's copy for a replica change is; not kept on disk.
+struct NoteCopying {
+  1: Scope scope,
+  2: i64 steps,
+}
+
 enum StoredKind {
   RECORD = 1,
   PROMISE = 2,
--- a/src/jasminewheel/_internal/history/service.py
+++ b/src/jasminewheel/_internal/history/service.py
@@ -24,6 +24,7 @@
         wire.TrimLog: writes.trim,
         wire.PurgeLogs: writes.purge,
         wire.MarkCopied: writes.mark_copied,
+        wire.NoteCopying: writes.note_copying,
         wire.ReadIndex: reads.read_index,
         wire.ReadRecords: reads.read_records,
         wire.DescribeDisk: reads.describe_disk,
@@ -99,6 +100,7 @@
             promised=slot.durable.to_wire(),
             joined_epoch=slot.joined_epoch,
             copied_epoch=slot.copied.epoch,
+            copying_steps=slot.copying_steps,
         )
 
 
--- a/src/jasminewheel/_internal/history/state.py
+++ b/src/jasminewheel/_internal/history/state.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from itertools import repeat
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from jasminewheel._internal.history.entry import Entry
 from jasminewheel._internal.history.segment import segment_of
@@ -87,6 +87,14 @@
         return self.purged and not any(touched)
 
 
+@frozen(order=True)
+class CopyNote:
+    """Hold how far an owner told that its copy is; a restart forgets it."""
+
+    fence: Fence = LOWEST_FENCE
+    steps: int = 0
+
+
 @define
 class SlotState:
     """Hold what one disk knows of a slot.
@@ -100,6 +108,7 @@
     durable: Fence = LOWEST_FENCE
     joined_epoch: int = 0
     copied: Fence = LOWEST_FENCE
+    copying: CopyNote = CopyNote()
     logs: dict[str, LogState] = field(factory=dict)
     dropped: dict[str, DroppedLog] = field(factory=dict)
 
@@ -131,6 +140,15 @@
         )
         yield Entry(StoredKind.COPIED, self.slot, self.copied)
 
+    def note_copying(self, note: CopyNote) -> None:
+        """Keep what the latest owner told last."""
+        self.copying = max(self.copying, note)
+
+    @property
+    def copying_steps(self) -> int:
+        """Return how far the copy of the durably promised owner is."""
+        return self.copying.steps if self.copying.fence == self.durable else 0
+
     def live_dropped(self) -> list[str]:
         """Return the dropped logs that are not purged yet."""
         return [name for name, log in self.dropped.items() if not log.purged]
--- a/src/jasminewheel/_internal/history/writes.py
+++ b/src/jasminewheel/_internal/history/writes.py
@@ -12,6 +12,7 @@
 )
 from jasminewheel._internal.history.state import (
     NO_POSITION,
+    CopyNote,
     LogState,
     SlotState,
 )
@@ -135,3 +136,14 @@
         admission = self.gate.admit(request.scope)
         entry = admission.entry(wire.StoredKind.COPIED)
         return await self.gate.acknowledge(admission, [entry])
+
+    async def note_copying(
+        self, exchange: Exchange, request: wire.NoteCopying
+    ) -> wire.Acknowledged:
+        """Keep in memory how far the owner's copy is."""
+        admission = self.gate.admit(request.scope)
+        if admission.accepted:
+            admission.slot.note_copying(
+                CopyNote(admission.fence, request.steps)
+            )
+        return await self.gate.acknowledge(admission, [])
--- a/src/jasminewheel/_internal/replication/change.py
+++ b/src/jasminewheel/_internal/replication/change.py
@@ -19,6 +19,7 @@
     Sets,
 )
 from jasminewheel._internal.replication.replacement import replace_disks
+from jasminewheel._internal.replication.watch import OwnerWatch, SlotView
 from jasminewheel._internal.store.client import Store, StoredValue
 from jasminewheel._internal.store.settled import (
     new_writer_mark,
@@ -27,17 +28,24 @@
 from jasminewheel._internal.wire.gen.history import ttypes as wire
 from jasminewheel.errors import JasminewheelError
 
+# Slots asked about at once: few enough to leave room for what owners ask.
+LOOKS_AT_ONCE = 64
 _LOGGER = logging.getLogger(__name__)
 
 
 @frozen
 class ChangeTiming:
-    """Set how patient and how fast changes of replica sets are."""
+    """Set how patient and how fast changes of replica sets are.
+
+    An owner is waited for while it makes progress with its copies, and
+    `owner_seconds` more.
+    """
 
     interval_seconds: float = 5.0
     absent_seconds: float = 120.0
     owner_seconds: float = 15.0
     pause_seconds: float = 0.05
+    look_seconds: float = 2.0
 
 
 @define
@@ -130,60 +138,67 @@
         events.CHANGE_CARRIED.log(
             _LOGGER, epoch=placement.epoch, slots=len(slots)
         )
-        deadline = trio.current_time() + self.timing.owner_seconds
+        watch = OwnerWatch(self.timing.owner_seconds)
         while slots:
-            slots = await self.copy_next(placement, slots, deadline)
+            views = await self.look_at(placement, slots, watch)
+            # A slot is done only once its replicas say so: that a copy was
+            # begun or waited for here proves nothing.
+            left = [view for view in views if not view.is_copied]
+            slots = [view.slot for view in left]
+            due = [view.slot for view in left if self.is_due(view, watch)]
+            await self.copy_due(placement, due)
+            await trio.sleep(self.timing.look_seconds)
+
+    async def copy_due(self, placement: Placement, due: list[int]) -> None:
+        """Copy slots for as long as what was seen of them is fresh."""
+        fresh_until = trio.current_time() + self.timing.look_seconds
+        while due and trio.current_time() < fresh_until:
+            await self.copy_slot(placement, due.pop(0))
             await trio.sleep(self.timing.pause_seconds)
 
-    async def copy_next(
-        self, placement: Placement, slots: list[int], deadline: float
-    ) -> list[int]:
-        """Look after the first slot; return those still to be copied.
-
-        A slot is done only once its replicas say so: that a copy was begun
-        or waited for here proves nothing.
-        """
-        slot, *others = slots
-        if await self.is_copied(placement, slot):
-            return others
-        # Its owner copies it as soon as it has the new placement.
-        if trio.current_time() >= deadline or self.is_own(slot):
-            await self.copy_slot(placement, slot)
-        return [*others, slot]
-
-    def is_own(self, slot: int) -> bool:
-        """Tell whether this process owns the slot."""
-        return self.ownership.owned(slot) is not None
-
-    async def is_copied(self, placement: Placement, slot: int) -> bool:
-        """Ask the replicas whether the slot was copied at this epoch."""
-        sets = placement.sets_of(slot)
-        copied: set[str] = set()
+    def is_due(self, view: SlotView, watch: OwnerWatch) -> bool:
+        """Tell whether to copy the slot here."""
+        is_own = self.ownership.owned(view.slot) is not None
+        return is_own or watch.is_stalled(view, trio.current_time())
+
+    async def look_at(
+        self, placement: Placement, slots: list[int], watch: OwnerWatch
+    ) -> list[SlotView]:
+        """Ask the replicas how far the slots are, some slots at once."""
+        views = [SlotView(slot, placement.sets_of(slot)) for slot in slots]
+        limiter = trio.CapacityLimiter(LOOKS_AT_ONCE)
         async with trio.open_nursery() as nursery:
-            for name in sets.members():
-                nursery.start_soon(
-                    self.note_copied, copied, name, slot, placement.epoch
-                )
-        return sets.has_majority(copied)
-
-    async def note_copied(
-        self, copied: set[str], replica: str, slot: int, epoch: int
+            for view in views:
+                nursery.start_soon(self.describe, view, limiter)
+        now = trio.current_time()
+        for seen in views:
+            watch.note(seen, now)
+        return views
+
+    async def describe(
+        self, view: SlotView, limiter: trio.CapacityLimiter
     ) -> None:
-        """Add the replica if it has the slot whole since the epoch."""
+        """Ask all replicas of one slot."""
+        async with limiter, trio.open_nursery() as nursery:
+            for name in view.sets.members():
+                nursery.start_soon(self.describe_at, view, name)
+
+    async def describe_at(self, view: SlotView, replica: str) -> None:
+        """Note what one replica tells; one that is silent tells nothing."""
         try:
             answer = await self.ownership.replicas.ask(
                 replica,
-                wire.DescribeSlot(replica, slot),
+                wire.DescribeSlot(replica, view.slot),
                 wire.SlotDescribed,
             )
-        except JasminewheelError:
+        except JasminewheelError as error:
+            _LOGGER.debug('%s tells nothing of its slots: %s', replica, error)
             return
-        if answer.copied_epoch >= epoch:
-            copied.add(replica)
+        view.add(replica, answer)
 
     async def copy_slot(self, placement: Placement, slot: int) -> None:
         """Take the slot over under the new sets and copy its logs."""
-        if self.is_own(slot):
+        if self.ownership.owned(slot):
             await self.ownership.move(slot, placement)
             return
         copier = self.ownership.of_placement(placement)
--- /dev/null
+++ b/src/jasminewheel/_internal/replication/progress.py
@@ -0,0 +1,68 @@
+"""Count and tell what an owner has copied under one fence."""
+
+import math
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.replication.replicas import Replicas, Target
+from jasminewheel._internal.wire.gen.history import ttypes as wire
+
+# Much shorter than the patience of who carries a change.
+REPORT_SECONDS = 0.25
+
+
+@define
+class CopyProgress:
+    """Count steps that only rise while logs become whole, and tell replicas.
+
+    Work on a log that is done again after a failure counts once, so an owner
+    that does the same in vain again and again makes no progress.
+    """
+
+    replicas: Replicas
+    target: Target
+    steps: int = 0
+    reached: dict[str, float] = field(factory=dict)
+    report_at: float = 0
+
+    def reach(self, log_id: str, moved: int) -> None:
+        """Note how many records one recovery of a log has moved so far."""
+        known = self.reached.get(log_id, 0)
+        if moved > known:
+            self.reached[log_id] = moved
+            self.count(trio.current_time())
+
+    def finish(self, log_id: str) -> None:
+        """Note that a log is whole; what is still under way counts no more."""
+        self.reached[log_id] = math.inf
+        self.count(trio.current_time())
+
+    def count(self, now: float) -> None:
+        """Add a step; tell it in background if the last report is old."""
+        self.steps += 1
+        if now >= self.report_at and self.target.sets.is_changing:
+            self.report_at = now + REPORT_SECONDS
+            self.report()
+
+    def report(self) -> None:
+        """Tell the replicas, of whom the carrier of the change asks it."""
+        self.replicas.ask_all(
+            self.target.sets,
+            lambda name: wire.NoteCopying(self.target.scope(name), self.steps),
+            wire.Acknowledged,
+        )
+
+
+@define
+class LogProgress:
+    """Count what one recovery of a log moves."""
+
+    copying: CopyProgress
+    log_id: str
+    moved: int = 0
+
+    def advance(self, records: int) -> None:
+        """Note records that were read, or written at one replica."""
+        self.moved += records
+        self.copying.reach(self.log_id, self.moved)
--- a/src/jasminewheel/_internal/replication/recovery.py
+++ b/src/jasminewheel/_internal/replication/recovery.py
@@ -1,7 +1,7 @@
 """Read a log at a majority and complete what an earlier owner left."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import define, field, frozen
 
@@ -101,13 +101,21 @@
         return wanted + last
 
 
+def ignore(records: int) -> None:
+    """Note nothing of records that were moved."""
+
+
 @frozen
 class Recovery:
-    """Recover one log of a slot that is sealed at the target's fence."""
+    """Recover one log of a slot that is sealed at the target's fence.
+
+    `advance` is told of records as they are read and written.
+    """
 
     replicas: Replicas
     target: Target
     log: str
+    advance: Callable[[int], None] = ignore
 
     async def run(self, *, everywhere: bool = False) -> RecoveredLog:
         """Return the log; everywhere also waits for slow replicas."""
@@ -171,6 +179,7 @@
         address = self.replicas.address(source)
         async with pool.stream(address, request, wire.LogPage) as pages:
             async for page in pages:
+                self.advance(len(page.records))
                 found.update(
                     (record.index, record_of(record)) for record in page.records
                 )
@@ -207,10 +216,9 @@
         """Write what one replica lacks and add its vote."""
         answer = wire.Acknowledged(accepted=True)
         while lacking and answer.accepted:
+            batch = [wire_of(record) for record in take_batch(lacking)]
             request = wire.AppendRecords(
-                self.target.scope(replica),
-                self.log,
-                [wire_of(record) for record in take_batch(lacking)],
+                self.target.scope(replica), self.log, batch
             )
             try:
                 answer = await self.replicas.ask(
@@ -219,6 +227,7 @@
             except JasminewheelError as error:
                 votes.fail(replica, error)
                 return
+            self.advance(len(batch))
         votes.add(replica, answer)
 
 
--- a/src/jasminewheel/_internal/replication/session.py
+++ b/src/jasminewheel/_internal/replication/session.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 import trio
-from attrs import define
+from attrs import define, field
 
+from jasminewheel._internal.replication.progress import CopyProgress
 from jasminewheel._internal.replication.replicas import (
     Replicas,
     ReplicaSets,
@@ -25,6 +26,16 @@
     target: Target
     lost: bool = False
     moving: trio.Event | None = None
+    progress: CopyProgress = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start with nothing copied."""
+        self.retarget(self.target)
+
+    def retarget(self, target: Target) -> None:
+        """Go on under another fence, with nothing copied under it."""
+        self.target = target
+        self.progress = CopyProgress(self.replicas, target)
 
     def is_older(self, sets: ReplicaSets) -> bool:
         """Tell whether the slot has to move to these sets."""
--- a/src/jasminewheel/_internal/replication/slot.py
+++ b/src/jasminewheel/_internal/replication/slot.py
@@ -5,15 +5,19 @@
 from attrs import frozen
 
 from jasminewheel._internal.replication.fence import Fence
+from jasminewheel._internal.replication.progress import LogProgress
 from jasminewheel._internal.replication.record import DROPPED_KIND, LogRecord
-from jasminewheel._internal.replication.recovery import Recovery, wire_of
+from jasminewheel._internal.replication.recovery import (
+    Recovery,
+    ignore,
+    wire_of,
+)
 from jasminewheel._internal.replication.replicas import Replicas, Target
 from jasminewheel._internal.replication.session import SlotSession
 from jasminewheel._internal.replication.tail import LogTail
 from jasminewheel._internal.wire.gen.history import ttypes as wire
 from jasminewheel.errors import DiskFullError, FencedError, NotFoundError
 
-
 # Logs that ended here, for which a late append is refused without asking.
 REMEMBERED_ENDS = 1024
 # Replicas remember as many dropped logs of a slot until it is sealed anew.
@@ -56,7 +60,7 @@
 
     def move(self, target: Target, logs: SealedLogs) -> None:
         """Go on under a new fence, which this process has sealed."""
-        self.session.target = target
+        self.session.retarget(target)
         self.logs = logs
         self.drops = 0
         for tail in self.tails.values():
@@ -181,8 +185,14 @@
         if tail.dropped:
             return []
         target = self.session.target
+        progress = LogProgress(self.session.progress, log_id)
         try:
-            log = await Recovery(self.session.replicas, target, log_id).run()
+            log = await Recovery(
+                self.session.replicas,
+                target,
+                log_id,
+                ignore if tail.known else progress.advance,
+            ).run()
         except FencedError:
             await self.session.note_fenced(target)
             if target is self.session.target:
@@ -190,6 +200,8 @@
             return await self.recover(log_id, tail)
         if target is not self.session.target:
             return await self.recover(log_id, tail)
+        if not tail.known:
+            progress.copying.finish(log_id)
         tail.recovered(log)
         return log.records
 
--- a/src/jasminewheel/_internal/wire/gen/history/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/history/ttypes.py
@@ -1748,6 +1748,7 @@
      - promised
      - joined_epoch
      - copied_epoch
+     - copying_steps
 
     """
 
@@ -1755,13 +1756,15 @@
         'promised',
         'joined_epoch',
         'copied_epoch',
+        'copying_steps',
     )
 
 
-    def __init__(self, promised=None, joined_epoch=None, copied_epoch=None,):
+    def __init__(self, promised=None, joined_epoch=None, copied_epoch=None, copying_steps=None,):
         self.promised = promised
         self.joined_epoch = joined_epoch
         self.copied_epoch = copied_epoch
+        self.copying_steps = copying_steps
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1788,6 +1791,11 @@
                     self.copied_epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.copying_steps = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1810,6 +1818,10 @@
             oprot.writeFieldBegin('copied_epoch', TType.I64, 3)
             oprot.writeI64(self.copied_epoch)
             oprot.writeFieldEnd()
+        if self.copying_steps is not None:
+            oprot.writeFieldBegin('copying_steps', TType.I64, 4)
+            oprot.writeI64(self.copying_steps)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1904,6 +1916,87 @@
         return not (self == other)
 
 
+class NoteCopying(object):
+    """
+    Attributes:
+     - scope
+     - steps
+
+    """
+
+    __slots__ = (
+        'scope',
+        'steps',
+    )
+
+
+    def __init__(self, scope=None, steps=None,):
+        self.scope = scope
+        self.steps = steps
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.scope = Scope()
+                    self.scope.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.steps = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NoteCopying')
+        if self.scope is not None:
+            oprot.writeFieldBegin('scope', TType.STRUCT, 1)
+            self.scope.write(oprot)
+            oprot.writeFieldEnd()
+        if self.steps is not None:
+            oprot.writeFieldBegin('steps', TType.I64, 2)
+            oprot.writeI64(self.steps)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StoredHead(object):
     """
     Attributes:
@@ -2184,12 +2277,19 @@
     (1, TType.STRUCT, 'promised', [WireFence, None], None, ),  # 1
     (2, TType.I64, 'joined_epoch', None, None, ),  # 2
     (3, TType.I64, 'copied_epoch', None, None, ),  # 3
+    (4, TType.I64, 'copying_steps', None, None, ),  # 4
 )
 all_structs.append(MarkCopied)
 MarkCopied.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'scope', [Scope, None], None, ),  # 1
 )
+all_structs.append(NoteCopying)
+NoteCopying.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'scope', [Scope, None], None, ),  # 1
+    (2, TType.I64, 'steps', None, None, ),  # 2
+)
 all_structs.append(StoredHead)
 StoredHead.thrift_spec = (
     None,  # 0
--- a/tests/functional/test_copy_of_owner.py
+++ b/tests/functional/test_copy_of_owner.py
@@ -1,6 +1,6 @@
 """Check in virtual time that a live owner copies its slots in a change."""
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from itertools import product
 
 import pytest
@@ -16,7 +16,7 @@
     Placement,
     PlacementView,
 )
-from jasminewheel.errors import QuorumError
+from jasminewheel.errors import FencedError, QuorumError
 from tests.histories import placement_of
 from tests.memory_store import MemoryStore
 from tests.timed_replicas import run_timed, timed_fleet
@@ -24,6 +24,11 @@
 FOUR = ('h1', 'h2', 'h3', 'h4')
 LOGS = tuple('abcdefghijklmnopqrstuvwx')
 RECORDS = 20
+# Listed in 1 s, read and written in four pages and batches.
+LONG_RECORDS = 1000
+LONG_PAYLOAD = bytes(4096)
+# An owner's patience, and the carrier's own copy of the slot.
+MOST_STALLED_SECONDS = 5
 # A copy beside writes may share its disks with as much again.
 MOST_TIMES_LONGER = 2
 TIMING = ChangeTiming(
@@ -31,6 +36,7 @@
     absent_seconds=0.2,
     owner_seconds=1,
     pause_seconds=0.05,
+    look_seconds=0.05,
 )
 
 
@@ -41,6 +47,14 @@
             nursery.start_soon(append_numbered, slot, log_id, RECORDS)
 
 
+async def own_all(owner, count):
+    """Return the first slots, owned."""
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(owner.own, number)
+    return [owner.owned(slot) for slot in range(count)]
+
+
 async def count_records(slot):
     """Return how many records each log has."""
     counts = {}
@@ -54,11 +68,11 @@
     return counts
 
 
-async def append_numbered(slot, log_id, count):
-    """Append numbered records."""
+async def append_numbered(slot, log_id, count, payload=b'x'):
+    """Append records."""
     index = 0
     while index < count:
-        await slot.append(log_id, index, 'turn', b'%d' % index)
+        await slot.append(log_id, index, 'turn', payload)
         index += 1
 
 
@@ -195,3 +209,67 @@
             await assert_kept_without(change, 'h1', 'h3')
 
     run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_carrier_leaves_slots_to_an_owner_that_copies(tmp_path, monkeypatch):
+    """An owner whose copy takes longer than its patience keeps its slots."""
+
+    async def scenario(folder):
+        async with timed_fleet(folder, *FOUR) as fleet:
+            change = Moving(fleet, slots=4)
+            slots = await own_all(change.owner, 4)
+            await fill(*slots)
+            fleet.nursery.start_soon(change.owner.follow, change.view)
+            await trio.testing.wait_all_tasks_blocked()
+            await change.begin()
+            started = trio.current_time()
+            await change.carrier.step(started)
+            assert trio.current_time() - started > 2 * TIMING.owner_seconds
+            assert {slot.fence.member for slot in slots} == {'owner'}
+            assert [change.owner.owned(number) for number in range(4)] == slots
+            await slots[0].append('a', RECORDS, 'turn', b'next')
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_owner_amid_a_long_log_is_waited_for(tmp_path, monkeypatch):
+    """Progress within one log counts, not only logs that are whole."""
+
+    async def scenario(folder):
+        async with timed_fleet(folder, *FOUR) as fleet:
+            change = Moving(fleet)
+            change.carrier.timing = evolve(TIMING, owner_seconds=2.5)
+            slot = await change.owner.own(0)
+            await append_numbered(slot, 'long', LONG_RECORDS, LONG_PAYLOAD)
+            fleet.nursery.start_soon(change.owner.follow, change.view)
+            await change.begin()
+            started = trio.current_time()
+            await change.carrier.step(started)
+            assert trio.current_time() - started > 3
+            assert change.owner.owned(0) is slot
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_owner_that_copies_nothing_is_replaced(tmp_path, monkeypatch):
+    """Appends are no progress: the change ends all the same."""
+
+    async def scenario(folder):
+        async with timed_fleet(folder, *FOUR) as fleet:
+            change = Moving(fleet)
+            slot = await change.owner.own(0)
+            await fill(slot)
+            fleet.nursery.start_soon(append_until_fenced, slot)
+            await change.begin()
+            with trio.fail_after(MOST_STALLED_SECONDS):
+                await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is None
+            await assert_kept_without(change, 'h1', 'h3')
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+async def append_until_fenced(slot):
+    """Append to a log of its own until another process has the slot."""
+    with suppress(FencedError):
+        await append_on(slot, 'new', 0)
--- a/tests/functional/test_replica_change.py
+++ b/tests/functional/test_replica_change.py
@@ -26,6 +26,7 @@
     absent_seconds=0.2,
     owner_seconds=1,
     pause_seconds=0,
+    look_seconds=0.05,
 )
 
 
--- a/tests/timed_replicas.py
+++ b/tests/timed_replicas.py
@@ -4,7 +4,14 @@
 used, so that the load of the machine changes nothing.
 """
 
-from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
+import math
+from contextlib import (
+    AsyncExitStack,
+    ExitStack,
+    asynccontextmanager,
+    suppress,
+)
+from copy import copy
 
 import trio
 from attrs import define, field
@@ -39,11 +46,11 @@
 class PageExchange:
     """Take the pages that a handler sends before its last message."""
 
-    pages: list
+    pages: trio.MemorySendChannel
 
     async def reply(self, message):
-        """Keep a page."""
-        self.pages.append(message)
+        """Send a page as it is now; the handler goes on with the object."""
+        await self.pages.send(copy(message))
 
 
 @define
@@ -55,18 +62,25 @@
 
     async def ask(self, address, message, reply_kind, *, timeout_seconds):
         """Return the answer of a history."""
+        pages, _ = trio.open_memory_channel(math.inf)
         try:
             with trio.fail_after(timeout_seconds):
-                return await self.answer(address, message, [])
+                return await self.answer(address, message, pages)
         except trio.TooSlowError as error:
             raise PeerError(f'{address} did not answer') from error
 
     @asynccontextmanager
     async def stream(self, address, message, reply_kind):
-        """Give the pages of an answer."""
-        pages = []
-        last = await self.answer(address, message, pages)
-        yield each([*pages, last])
+        """Give the pages of an answer as they come."""
+        sender, pages = trio.open_memory_channel(math.inf)
+        self.nursery.start_soon(self.send_pages, address, message, sender)
+        yield pages
+
+    async def send_pages(self, address, message, pages):
+        """Run the handler of a message that is answered by pages."""
+        async with pages:
+            with suppress(PeerError):
+                await pages.send(await self.answer(address, message, pages))
 
     async def answer(self, address, message, pages):
         """Run the handler of a message."""
@@ -74,18 +88,11 @@
         if handlers is None:
             raise PeerError(f'cannot reach {address}', sent=False)
         await trio.sleep(WAY_SECONDS)
-        handler = handlers[type(message)]
-        answer = await handler(PageExchange(pages), message)
+        answer = await handlers[type(message)](PageExchange(pages), message)
         await trio.sleep(WAY_SECONDS)
         return answer
 
 
-async def each(pages):
-    """Give the pages of a list."""
-    for page in pages:
-        yield page
-
-
 @define
 class TimedFleet:
     """Hold histories by name, and the nursery of what runs beside them."""
--- /dev/null
+++ b/tests/unit/test_copy_progress.py
@@ -0,0 +1,92 @@
+"""Check that only work that brings a copy on counts as progress."""
+
+import trio
+from attrs import define, field
+from trio.testing import MockClock
+
+from jasminewheel._internal.replication.fence import Fence
+from jasminewheel._internal.replication.progress import (
+    REPORT_SECONDS,
+    CopyProgress,
+    LogProgress,
+)
+from jasminewheel._internal.replication.replicas import ReplicaSets, Target
+
+CHANGING = ReplicaSets(2, ('h4', 'h2', 'h3'), ('h1', 'h2', 'h3'))
+SETTLED = ReplicaSets(2, ('h1', 'h2', 'h3'), ('h1', 'h2', 'h3'))
+
+
+@define
+class Told:
+    """Stand for the replicas; keep what they are told."""
+
+    steps: list = field(factory=list)
+
+    def ask_all(self, sets, request_of, reply_kind):
+        """Keep the steps of a report."""
+        self.steps.append(request_of('h2').steps)
+
+
+def progress_of(sets):
+    """Return the progress of an owner without any."""
+    target = Target(0, Fence(2, 1, 'a', 'a-1'), sets)
+    return CopyProgress(Told(), target)
+
+
+def run(scenario):
+    """Run a scenario in virtual time."""
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def test_recovery_done_again_is_no_progress():
+    """An owner that fails at the same place each time makes no progress."""
+
+    async def scenario():
+        copying = progress_of(CHANGING)
+        LogProgress(copying, 'p').advance(5)
+        known = copying.steps
+        LogProgress(copying, 'p').advance(5)
+        assert copying.steps == known
+        LogProgress(copying, 'p').advance(6)
+        assert copying.steps > known
+
+    run(scenario)
+
+
+def test_nothing_of_a_whole_log_counts():
+    """What slow replicas still take of a log does not count."""
+
+    async def scenario():
+        copying = progress_of(CHANGING)
+        late = LogProgress(copying, 'p')
+        copying.finish('p')
+        known = copying.steps
+        late.advance(100)
+        assert copying.steps == known
+
+    run(scenario)
+
+
+def test_reports_are_rare():
+    """Replicas hear of progress now and then, with the newest count."""
+
+    async def scenario():
+        copying = progress_of(CHANGING)
+        for number in range(100):
+            copying.finish(f'log-{number}')
+        await trio.sleep(REPORT_SECONDS)
+        copying.finish('last')
+        assert copying.replicas.steps == [1, 101]
+
+    run(scenario)
+
+
+def test_nothing_is_told_without_a_change():
+    """Recoveries outside a change of replica sets are nobody's concern."""
+
+    async def scenario():
+        copying = progress_of(SETTLED)
+        copying.finish('p')
+        assert not copying.replicas.steps
+
+    run(scenario)
