Start a history of a test again only when its former one has ended

What was seen: test_unsettled_last_record_is_written_again failed once beside load with SettingsError, "is in use by another process". Cause: Fleet.stop cancels a history, but a write under way in a thread cannot be cancelled, so the history holds its folder until that write ends; Fleet.start did not wait for it. A fault of the harness: a real process gives up its lock when it dies. Change: start waits for the end of the former run. No check is changed. Test: test_history_stopped_amid_a_write_starts_again, with a write of half a second, failed before and passes.

--- a/tests/functional/test_ownership.py
+++ b/tests/functional/test_ownership.py
@@ -1,5 +1,6 @@
 """Check ownership of slots against histories over real sockets."""
 
+import time
 from contextlib import suppress
 
 import pytest
@@ -162,6 +163,34 @@
     run(scenario, tmp_path)
 
 
+def test_history_stopped_amid_a_write_starts_again(tmp_path):
+    """A restart waits for the folder, as it does for a real process."""
+
+    async def scenario(folder):
+        async with fleet(folder, *THREE) as running:
+            async with running.owner('a', PLACEMENT) as owner:
+                slot = await owner.own(3)
+                slow_down(running.histories['h3'].journal.disk)
+                await slot.append('p', 0, 'turn', b'x')
+                running.stop('h3')
+                await running.start('h3')
+                running.stop('h2')
+                await append_patiently(slot, 'p', 1, 'turn', b'y')
+
+    run(scenario, tmp_path)
+
+
+def slow_down(disk):
+    """Make each write of a disk take half a second."""
+    write = disk.write
+
+    def write_slowly(blocks):
+        time.sleep(0.5)
+        return write(blocks)
+
+    disk.write = write_slowly
+
+
 def test_append_is_idempotent(tmp_path):
     """The same record again is the same record; another is refused."""
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -1,7 +1,7 @@
 """Run histories and owners inside a test."""
 
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
 from pathlib import Path
 
 import trio
@@ -55,9 +55,16 @@
     segment_bytes: int = SEGMENT_BYTES
     histories: dict[str, RunningHistory] = field(factory=dict)
     addresses: dict[str, str] = field(factory=dict)
+    ended: dict[str, trio.Event] = field(factory=dict)
 
     async def start(self, member: str) -> RunningHistory:
-        """Start a history, on its former port if it ran before."""
+        """Start a history, on its former port if it ran before.
+
+        One that was stopped amid a write holds its folder until that ends.
+        """
+        former = self.ended.get(member)
+        if former is not None:
+            await former.wait()
         history = await self.nursery.start(self.serve, member)
         self.histories[member] = history
         return history
@@ -84,7 +91,11 @@
             self.folder / member, self.quota_bytes, self.segment_bytes
         )
         identity = PeerIdentity(member, 'i', 'nottingham-a')
-        with trio.CancelScope() as scope, disk:
+        with ExitStack() as stack:
+            self.ended[member] = trio.Event()
+            stack.callback(self.ended[member].set)
+            scope = stack.enter_context(trio.CancelScope())
+            stack.enter_context(disk)
             journal = Journal(disk, DiskState(disk.read_head))
             journal.load()
             handlers = history_handlers(Gate(journal, member), 'nottingham-a')
