--- a/src/jasminewheel/_internal/replication/slot.py
+++ b/src/jasminewheel/_internal/replication/slot.py
@@ -5,15 +5,19 @@
 from attrs import frozen
 
 from jasminewheel._internal.replication.fence import Fence
+from jasminewheel._internal.replication.progress import LogProgress
 from jasminewheel._internal.replication.record import DROPPED_KIND, LogRecord
-from jasminewheel._internal.replication.recovery import Recovery, wire_of
+from jasminewheel._internal.replication.recovery import (
+    Recovery,
+    ignore,
+    wire_of,
+)
 from jasminewheel._internal.replication.replicas import Replicas, Target
 from jasminewheel._internal.replication.session import SlotSession
 from jasminewheel._internal.replication.tail import LogTail
 from jasminewheel._internal.wire.gen.history import ttypes as wire
 from jasminewheel.errors import DiskFullError, FencedError, NotFoundError
 
-
 # Logs that ended here, for which a late append is refused without asking.
 REMEMBERED_ENDS = 1024
 # Replicas remember as many dropped logs of a slot until it is sealed anew.
@@ -56,18 +60,27 @@
 
     def move(self, target: Target, logs: SealedLogs) -> None:
         """Go on under a new fence, which this process has sealed."""
-        self.session.target = target
+        self.session.retarget(target)
         self.logs = logs
         self.drops = 0
         for tail in self.tails.values():
             tail.forget()
 
     async def copy(self) -> None:
-        """Make all logs whole at a majority, and mark the slot as copied."""
+        """Make all logs whole at a majority, and mark the slot as copied.
+
+        A log that was read or appended to under this fence is whole already,
+        and what follows goes to the same sets: copying it again would take
+        the longer, the faster it grows.
+        """
         target = self.session.target
         left = sorted(self.logs.live)
         while left:
-            await self.read(left.pop())
+            log_id = left.pop()
+            tail = self.tail(log_id)
+            async with tail.lock:
+                if not tail.known:
+                    await self.recover(log_id, tail)
         if target is self.session.target:
             await self.session.mark_copied(target)
 
@@ -172,8 +185,14 @@
         if tail.dropped:
             return []
         target = self.session.target
+        progress = LogProgress(self.session.progress, log_id)
         try:
-            log = await Recovery(self.session.replicas, target, log_id).run()
+            log = await Recovery(
+                self.session.replicas,
+                target,
+                log_id,
+                ignore if tail.known else progress.advance,
+            ).run()
         except FencedError:
             await self.session.note_fenced(target)
             if target is self.session.target:
@@ -181,6 +200,8 @@
             return await self.recover(log_id, tail)
         if target is not self.session.target:
             return await self.recover(log_id, tail)
+        if not tail.known:
+            progress.copying.finish(log_id)
         tail.recovered(log)
         return log.records
 
--- /dev/null
+++ b/tests/functional/test_copy_of_owner.py
@@ -0,0 +1,275 @@
+"""Check in virtual time that a live owner copies its slots in a change."""
+
+from contextlib import asynccontextmanager, suppress
+from itertools import product
+
+import pytest
+import trio
+from attrs import evolve
+
+from jasminewheel._internal.replication.change import (
+    ChangeTiming,
+    ReplicaChange,
+)
+from jasminewheel._internal.replication.placement import (
+    PLACEMENT_KEY,
+    Placement,
+    PlacementView,
+)
+from jasminewheel.errors import FencedError, QuorumError
+from tests.histories import placement_of
+from tests.memory_store import MemoryStore
+from tests.timed_replicas import run_timed, timed_fleet
+
+FOUR = ('h1', 'h2', 'h3', 'h4')
+LOGS = tuple('abcdefghijklmnopqrstuvwx')
+RECORDS = 20
+# Listed in 1 s, read and written in four pages and batches.
+LONG_RECORDS = 1000
+LONG_PAYLOAD = bytes(4096)
+# An owner's patience, and the carrier's own copy of the slot.
+MOST_STALLED_SECONDS = 5
+# A copy beside writes may share its disks with as much again.
+MOST_TIMES_LONGER = 2
+TIMING = ChangeTiming(
+    interval_seconds=0.05,
+    absent_seconds=0.2,
+    owner_seconds=1,
+    pause_seconds=0.05,
+    look_seconds=0.05,
+)
+
+
+async def fill(*slots):
+    """Append records to each log of the slots."""
+    async with trio.open_nursery() as nursery:
+        for slot, log_id in product(slots, LOGS):
+            nursery.start_soon(append_numbered, slot, log_id, RECORDS)
+
+
+async def own_all(owner, count):
+    """Return the first slots, owned."""
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(owner.own, number)
+    return [owner.owned(slot) for slot in range(count)]
+
+
+async def count_records(slot):
+    """Return how many records each log has."""
+    counts = {}
+
+    async def count_log(log_id):
+        counts[log_id] = len(await slot.read(log_id))
+
+    async with trio.open_nursery() as nursery:
+        for log_id in LOGS:
+            nursery.start_soon(count_log, log_id)
+    return counts
+
+
+async def append_numbered(slot, log_id, count, payload=b'x'):
+    """Append records."""
+    index = 0
+    while index < count:
+        await slot.append(log_id, index, 'turn', payload)
+        index += 1
+
+
+async def append_on(slot, log_id, index=RECORDS):
+    """Append numbered records without a pause until cancelled."""
+    while True:
+        await slot.append(log_id, index, 'turn', b'%d' % index)
+        index += 1
+
+
+def joint_of(fleet, first):
+    """Return the placement in which h4 takes the place of h1."""
+    return evolve(
+        first,
+        epoch=first.epoch + 1,
+        current=(fleet.replicas('h4', 'h2', 'h3'),),
+        previous=first.current,
+    )
+
+
+async def move_seconds(folder, *, beside_writes):
+    """Return how long an owner takes to copy its slot to a new disk."""
+    async with timed_fleet(folder, *FOUR) as fleet:
+        first = placement_of(*fleet.replicas(*FOUR[:3]), slots=1)
+        owner = fleet.owner('owner', first)
+        slot = await owner.own(0)
+        await fill(slot)
+        fleet.stop('h1')
+        async with trio.open_nursery() as nursery:
+            for log_id in LOGS if beside_writes else ():
+                nursery.start_soon(append_on, slot, log_id)
+            started = trio.current_time()
+            await owner.move(0, joint_of(fleet, first))
+            taken = trio.current_time() - started
+            nursery.cancel_scope.cancel()
+        return taken
+
+
+def test_writes_without_a_pause_do_not_starve_the_copy(tmp_path, monkeypatch):
+    """The copy ends within a stated multiple of its time without writes."""
+
+    async def scenario(folder):
+        quiet = await move_seconds(folder / 'quiet', beside_writes=False)
+        busy = await move_seconds(folder / 'busy', beside_writes=True)
+        assert busy <= MOST_TIMES_LONGER * quiet
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+class Moving:
+    """Hold a change of replica sets that one owner and one carrier work on."""
+
+    def __init__(self, fleet, slots=1):
+        """Start with three disks, before the change."""
+        self.fleet = fleet
+        self.store = MemoryStore()
+        self.first = placement_of(*fleet.replicas(*FOUR[:3]), slots=slots)
+        self.view = PlacementView(self.first)
+        self.owner = fleet.owner('owner', self.first)
+        self.carrier = self.carried_by(fleet.owner('carrier', self.first))
+
+    def carried_by(self, ownership):
+        """Return the change as carried by the process of an ownership."""
+        return ReplicaChange(self.store, ownership, list, TIMING)
+
+    async def begin(self):
+        """Put both sets into the store, and let the owner know."""
+        joint = joint_of(self.fleet, self.first)
+        await self.store.put(PLACEMENT_KEY, joint.to_json(), 0)
+        self.view.install(joint)
+
+    async def placement(self):
+        """Return the placement in the store."""
+        stored = await self.store.get(PLACEMENT_KEY)
+        return Placement.from_json(stored.value)
+
+
+@asynccontextmanager
+async def carrier_that_copies(folder):
+    """Give a change whose carrier owns the slot and is amid its copy.
+
+    Only h1 and h3 hold the records, so h2 and h4 would miss them.
+    """
+    async with timed_fleet(folder, *FOUR) as fleet:
+        change = Moving(fleet)
+        slot = await change.owner.own(0)
+        away = fleet.handlers.pop('h2')
+        await fill(slot)
+        fleet.handlers['h2'] = away
+        fleet.nursery.start_soon(change.owner.follow, change.view)
+        change.carrier = change.carried_by(change.owner)
+        await change.begin()
+        await trio.sleep(0.1)
+        yield change
+
+
+async def assert_kept_without(change, *lost):
+    """Check that a new owner finds all records once these disks are lost."""
+    for member in lost:
+        change.fleet.stop(member)
+    reader = change.fleet.owner('reader', await change.placement())
+    slot = await reader.own(0)
+    assert await count_records(slot) == dict.fromkeys(LOGS, RECORDS)
+
+
+def test_carrier_that_owns_a_slot_waits_for_its_copy(tmp_path, monkeypatch):
+    """A change does not end before the carrier's own slots are copied."""
+
+    async def scenario(folder):
+        async with carrier_that_copies(folder) as change:
+            await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is None
+            await assert_kept_without(change, 'h1', 'h3')
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_failed_copy_of_an_own_slot_does_not_end_the_change(
+    tmp_path, monkeypatch
+):
+    """A carrier that could not copy its own slot copies it again."""
+
+    async def scenario(folder):
+        async with carrier_that_copies(folder) as change:
+            serving = change.fleet.handlers
+            away = {name: serving.pop(name) for name in ('h3', 'h4')}
+            await trio.sleep(1)
+            with pytest.raises(QuorumError):
+                await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is not None
+            serving.update(away)
+            await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is None
+            await assert_kept_without(change, 'h1', 'h3')
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_carrier_leaves_slots_to_an_owner_that_copies(tmp_path, monkeypatch):
+    """An owner whose copy takes longer than its patience keeps its slots."""
+
+    async def scenario(folder):
+        async with timed_fleet(folder, *FOUR) as fleet:
+            change = Moving(fleet, slots=4)
+            slots = await own_all(change.owner, 4)
+            await fill(*slots)
+            fleet.nursery.start_soon(change.owner.follow, change.view)
+            await trio.testing.wait_all_tasks_blocked()
+            await change.begin()
+            started = trio.current_time()
+            await change.carrier.step(started)
+            assert trio.current_time() - started > 2 * TIMING.owner_seconds
+            assert {slot.fence.member for slot in slots} == {'owner'}
+            assert [change.owner.owned(number) for number in range(4)] == slots
+            await slots[0].append('a', RECORDS, 'turn', b'next')
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_owner_amid_a_long_log_is_waited_for(tmp_path, monkeypatch):
+    """Progress within one log counts, not only logs that are whole."""
+
+    async def scenario(folder):
+        async with timed_fleet(folder, *FOUR) as fleet:
+            change = Moving(fleet)
+            change.carrier.timing = evolve(TIMING, owner_seconds=2.5)
+            slot = await change.owner.own(0)
+            await append_numbered(slot, 'long', LONG_RECORDS, LONG_PAYLOAD)
+            fleet.nursery.start_soon(change.owner.follow, change.view)
+            await change.begin()
+            started = trio.current_time()
+            await change.carrier.step(started)
+            assert trio.current_time() - started > 3
+            assert change.owner.owned(0) is slot
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+def test_owner_that_copies_nothing_is_replaced(tmp_path, monkeypatch):
+    """Appends are no progress: the change ends all the same."""
+
+    async def scenario(folder):
+        async with timed_fleet(folder, *FOUR) as fleet:
+            change = Moving(fleet)
+            slot = await change.owner.own(0)
+            await fill(slot)
+            fleet.nursery.start_soon(append_until_fenced, slot)
+            await change.begin()
+            with trio.fail_after(MOST_STALLED_SECONDS):
+                await change.carrier.step(trio.current_time())
+            assert (await change.placement()).previous is None
+            await assert_kept_without(change, 'h1', 'h3')
+
+    run_timed(scenario, tmp_path, monkeypatch)
+
+
+async def append_until_fenced(slot):
+    """Append to a log of its own until another process has the slot."""
+    with suppress(FencedError):
+        await append_on(slot, 'new', 0)
