Bound what is read and held of a runner's answer

What callers saw: a runner that sends bytes without end kept its call until the deadline, in memory. On the code before, of a head, interim answers, answers to other requests, a body, chunk sizes or trailers, all was read that the time allowed; one event of a stream grew without a bound, a turn handed out more events than its most output tokens make (which its program's budget had not reserved), and a refusal was read to its end before its call went elsewhere.

Cause: no bound stood anywhere on the way from the socket to the caller but the route's time.

Ruled out: a shorter time for each answer. It would cut slow sound answers, and a fast server fills the memory of a small VM in well under a second.

Change: `web.answer_limits` holds all bounds. The parser bounds heads and no longer takes trailer fields for fields of the head; the connection bounds what comes before an answer, what frames its body, and the whole of it; a body or a turn's output that is held is bounded by itself, and all large ones of a process share room, of which usual answers take nothing. A declared length over the bound fails at the head. Events are split without reading what was searched before, at most as many as the turn's most tokens make; one more cuts the stream, so that it is no turn. Of a refusal, or a failure that is not handed back, at most 64 KiB and 0.1 s are read; what its head said stays true. AnswerTooLongError opens the runner's breaker at once and leaves event 1888.

Tests: tests/functional/test_endless_answers.py plays such servers over sockets; of its cases those for heads, foreign answers, bodies, streams, refusals, failures, shared memory and the log line failed before. Those for bytes after a whole answer passed before and stay as a guard, as did the case `no http`.

--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -51,3 +51,9 @@
     'a turn that the caller got could not be kept; its stream is cut',
     'see why the disks did not answer',
 )
+ANSWER_TOO_LONG = Event(
+    1888,
+    logging.WARNING,
+    'a runner sent more than an answer has; its connection is closed',
+    'see whether the runner is in trouble, and replace it',
+)
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -16,7 +16,12 @@
 )
 from jasminewheel._internal.gateway.routes import CallKind, Route
 from jasminewheel._internal.gateway.runners import RunnerView
+from jasminewheel._internal.scheduling.breaker import (
+    DEFAULT_LIMITS,
+    BreakerLimits,
+)
 from jasminewheel.errors import (
+    AnswerTooLongError,
     ConnectionLostError,
     DeadlineError,
     TargetFailedError,
@@ -27,7 +32,10 @@
 RETRY_AFTER_SECONDS = 0.15
 # Refusals and failed connections allowed beside the attempts that may run.
 MOST_REFUSALS = 3
+# A server that sends without end does so to each call that it gets.
+_NO_PATIENCE = BreakerLimits(failures=1)
 _FIRST_SERVER_ERROR = 500
+_ANSWERED = 'answered'
 _LOGGER = logging.getLogger(__name__)
 
 Reader = Callable[[RunnerAnswer], Awaitable[None]]
@@ -99,7 +107,7 @@
                 if sending.takes(answer):
                     await read(answer)
                     return True
-                await answer.whole_body()
+                await answer.drop_rest()
         except ConnectionLostError as error:
             sending.lost(error)
             if not record.may_try():
@@ -184,7 +192,7 @@
             self.view.breaker.failed(now)
             self.avoid('failed', answer.status)
             return False
-        self.outcome = 'answered'
+        self.outcome = _ANSWERED
         self.record.status = answer.status
         self.learn(now, failing=failing)
         return True
@@ -200,12 +208,29 @@
 
     def lost(self, error: ConnectionLostError) -> None:
         """Learn from a connection that broke."""
-        now = trio.current_time()
-        self.view.breaker.failed(now)
+        limits = DEFAULT_LIMITS
+        if isinstance(error, AnswerTooLongError):
+            limits = _NO_PATIENCE
+            self.note_too_long(error)
+        self.view.breaker.failed(trio.current_time(), limits)
+        if self.outcome not in {'', _ANSWERED}:
+            # Its head said already what became of the call.
+            return
         if not error.sent:
             self.record.attempts -= 1
         self.avoid('lost', error)
 
+    def note_too_long(self, error: AnswerTooLongError) -> None:
+        """Log a server that sends without end."""
+        events.ANSWER_TOO_LONG.log(
+            _LOGGER,
+            request=self.record.call.call_id,
+            runner=self.record.runner,
+            status=self.record.status,
+            outcome=self.outcome,
+            problem=error.message,
+        )
+
     def avoid(self, outcome: str, problem: object) -> None:
         """Send the call to another runner from now on."""
         self.outcome = outcome
--- a/src/jasminewheel/_internal/gateway/event_splitter.py
+++ b/src/jasminewheel/_internal/gateway/event_splitter.py
@@ -2,6 +2,12 @@
 
 from attrs import define, field, frozen
 
+from jasminewheel._internal.web.answer_limits import (
+    EVENT_BYTES,
+    STREAM_EVENTS,
+)
+from jasminewheel.errors import AnswerTooLongError
+
 _END = b'\n\n'
 _DATA = b'data:'
 
@@ -26,13 +32,41 @@
 
 @define(eq=False)
 class EventSplitter:
-    """Give events as soon as they are whole."""
+    """Give events as soon as they are whole, up to the most events."""
 
+    most_events: int = STREAM_EVENTS
+    events: int = 0
     rest: bytearray = field(factory=bytearray)
+    searched: int = 0
+    # An event came after the most events.
+    overrun: bool = False
 
     def feed(self, received: bytes) -> list[StreamEvent]:
         """Return the events that the received bytes complete."""
         self.rest += received
-        *whole, rest = self.rest.split(_END)
-        self.rest = rest
-        return [StreamEvent.parse(bytes(raw + _END)) for raw in whole]
+        whole: list[StreamEvent] = []
+        begin = 0
+        end = self.rest.find(_END, self.searched)
+        while end >= 0 and self.events < self.most_events:
+            end += len(_END)
+            whole.append(StreamEvent.parse(bytes(self.rest[begin:end])))
+            self.events += 1
+            begin = end
+            end = self.rest.find(_END, begin)
+        self.overrun = end >= 0
+        if begin:
+            self.rest = self.rest[begin:]
+        # The first byte of an end may have come without the second.
+        self.searched = max(0, len(self.rest) - 1)
+        return whole
+
+    def check(self) -> None:
+        """Raise AnswerTooLongError if what is left is no part of a stream."""
+        if self.overrun:
+            raise AnswerTooLongError(
+                f'a stream has more than {self.most_events} events'
+            )
+        if len(self.rest) > EVENT_BYTES:
+            raise AnswerTooLongError(
+                f'an event of a stream has over {EVENT_BYTES} bytes'
+            )
--- a/src/jasminewheel/_internal/gateway/ports.py
+++ b/src/jasminewheel/_internal/gateway/ports.py
@@ -39,7 +39,19 @@
         """Give the body as it arrives; raise ConnectionLostError if cut."""
 
     async def whole_body(self) -> bytes:
-        """Return the body; raise ConnectionLostError if it is cut."""
+        """Return the body; raise ConnectionLostError if cut or too long."""
+
+    async def drop_rest(self) -> None:
+        """Let go of an answer that is not used, in a short time.
+
+        Raise AnswerTooLongError if it is long.
+        """
+
+    def hold(self, count: int) -> None:
+        """Note how many bytes of the body are held.
+
+        Raise ConnectionLostError if they are too many.
+        """
 
 
 class RunnerPort(Protocol):
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -1,6 +1,7 @@
 """Answer the turns of agent programs: chains, budgets and streams."""
 
 import logging
+import math
 
 import trio
 from attrs import define, field, frozen
@@ -18,6 +19,7 @@
 )
 from jasminewheel._internal.gateway.plain_flow import hand_back
 from jasminewheel._internal.gateway.ports import RunnerAnswer
+from jasminewheel._internal.web.answer_limits import STREAM_EVENTS
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.headers import end_to_end
 from jasminewheel._internal.wire.gen.conversation.ttypes import TurnRecord
@@ -32,6 +34,8 @@
     """Hold what a stream has handed to the caller."""
 
     tokens_per_event: int
+    # Whether the output is needed once the stream has ended.
+    keeps_output: bool = True
     events: int = 0
     output: bytearray = field(factory=bytearray)
 
@@ -41,8 +45,10 @@
         return self.events * self.tokens_per_event
 
     def note_all(self, received: list[StreamEvent]) -> None:
-        """Count events and keep their data."""
+        """Count events, and keep their data if it is needed."""
         self.events += len(received)
+        if not self.keeps_output:
+            return
         for event in received:
             self.output.extend(event.payload)
             self.output.extend(b'\n')
@@ -127,15 +133,24 @@
     async def pass_on(self, found: RunnerAnswer) -> None:
         """Send each event on as soon as it is whole."""
         await self.answer.start(found.status, end_to_end(found.headers))
-        splitter = EventSplitter()
+        splitter = EventSplitter(self.most_events())
         async for part in found.parts():
             whole = splitter.feed(part)
             self.progress.note_all(whole)
+            found.hold(len(self.progress.output) + len(splitter.rest))
             await self.answer.send(b''.join(one.raw for one in whole))
+            splitter.check()
         if splitter.rest:
             events.STREAM_CUT.log(_LOGGER, rest=len(splitter.rest))
             await self.answer.send(bytes(splitter.rest))
 
+    def most_events(self) -> int:
+        """Return how many events the turn's most tokens make."""
+        most_tokens = self.record.call.turn.max_output_tokens
+        if not most_tokens:
+            return STREAM_EVENTS
+        return math.ceil(most_tokens / self.progress.tokens_per_event)
+
     def kept(self) -> TurnRecord:
         """Return the finished turn as it is kept."""
         call = self.record.call
@@ -163,9 +178,8 @@
         self, record: CallRecord, answer: AnswerWriter, stride: int
     ) -> None:
         """Answer one turn."""
-        opened = OpenTurn(
-            record, self.conversations, answer, StreamProgress(stride)
-        )
+        progress = StreamProgress(stride, record.route.retains_history)
+        opened = OpenTurn(record, self.conversations, answer, progress)
         async with opened:
             body = whole_prompt(opened.chain, record.call.body)
             await self.attempts.run(record, body, opened.need(), opened.read)
--- /dev/null
+++ b/src/jasminewheel/_internal/web/answer_limits.py
@@ -0,0 +1,80 @@
+"""Bound what is read and held of answers; servers may send without end."""
+
+from attrs import define, field, frozen
+from attrs.validators import ge
+
+from jasminewheel.errors import AnswerTooLongError, ConnectionLostError
+
+# The fields of a usual head take less than 1 KiB.
+HEAD_BYTES = 65536
+# All that comes before an answer: interim answers and other requests' ones.
+UNCLAIMED_BYTES = 1048576
+# What frames a body may take between two parts of it: chunk sizes, trailers.
+FRAMING_BYTES = 65536
+# One answer from its head to its end, with what frames it: 8 MiB.
+ANSWER_BYTES = 8388608
+# What may be held of one answer: 4 MiB, as much as of a request.
+HELD_BYTES = 4194304
+# An answer up to this size, as nearly all are, takes no shared room.
+USUAL_BYTES = 16384
+# What larger answers may hold together: 8 MiB of a small VM's memory.
+ROOM_BYTES = 8388608
+# One event of a stream; usual ones take some hundred bytes.
+EVENT_BYTES = 1048576
+# Events of a stream for which the caller states no most tokens.
+STREAM_EVENTS = 65536
+# The rest of an answer that nobody wants, read to keep its connection.
+UNWANTED_BYTES = 65536
+UNWANTED_SECONDS = 0.1
+
+
+@frozen
+class AnswerLimits:
+    """Bound what one connection reads for one request."""
+
+    head_bytes: int = field(default=HEAD_BYTES, validator=ge(1))
+    unclaimed_bytes: int = field(default=UNCLAIMED_BYTES, validator=ge(1))
+    framing_bytes: int = field(default=FRAMING_BYTES, validator=ge(1))
+    answer_bytes: int = field(default=ANSWER_BYTES, validator=ge(1))
+
+
+@define(eq=False)
+class AnswerRoom:
+    """Share memory among the large answers of a process."""
+
+    free_bytes: int = field(default=ROOM_BYTES, validator=ge(0))
+
+    def take(self, count: int) -> None:
+        """Take bytes, or give some back; raise if they are not free."""
+        if count > self.free_bytes:
+            raise ConnectionLostError(
+                'other large answers leave no room for this one'
+            )
+        self.free_bytes -= count
+
+
+@define(eq=False)
+class HeldBytes:
+    """Count what is held of one answer."""
+
+    room: AnswerRoom = field(factory=AnswerRoom)
+    most_bytes: int = field(default=HELD_BYTES, validator=ge(1))
+    taken: int = 0
+
+    def check(self, size: int) -> None:
+        """Raise AnswerTooLongError for a size that is never held."""
+        if size > self.most_bytes:
+            raise AnswerTooLongError(
+                f'an answer has over {self.most_bytes} bytes to hold'
+            )
+
+    def resize(self, held: int) -> None:
+        """Hold this many bytes; raise ConnectionLostError if too many."""
+        self.check(held)
+        wanted = max(0, held - USUAL_BYTES)
+        self.room.take(wanted - self.taken)
+        self.taken = wanted
+
+    def close(self) -> None:
+        """Hold nothing any more."""
+        self.resize(0)
--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -8,6 +8,12 @@
 
 from jasminewheel._internal.address import split_address
 from jasminewheel._internal.peer.sockets import BROKEN_STREAM_ERRORS, tune
+from jasminewheel._internal.web.answer_limits import (
+    UNWANTED_BYTES,
+    UNWANTED_SECONDS,
+    AnswerLimits,
+    HeldBytes,
+)
 from jasminewheel._internal.web.headers import (
     Headers,
     field_text,
@@ -17,7 +23,7 @@
     HttpResponse,
     ResponseParser,
 )
-from jasminewheel.errors import ConnectionLostError
+from jasminewheel.errors import AnswerTooLongError, ConnectionLostError
 
 CHUNK_BYTES = 65536
 # For a server that does not say how long it keeps an idle connection.
@@ -53,6 +59,9 @@
     parser: ResponseParser = field(factory=ResponseParser)
     idle_since: float = 0
     idle_seconds: float = IDLE_SECONDS
+    limits: AnswerLimits = field(factory=AnswerLimits)
+    # Since the request was sent, and again since its answer began.
+    received_bytes: int = 0
 
     async def send(self, request: OutgoingRequest) -> None:
         """Send one request; raise ConnectionLostError if that failed."""
@@ -67,27 +76,45 @@
         self, belongs: Callable[[HttpResponse], bool]
     ) -> HttpResponse:
         """Return the next response that belongs to the request."""
+        self.received_bytes = 0
         while True:
             while not self.parser.responses:
-                await self._receive()
+                await self._receive(self.limits.unclaimed_bytes)
             response = self.parser.responses[0]
             if belongs(response):
+                self.received_bytes = 0
                 return response
-            await self.whole_body(response)
+            await self._skip(response, self.limits.unclaimed_bytes)
             self.parser.responses.popleft()
 
     async def parts(self, response: HttpResponse) -> AsyncIterator[bytes]:
         """Give the body as it arrives; raise ConnectionLostError if cut."""
         while True:
-            while response.parts:
-                yield response.parts.popleft()
+            if response.parts:
+                arrived = b''.join(response.parts)
+                response.parts.clear()
+                yield arrived
             if response.complete:
                 return
-            await self._receive()
-
-    async def whole_body(self, response: HttpResponse) -> bytes:
-        """Return the whole body."""
-        return b''.join([part async for part in self.parts(response)])
+            await self._receive_part(response, self.limits.answer_bytes)
+
+    async def whole_body(
+        self, response: HttpResponse, held: HeldBytes | None = None
+    ) -> bytes:
+        """Return the whole body; raise ConnectionLostError if it is long."""
+        held = held or HeldBytes()
+        held.check(response.declared_bytes())
+        body = bytearray()
+        async for part in self.parts(response):
+            body += part
+            held.resize(len(body))
+        return bytes(body)
+
+    async def drop_rest(self, response: HttpResponse) -> None:
+        """Read what is left of an unwanted response, unless it is slow."""
+        self.received_bytes = 0
+        with trio.move_on_after(UNWANTED_SECONDS):
+            await self._skip(response, UNWANTED_BYTES)
 
     def finish(self, response: HttpResponse, now: float) -> bool:
         """Forget a whole response; tell whether the connection stays good."""
@@ -112,7 +139,25 @@
         """Close at once."""
         self.stream.socket.close()
 
-    async def _receive(self) -> None:
+    async def _skip(self, response: HttpResponse, most_bytes: int) -> None:
+        response.parts.clear()
+        while not response.complete:
+            await self._receive_part(response, most_bytes)
+            response.parts.clear()
+
+    async def _receive_part(
+        self, response: HttpResponse, most_bytes: int
+    ) -> None:
+        framed_from = self.received_bytes
+        while not response.parts and not response.complete:
+            framing = self.received_bytes - framed_from
+            if framing > self.limits.framing_bytes:
+                raise self._too_long(framing)
+            await self._receive(most_bytes)
+
+    async def _receive(self, most_bytes: int) -> None:
+        if self.parser.head_too_long or self.received_bytes > most_bytes:
+            raise self._too_long(self.received_bytes)
         if self.parser.broken or self.parser.ended:
             raise ConnectionLostError(f'{self.address} broke off its answer')
         try:
@@ -121,8 +166,14 @@
             raise ConnectionLostError(
                 f'{self.address} broke off its answer: {error!r}',
             ) from error
+        self.received_bytes += len(received)
         self.parser.feed(received)
 
+    def _too_long(self, received: int) -> AnswerTooLongError:
+        return AnswerTooLongError(
+            f'{self.address} sends what is no answer, {received} bytes so far'
+        )
+
 
 async def open_connection(
     address: str, timeout_seconds: float
--- a/src/jasminewheel/_internal/web/pool.py
+++ b/src/jasminewheel/_internal/web/pool.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from jasminewheel._internal.web.answer_limits import AnswerRoom
 from jasminewheel._internal.web.client import HttpConnection, open_connection
 
 # A request that may not be repeated takes no connection idle for longer.
@@ -14,6 +15,8 @@
 
     idle: dict[str, list[HttpConnection]] = field(factory=dict)
     opened: int = 0
+    # Shared by the answers that are read over the connections.
+    room: AnswerRoom = field(factory=AnswerRoom)
 
     async def take(
         self, address: str, now: float, timeout_seconds: float, *, fresh: bool
--- a/src/jasminewheel/_internal/web/response_parser.py
+++ b/src/jasminewheel/_internal/web/response_parser.py
@@ -5,6 +5,7 @@
 import httptools
 from attrs import define, field
 
+from jasminewheel._internal.web.answer_limits import HEAD_BYTES
 from jasminewheel._internal.web.headers import Headers, field_value
 
 _FIRST_FINAL_STATUS = 200
@@ -20,6 +21,11 @@
     parts: deque[bytes] = field(factory=deque)
     complete: bool = False
 
+    def declared_bytes(self) -> int:
+        """Return how long the head says the body is, or 0."""
+        length = field_value(self.headers, b'content-length') or b'0'
+        return int(length) if length.isdigit() else 0
+
     def ends_with_connection(self) -> bool:
         """Tell whether only the end of the connection ends the body."""
         if self.status in _BODILESS:
@@ -34,6 +40,11 @@
     """Collect responses in order; interim ones are dropped."""
 
     responses: deque[HttpResponse] = field(factory=deque)
+    most_head_bytes: int = HEAD_BYTES
+    # Received since the last head or the last whole message ended.
+    head_bytes: int = 0
+    in_head: bool = True
+    head_too_long: bool = False
     broken: bool = False
     ended: bool = False
     keep_alive: bool = True
@@ -49,21 +60,29 @@
         if not received:
             self._end()
             return
+        if self.in_head:
+            self.head_bytes += len(received)
         try:
             self.parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.broken = True
+        if self.in_head and self.head_bytes > self.most_head_bytes:
+            self.head_too_long = True
+            self.broken = True
 
     def on_message_begin(self) -> None:
         """Start a response."""
         self.headers = []
 
     def on_header(self, name: bytes, found: bytes) -> None:
-        """Take a header field."""
-        self.headers.append((name, found))
+        """Take a header field; trailer fields say nothing of the head."""
+        if self.in_head:
+            self.headers.append((name, found))
 
     def on_headers_complete(self) -> None:
         """Keep the head of a final response."""
+        self.in_head = False
+        self.head_bytes = 0
         status = self.parser.get_status_code()
         self.keep_alive = self.parser.should_keep_alive()
         if status >= _FIRST_FINAL_STATUS:
@@ -75,6 +94,7 @@
 
     def on_message_complete(self) -> None:
         """Note that a response is whole."""
+        self.in_head = True
         if self.parser.get_status_code() >= _FIRST_FINAL_STATUS:
             self.responses[-1].complete = True
 
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -216,6 +216,12 @@
     code = 'connection-lost'
 
 
+class AnswerTooLongError(ConnectionLostError):
+    """Report a server that sends more than an answer to the request has."""
+
+    code = 'answer-too-long'
+
+
 class DiskFullError(JasminewheelError):
     """Report that a disk takes no more records; those it has are kept."""
 
--- a/src/jasminewheel/platform/runner_protocol.py
+++ b/src/jasminewheel/platform/runner_protocol.py
@@ -8,6 +8,7 @@
 
 from jasminewheel._internal.gateway.ports import Attempt
 from jasminewheel._internal.targets.load_report import LoadReport
+from jasminewheel._internal.web.answer_limits import HeldBytes
 from jasminewheel._internal.web.client import HttpConnection, OutgoingRequest
 from jasminewheel._internal.web.headers import (
     Headers,
@@ -29,6 +30,7 @@
 
     connection: HttpConnection
     response: HttpResponse
+    held: HeldBytes
 
     @property
     def status(self) -> int:
@@ -62,7 +64,15 @@
 
     async def whole_body(self) -> bytes:
         """Return the body."""
-        return await self.connection.whole_body(self.response)
+        return await self.connection.whole_body(self.response, self.held)
+
+    async def drop_rest(self) -> None:
+        """Let go of an answer that is not used."""
+        await self.connection.drop_rest(self.response)
+
+    def hold(self, count: int) -> None:
+        """Note how many bytes of the body are held."""
+        self.held.resize(count)
 
 
 @frozen
@@ -81,12 +91,14 @@
             fresh=not attempt.repeatable,
         )
         answer: PlatformAnswer | None = None
+        held = HeldBytes(self.connections.room)
         try:
             await connection.send(_request(attempt))
             response = await connection.response(_belongs_to(attempt))
-            answer = PlatformAnswer(connection, response)
+            answer = PlatformAnswer(connection, response, held)
             yield answer
         finally:
+            held.close()
             self.release(connection, answer)
 
     def release(
--- /dev/null
+++ b/tests/functional/test_endless_answers.py
@@ -0,0 +1,312 @@
+"""Check what servers can do that send bytes without end."""
+
+import logging
+import tracemalloc
+from functools import partial
+from types import MappingProxyType
+
+import pytest
+import trio
+
+from jasminewheel._internal.events import gateway as events
+from tests.endless_server import EndlessServer
+from tests.platform_fleet import platform_fleet
+
+# What the kernel of a test machine may hold on the way.
+KERNEL_BYTES = 2097152
+# No more than this is read of any answer.
+ANSWER_BYTES = 8388608
+# No more than this is read before an answer.
+UNCLAIMED_BYTES = 1048576
+# The callers of these tests would wait for longer.
+SOON_SECONDS = 2.5
+CALLER_MILLISECONDS = '6000'
+CLOSE_SECONDS = 2.0
+OWN = b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n'
+OTHER = b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+REFUSAL = b'HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n'
+FAILURE = b'HTTP/1.1 500 Bad\r\nRequest-Id: {id}\r\n'
+OWN_CHUNKED = b'%b%b' % (OWN, CHUNKED)
+CHUNK = b'1000\r\n%b\r\n' % (b'a' * 4096)
+HUGE = b'Content-Length: 1000000000000\r\n\r\n'
+OWN_HUGE = b'%b%b' % (OWN, HUGE)
+REFUSAL_CHUNKED = b'%b%b' % (REFUSAL, CHUNKED)
+REFUSAL_HUGE = b'%b%b' % (REFUSAL, HUGE)
+FAILURE_CHUNKED = b'%b%b' % (FAILURE, CHUNKED)
+
+HEADS = MappingProxyType(
+    {
+        'field': (b'HTTP/1.1 200 OK\r\nX: ', b'a'),
+        'field name': (b'HTTP/1.1 200 OK\r\n', b'a'),
+        'reason': (b'HTTP/1.1 200 ', b'a'),
+        'fields': (b'HTTP/1.1 200 OK\r\n', b'X: y\r\n'),
+        'empty lines': (b'', b'\r\n'),
+        'no http': (b'', b'\x00\xff'),
+        'interim': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        'foreign answers': (b'', b'%bContent-Length: 1\r\n\r\na' % OTHER),
+        'foreign bodiless': (b'', b'HTTP/1.1 204 No\r\nRequest-Id: o\r\n\r\n'),
+        'foreign body': (b'%b%b' % (OTHER, CHUNKED), CHUNK),
+        'foreign length': (b'%b%b' % (OTHER, HUGE), b'a'),
+    }
+)
+BODIES = MappingProxyType(
+    {
+        'false length': (OWN_HUGE, b'a'),
+        'no length': (b'%b\r\n' % OWN, b'a'),
+        'chunks': (OWN_CHUNKED, CHUNK),
+        'small chunks': (OWN_CHUNKED, b'2\r\nab\r\n'),
+        'chunk extension': (b'%b1;' % OWN_CHUNKED, b'a'),
+        'trailers': (b'%b0\r\n' % OWN_CHUNKED, b'X: y\r\n'),
+        'trailer': (b'%b0\r\nX: ' % OWN_CHUNKED, b'y'),
+    }
+)
+EVENTS = MappingProxyType(
+    {
+        'one event': (OWN_CHUNKED, CHUNK),
+        'one event in small chunks': (OWN_CHUNKED, b'2\r\nab\r\n'),
+        'small events': (OWN_CHUNKED, b'9\r\ndata: w\n\n\r\n'),
+        'no events': (OWN_CHUNKED, b'2\r\n\n\n\r\n'),
+        'chunk extension': (b'%b1;' % OWN_CHUNKED, b'a'),
+        'no length': (b'%b\r\n' % OWN, b'data: w\n\n'),
+        'false length': (OWN_HUGE, b'a'),
+    }
+)
+
+
+def _each(cases: dict):
+    return pytest.mark.parametrize(
+        ('start', 'repeated'), cases.values(), ids=cases.keys()
+    )
+
+
+@pytest.fixture
+def play(tmp_path):
+    """Run a scenario with an entry, three histories and an endless runner."""
+
+    async def run(scenario, endless, sound) -> None:
+        async with platform_fleet(tmp_path) as fleet:
+            fleet.configure(TimeoutMs=8000)
+            address = await endless.serve(fleet.nursery)
+            fleet.list_runner('desk-endless', 'desk', address)
+            fleet.list_runner('model-endless', 'model', address)
+            if sound:
+                await fleet.add_runner('desk-sound', 'desk')
+            await fleet.start_histories()
+            entry = await fleet.start_entry()
+            await scenario(fleet, entry)
+
+    def start(scenario, endless: EndlessServer, *, sound=False) -> None:
+        trio.run(partial(run, scenario, endless, sound))
+
+    return start
+
+
+async def _ask(fleet, entry, path: str, body: bytes = b'x', **headers):
+    """Ask once; the answer has to come soon."""
+    waits = {'Deadline_Ms': CALLER_MILLISECONDS, **headers}
+    with trio.fail_after(SOON_SECONDS):
+        return await fleet.ask(entry, path, body, **waits)
+
+
+async def _statuses(fleet, entry, path: str, server: EndlessServer) -> set[int]:
+    """Return the statuses of six calls or more; some meet the server."""
+    found: list[int] = []
+    before = server.requests
+    while len(found) < 6 or server.requests == before:
+        body = b'x' if path.startswith('/book/') else b''
+        answered = await _ask(fleet, entry, path, body)
+        found.append(answered.status)
+        assert answered.body == b'did %b' % path.encode()
+    return set(found)
+
+
+def _ask_turn(fleet, entry, text: bytes, **headers):
+    standard = {'Program_Id': 'p1', 'Token_Usage': '10,8', 'Session_Id': 's'}
+    return _ask(fleet, entry, '/turns/a', text, **{**standard, **headers})
+
+
+async def _check_cut_off(
+    server: EndlessServer, most_read: int = ANSWER_BYTES
+) -> None:
+    await server.wait_closed(CLOSE_SECONDS)
+    assert server.most_sent <= most_read + KERNEL_BYTES
+
+
+@_each(HEADS | BODIES)
+def test_unsafe_call_may_have_run_after_bytes_without_end(
+    play, start, repeated
+):
+    """The caller learns soon that nothing is known; the server is cut off."""
+    server = EndlessServer(start, repeated)
+
+    async def scenario(fleet, entry) -> None:
+        answered = await _ask(fleet, entry, '/book/a')
+        assert answered.status == 502
+        assert server.requests == 1
+        await _check_cut_off(server)
+
+    play(scenario, server)
+
+
+@_each(HEADS | BODIES)
+def test_safe_call_goes_elsewhere_after_bytes_without_end(
+    play, start, repeated
+):
+    """A call that may be repeated is answered whole by another runner."""
+    server = EndlessServer(start, repeated)
+
+    async def scenario(fleet, entry) -> None:
+        assert await _statuses(fleet, entry, '/look/a', server) == {200}
+        await _check_cut_off(server)
+
+    play(scenario, server, sound=True)
+
+
+@_each(HEADS)
+def test_turn_may_have_run_after_a_head_without_end(play, start, repeated):
+    """A turn whose answer never begins is failed, and sent once."""
+    server = EndlessServer(start, repeated)
+
+    async def scenario(fleet, entry) -> None:
+        answered = await _ask_turn(fleet, entry, b'one.')
+        assert answered.status == 502
+        assert server.requests == 1
+        await _check_cut_off(server, UNCLAIMED_BYTES)
+
+    play(scenario, server)
+
+
+@_each(EVENTS)
+def test_stream_without_end_is_cut_within_its_tokens(play, start, repeated):
+    """No more events are handed on than the turn may have; it is no turn."""
+    server = EndlessServer(start, repeated)
+
+    async def scenario(fleet, entry) -> None:
+        answered = await _ask_turn(fleet, entry, b'one.', Token_Budget='19')
+        assert (answered.status, answered.whole) == (200, False)
+        assert answered.body.count(b'\n\n') <= 4
+        assert len(answered.body) < 1000
+        await _check_cut_off(server)
+        unknown = await _ask_turn(fleet, entry, b'two.', Previous_Turn='q1')
+        assert unknown.status == 404
+
+    play(scenario, server)
+
+
+def test_failed_turn_with_a_body_without_end_is_cut_off(play):
+    """A body that is no stream is bounded too."""
+    server = EndlessServer(FAILURE_CHUNKED, CHUNK)
+
+    async def scenario(fleet, entry) -> None:
+        assert (await _ask_turn(fleet, entry, b'one.')).status == 502
+        await _check_cut_off(server)
+
+    play(scenario, server)
+
+
+@pytest.mark.parametrize('pause_seconds', [0, 0.02])
+@_each(
+    {
+        'refusal': (REFUSAL_CHUNKED, CHUNK),
+        'refusal of false length': (REFUSAL_HUGE, b'a'),
+    }
+)
+def test_refusal_without_end_leaves_its_call_repeatable(
+    play, start, repeated, pause_seconds
+):
+    """What a runner refused goes elsewhere, or is told as not run."""
+    server = EndlessServer(start, repeated, pause_seconds)
+
+    async def scenario(fleet, entry) -> None:
+        refused = await _ask(fleet, entry, '/book/a')
+        assert refused.status == 503
+        assert float(refused.headers['retry-after']) > 0
+        refused = await _ask_turn(fleet, entry, b'one.', Token_Budget='19')
+        assert refused.status == 503
+        await _check_cut_off(server, UNCLAIMED_BYTES)
+        await fleet.add_runner('desk-sound', 'desk')
+        await trio.sleep(0.3)
+        assert await _statuses(fleet, entry, '/book/a', server) == {200}
+        await _check_cut_off(server, UNCLAIMED_BYTES)
+
+    play(scenario, server)
+
+
+@pytest.mark.parametrize('pause_seconds', [0, 0.02])
+def test_failure_without_end_holds_up_no_safe_call(play, pause_seconds):
+    """A failure that is not handed back is not read to its end."""
+    server = EndlessServer(FAILURE_CHUNKED, CHUNK, pause_seconds)
+
+    async def scenario(fleet, entry) -> None:
+        assert await _statuses(fleet, entry, '/look/a', server) == {200}
+        await _check_cut_off(server)
+
+    play(scenario, server, sound=True)
+
+
+@pytest.mark.parametrize('pause_seconds', [0, 0.3])
+@pytest.mark.parametrize(
+    'repeated',
+    [b'a', b'HTTP/1.1 100 Continue\r\n\r\n', b'%b\r\n' % OTHER, b'\r\n'],
+)
+def test_bytes_after_a_whole_answer_end_its_connection(
+    play, pause_seconds, repeated
+):
+    """The whole answer counts; what follows is not left to pile up."""
+    whole = b'%bContent-Length: 4\r\n\r\nwell' % OWN
+    server = EndlessServer(whole, repeated, pause_seconds)
+
+    async def scenario(fleet, entry) -> None:
+        answered = await _ask(fleet, entry, '/book/a')
+        assert (answered.status, answered.body) == (200, b'well')
+        await _check_cut_off(server)
+        again = await _ask(fleet, entry, '/book/a')
+        assert (again.status, again.body) == (200, b'well')
+        await _check_cut_off(server)
+
+    play(scenario, server)
+
+
+def test_many_bodies_without_end_share_bounded_memory(play):
+    """Forty such servers at once leave room for the usual answers."""
+    server = EndlessServer(OWN_CHUNKED, CHUNK)
+
+    async def scenario(fleet, entry) -> None:
+        statuses = []
+
+        async def ask() -> None:
+            answered = await fleet.ask(
+                entry, '/book/a', b'x', Deadline_Ms='7000'
+            )
+            statuses.append(answered.status)
+
+        tracemalloc.start()
+        async with trio.open_nursery() as nursery:
+            for _ in range(40):
+                nursery.start_soon(ask)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert set(statuses) <= {502, 503}
+        assert peak < 33554432
+        await _check_cut_off(server)
+
+    play(scenario, server)
+
+
+def test_each_answer_without_end_is_logged(play, caplog):
+    """One line names the request, the runner and what was too much."""
+    caplog.set_level(logging.INFO)
+    server = EndlessServer(*HEADS['interim'])
+
+    async def scenario(fleet, entry) -> None:
+        await _ask(fleet, entry, '/book/a')
+
+    play(scenario, server)
+    fields = [
+        record.fields
+        for record in caplog.records
+        if getattr(record, 'event', 0) == events.ANSWER_TOO_LONG.number
+    ]
+    assert [one['request'] for one in fields] == ['q1']
+    assert fields[0]['runner'] == 'desk-endless'
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -78,8 +78,12 @@
     async def add_runner(self, runner_id: str, target: str) -> RunnerStandIn:
         """Start a runner and list it."""
         runner = RunnerStandIn(runner_id)
-        address = await self.serve(runner.handle)
         self.runners[runner_id] = runner
+        self.list_runner(runner_id, target, await self.serve(runner.handle))
+        return runner
+
+    def list_runner(self, runner_id: str, target: str, address: str) -> None:
+        """List a runner in the store."""
         self.store.write_json(
             f'servers/{runner_id}',
             {
@@ -94,7 +98,6 @@
                 'born': 1,
             },
         )
-        return runner
 
     def configure(self, version: int = 7, **changes) -> None:
         """Write the configuration; changes go to every route."""
--- /dev/null
+++ b/tests/unit/test_answer_limits.py
@@ -0,0 +1,163 @@
+"""Check the bounds of answers without a network."""
+
+import math
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.gateway.attempts import Attempts, CallRecord
+from jasminewheel._internal.gateway.call import Call
+from jasminewheel._internal.gateway.choice import Need, RunnerChoice
+from jasminewheel._internal.gateway.event_splitter import EventSplitter
+from jasminewheel._internal.gateway.routes import CallKind, Route, TargetShare
+from jasminewheel._internal.gateway.runners import Runner, RunnerDirectory
+from jasminewheel._internal.web.answer_limits import (
+    EVENT_BYTES,
+    HELD_BYTES,
+    ROOM_BYTES,
+    USUAL_BYTES,
+    AnswerLimits,
+    AnswerRoom,
+    HeldBytes,
+)
+from jasminewheel.errors import (
+    AnswerTooLongError,
+    CallError,
+    ConnectionLostError,
+    UnavailableError,
+)
+from jasminewheel.models.verdict import Verdict
+
+
+def test_limits_are_checked():
+    """A bound that would let nothing through is refused."""
+    with pytest.raises(ValueError, match='head_bytes'):
+        AnswerLimits(head_bytes=0)
+
+
+def test_usual_answers_take_no_shared_room():
+    """Large answers cannot keep small ones out."""
+    room = AnswerRoom(0)
+    HeldBytes(room).resize(USUAL_BYTES)
+    with pytest.raises(ConnectionLostError):
+        HeldBytes(room).resize(USUAL_BYTES + 1)
+
+
+def test_room_is_given_back():
+    """What an answer held is free again after it."""
+    room = AnswerRoom()
+    held = HeldBytes(room)
+    held.resize(HELD_BYTES)
+    assert room.free_bytes < ROOM_BYTES
+    with pytest.raises(AnswerTooLongError):
+        held.resize(HELD_BYTES + 1)
+    held.close()
+    assert room.free_bytes == ROOM_BYTES
+
+
+def test_events_are_the_same_however_they_are_cut():
+    """The end of an event may come in two parts."""
+    sent = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid'
+    splitter = EventSplitter()
+    found = [one for byte in sent for one in splitter.feed(bytes((byte,)))]
+    assert [one.payload for one in found] == [b'a', b'b']
+    assert splitter.rest == b'id'
+    splitter.check()
+
+
+def test_no_more_events_than_the_most():
+    """Events beyond the most are kept back and reported."""
+    splitter = EventSplitter(most_events=2)
+    assert len(splitter.feed(b'data: a\n\n' * 2)) == 2
+    splitter.check()
+    assert not splitter.feed(b'data: a\n\n')
+    with pytest.raises(AnswerTooLongError):
+        splitter.check()
+
+
+def test_event_has_a_most_size():
+    """An event that does not end is reported."""
+    splitter = EventSplitter()
+    splitter.feed(b'a' * EVENT_BYTES)
+    splitter.check()
+    splitter.feed(b'a')
+    with pytest.raises(AnswerTooLongError):
+        splitter.check()
+
+
+@define(eq=False)
+class Answering:
+    """Answer with a status, then fail as the body is read."""
+
+    status: int
+    refused: bool
+    headers: list = field(factory=list)
+    load: None = None
+
+    async def whole_body(self) -> bytes:
+        """Fail."""
+        raise AnswerTooLongError('more than an answer')
+
+    drop_rest = whole_body
+
+
+@define(eq=False)
+class EndlessPort:
+    """Give each sending the same answer."""
+
+    answer: Answering
+
+    @asynccontextmanager
+    async def attempt(self, _attempt):
+        """Give the answer."""
+        yield self.answer
+
+
+def _run(status: int, kind: CallKind, *, refused: bool):
+    """Send a call; return its record, error and if its runner is allowed."""
+    directory = RunnerDirectory()
+    directory.put(Runner('r1', 'desk', '127.0.0.1:1', 'a', False, 6))
+    route = Route('r', 'h', '/', kind, (TargetShare('desk', 1),), 4, 1, 2)
+    call = Call('q1', 'h', '/', b'GET', b'/', [], b'', 0, math.inf)
+    record = CallRecord(call, route, 'desk', 1e9)
+    attempts = Attempts(
+        RunnerChoice(directory, lambda _runner: 0),
+        EndlessPort(Answering(status, refused)),
+    )
+    need = Need('desk', kind, avoided=record.avoided)
+
+    errors: list[CallError] = []
+
+    async def run() -> bool:
+        try:
+            await attempts.run(
+                record, b'', need, lambda answer: answer.whole_body()
+            )
+        except CallError as error:
+            errors.append(error)
+        view = directory.views['r1']
+        return view.breaker.allows(trio.current_time())
+
+    allowed = trio.run(run)
+    return record, errors[0], allowed
+
+
+@pytest.mark.parametrize('kind', [CallKind.safe, CallKind.unsafe])
+def test_breaker_opens_at_once_for_a_body_without_end(kind):
+    """The next call does not meet the same server."""
+    record, error, allowed = _run(200, kind, refused=False)
+    assert error.verdict is Verdict.may_have_run
+    assert record.attempts == 1
+    assert not allowed
+
+
+@pytest.mark.parametrize('kind', [CallKind.safe, CallKind.unsafe])
+def test_refusal_without_end_counts_once_and_did_not_run(kind):
+    """A refusal stays one; its server gets no call for a while."""
+    record, error, allowed = _run(503, kind, refused=True)
+    assert isinstance(error, UnavailableError)
+    assert error.verdict is Verdict.not_run
+    assert (record.attempts, record.refusals) == (0, 1)
+    assert not allowed
--- a/tests/unit/test_response_parser.py
+++ b/tests/unit/test_response_parser.py
@@ -1,8 +1,10 @@
 """Check what the client makes of any bytes that a runner may send."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jasminewheel._internal.web.answer_limits import HEAD_BYTES
 from jasminewheel._internal.web.response_parser import ResponseParser
 
 LENGTH = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
@@ -61,3 +63,33 @@
     """What follows belongs to no request, and the connection ends."""
     parser = _fed(LENGTH % (4, b'body%b' % extra), [])
     assert b''.join(parser.responses[0].parts) == b'body'
+
+
+@given(cuts=CUTS, value=st.binary(min_size=1, max_size=9).map(bytes.hex))
+def test_trailer_fields_say_nothing_of_the_head(cuts, value):
+    """What comes after a body is not taken as a field of its head."""
+    trailer = b'Not-Executed: %b\r\n' % value.encode()
+    sent = CHUNKED % b'1\r\na\r\n0\r\n%b\r\n' % trailer
+    response = _fed(sent, cuts).responses[0]
+    assert response.complete
+    assert [name for name, _ in response.headers] == [b'Transfer-Encoding']
+
+
+@pytest.mark.parametrize('before', [b'', LENGTH % (0, b'')])
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 ', b'a'),
+        (b'HTTP/1.1 200 OK\r\n', b'a'),
+        (b'HTTP/1.1 200 OK\r\na: ', b'a'),
+        (b'HTTP/1.1 200 OK\r\n', b'a: a\r\n'),
+        (b'\r\n', b'\r\n'),
+    ],
+)
+def test_head_without_end_breaks_the_parser(before, start, repeated):
+    """A head is bounded, the first one of a connection and those after it."""
+    parser = ResponseParser()
+    parser.feed(before + start)
+    for _ in range(2 * HEAD_BYTES // 1024):
+        parser.feed(repeated * (1024 // len(repeated)))
+    assert parser.broken
