Bound the replies of the platform's store

Cause: the pages were read without asking whether they go on, and outside `_readable`.

All of these count as a store that is away, which the mirror logs and tries again.

Ruled out: demanding that keys ascend. The page does not say in which order.

Tests: the five page tests of tests/functional/test_endless_answers.py failed before with the connection's bounds in place (KeyError, RecursionError, no end, another problem). Those of endless replies guard the client's own bounds; they failed before the connection's.

--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -15,6 +15,11 @@
     StoreItem,
     StoreSnapshot,
 )
+from jasminewheel._internal.web.answer_limits import (
+    AnswerLimits,
+    AnswerRoom,
+    HeldBytes,
+)
 from jasminewheel._internal.web.client import (
     HttpConnection,
     OutgoingRequest,
@@ -32,6 +37,13 @@
 # A watch that answers this much after its wait has gone silent.
 WATCH_SLACK_SECONDS = 1.2
 MILLISECONDS = 1000
+# A page of values has about 1 MB, changes of a long time may have more.
+REPLY_BYTES = 16777216
+# All values together; a configuration and its runners take some 100 KB.
+SNAPSHOT_BYTES = 33554432
+# What holding a value takes beside its bytes.
+ITEM_BYTES = 256
+_LIMITS = AnswerLimits(answer_bytes=REPLY_BYTES)
 _OK = 200
 _NOT_FOUND = 404
 _HISTORY_GONE = 410
@@ -58,19 +70,12 @@
 
     async def snapshot(self) -> StoreSnapshot:
         """Return all values."""
-        found: list[StoreItem] = []
-        revision = 0
-        after = ''
-        more = True
-        while more:
-            path = f'/kv-range?Prefix=&after={quote(after, safe="")}'
-            reply = await self.call('GET', path)
-            found.extend(_items(reply, 'items'))
-            # Changes after the first page are asked for as changes.
-            revision = revision or int(reply.fields['AsOf'])
-            more = bool(reply.fields['HasMore']) and bool(found)
-            after = found[-1].key if found else ''
-        return StoreSnapshot(tuple(found), revision)
+        pages = _Pages()
+        while pages.more:
+            after = quote(pages.after, safe='')
+            reply = await self.call('GET', f'/kv-range?Prefix=&after={after}')
+            pages.add(_readable(reply, _page))
+        return StoreSnapshot(tuple(pages.found), pages.revision)
 
     async def changes(
         self, after_revision: int, wait_seconds: float
@@ -165,6 +170,7 @@
                     connection = await open_connection(
                         self.address, CONNECT_SECONDS
                     )
+                    connection.limits = _LIMITS
                 return await _exchange(connection, self.address, request)
         except (ConnectionLostError, trio.TooSlowError, ValueError) as error:
             _close(connection)
@@ -188,13 +194,22 @@
     request.headers.append((b'Host', host.encode()))
     await connection.send(request)
     response = await connection.response(bool)
-    body = await connection.whole_body(response)
+    held = HeldBytes(AnswerRoom(REPLY_BYTES), REPLY_BYTES)
+    body = await connection.whole_body(response, held)
     kept: HttpConnection | None = connection
     if not connection.finish(response, trio.current_time()):
         connection.close()
         kept = None
-    fields = json.loads(body) if body.startswith(b'{') else {}
-    return kept, StoreReply(response.status, fields)
+    return kept, StoreReply(response.status, _decoded(body))
+
+
+def _decoded(body: bytes) -> Mapping[str, Any]:
+    if not body.startswith(b'{'):
+        return {}
+    try:
+        return json.loads(body)
+    except RecursionError as error:
+        raise ValueError('values nested without end') from error
 
 
 def _request(
@@ -237,8 +252,46 @@
     )
 
 
-def _items(reply: StoreReply, name: str) -> list[StoreItem]:
-    return _readable(reply, lambda fields: [_item(one) for one in fields[name]])
+@frozen
+class _Page:
+    found: list[StoreItem]
+    revision: int
+    more: bool
+
+
+@define
+class _Pages:
+    found: list[StoreItem] = field(factory=list)
+    # That of the first page; later changes are asked for as changes.
+    revision: int = 0
+    after: str = ''
+    more: bool = True
+    held_bytes: int = 0
+
+    def add(self, page: _Page) -> None:
+        """Take a page; raise StoreUnavailableError for pages without end."""
+        last = page.found[-1].key if page.found else ''
+        self.held_bytes += sum(
+            ITEM_BYTES + len(one.value) for one in page.found
+        )
+        stuck = page.more and last == self.after
+        if stuck or self.held_bytes > SNAPSHOT_BYTES:
+            raise StoreUnavailableError(
+                'the pages of the store do not end',
+                remedy='see whether the store is in trouble',
+            )
+        self.found.extend(page.found)
+        self.revision = self.revision or page.revision
+        self.more = page.more
+        self.after = last
+
+
+def _page(fields: Mapping[str, Any]) -> _Page:
+    return _Page(
+        [_item(one) for one in fields['items']],
+        int(fields['AsOf']),
+        bool(fields['HasMore']),
+    )
 
 
 def _changes(fields: Mapping[str, Any]) -> StoreChanges:
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Check what servers can do that send bytes without end."""
 
+import json
 import logging
 import tracemalloc
 from functools import partial
@@ -9,7 +10,11 @@
 import trio
 
 from jasminewheel._internal.events import gateway as events
+from jasminewheel._internal.web.server import WebServer
+from jasminewheel.errors import StoreUnavailableError
+from jasminewheel.platform.store_client import PlatformStore
 from tests.endless_server import EndlessServer
+from tests.free_port import HOST
 from tests.platform_fleet import platform_fleet
 
 # What the kernel of a test machine may hold on the way.
@@ -18,6 +23,7 @@
 ANSWER_BYTES = 8388608
 # No more than this is read before an answer.
 UNCLAIMED_BYTES = 1048576
+STORE_REPLY_BYTES = 16777216
 # The callers of these tests would wait for longer.
 SOON_SECONDS = 2.5
 CALLER_MILLISECONDS = '6000'
@@ -72,6 +78,16 @@
         'false length': (OWN_HUGE, b'a'),
     }
 )
+OF_STORE = MappingProxyType(
+    {
+        name: case
+        for name, case in (HEADS | BODIES).items()
+        # The store's replies name no request: these are replies to it.
+        if name not in {'foreign answers', 'foreign bodiless'}
+    }
+)
+# 3 MiB.
+VALUE = 'AAAA' * 1048576
 
 
 def _each(cases: dict):
@@ -310,3 +326,74 @@
     ]
     assert [one['request'] for one in fields] == ['q1']
     assert fields[0]['runner'] == 'desk-endless'
+
+
+@_each(OF_STORE)
+def test_store_that_sends_without_end_is_away(start, repeated):
+    """A call of the store ends soon, and its connection with it."""
+    server = EndlessServer(start, repeated)
+
+    async def scenario() -> None:
+        async with trio.open_nursery() as nursery:
+            store = PlatformStore(await server.serve(nursery))
+            await _check_store_away(store)
+            await _check_cut_off(server, STORE_REPLY_BYTES)
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+
+
+async def _check_store_away(store: PlatformStore) -> None:
+    with trio.fail_after(SOON_SECONDS), pytest.raises(StoreUnavailableError):
+        await store.snapshot()
+    with trio.fail_after(SOON_SECONDS), pytest.raises(StoreUnavailableError):
+        await store.changes(1, 0.1)
+
+
+@pytest.mark.parametrize(
+    'page',
+    [
+        b'{"items":[],"HasMore":true,"AsOf":1}',
+        b'{"items":[{"Key":"a","Value":"","Revision":1}],'
+        b'"HasMore":true,"AsOf":1}',
+        b'{"items":[]}',
+        b'{"items":%b1%b}' % (b'[' * 100000, b']' * 100000),
+    ],
+    ids=['empty pages', 'the same page', 'no revision', 'nested'],
+)
+def test_store_whose_pages_do_not_end_is_away(page):
+    """Pages that lead nowhere are no snapshot, and end no process."""
+
+    async def answer_page(_request, answer) -> None:
+        await answer.send_whole(200, [], page)
+
+    async def scenario() -> None:
+        async with trio.open_nursery() as nursery:
+            web = WebServer(answer_page, print)
+            port = await nursery.start(web.serve, HOST, 0)
+            await _check_store_away(PlatformStore(f'{HOST}:{port}'))
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+
+
+def test_store_with_new_pages_without_end_is_away():
+    """A snapshot is bounded however the keys go on."""
+    sent = []
+
+    async def answer_page(_request, answer) -> None:
+        sent.append(1)
+        item = {'Key': f'k{len(sent)}', 'Value': VALUE, 'Revision': 1}
+        page = {'items': [item], 'HasMore': True, 'AsOf': 1}
+        await answer.send_whole(200, [], json.dumps(page).encode())
+
+    async def scenario() -> None:
+        async with trio.open_nursery() as nursery:
+            web = WebServer(answer_page, print)
+            port = await nursery.start(web.serve, HOST, 0)
+            store = PlatformStore(f'{HOST}:{port}')
+            with pytest.raises(StoreUnavailableError, match='do not end'):
+                await store.snapshot()
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
