--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -52,7 +52,13 @@
     'see why the disks did not answer',
 )
 TURN_WAITS = Event(
-    1898,
+    1889,
     logging.INFO,
     'a finished turn waits for the disks; they are asked again',
 )
+ANSWER_TOO_LONG = Event(
+    1888,
+    logging.WARNING,
+    'a runner sent more than an answer has; its connection is closed',
+    'see whether the runner is in trouble, and replace it',
+)
