--- a/tests/functional/test_specification.py
+++ b/tests/functional/test_specification.py
@@ -71,7 +71,9 @@
 @pytest.fixture(autouse=True)
 def _programs():
     for name in ('spin', 'gcc'):
-        assert shutil.which(name), f'{name} is missing; .ci/run installs it'
+        assert shutil.which(name), (
+            f'{name} is missing; scripts/system-packages installs it'
+        )
 
 
 @pytest.mark.parametrize('sizes', [TAKE_OVER, FOUR_OWNERS, CHANGE])
