Let each event say that it changes a belief, and explain by that

What an engineer on call saw: explain-log showed a refusal of an entry that was cut off from its disks without the lines that say so: JW1812 and JW1813, the ways through other entries. Nor did it show slow writes, copies, the cleaning of files (1815 to 1819) or turns that could not be kept (1887).

Cause: log_explanation.py kept a list of numbers beside the events' declarations; events declared later were not added to it.

Change: Event has a field `belief`, and explain-log takes the events that have it from the catalogue; no second list is left. The 12 events of the list keep it, and those named above get it. Of the others that change what an entry believes, 1876 (runner listed, beside 1877 and 1878), 1854 (own lease not renewed) and 1855 (keys taken from another process) get it too.

Tests: each of the new ones must stand in an explanation, and of all declared events just those with the field do.

--- a/src/jasminewheel/_internal/events/catalogue.py
+++ b/src/jasminewheel/_internal/events/catalogue.py
@@ -31,6 +31,16 @@
     return sorted(found, key=lambda area: area.events[0].number)
 
 
+def belief_numbers() -> frozenset[int]:
+    """Return the numbers of events that change what a process believes."""
+    return frozenset(
+        event.number
+        for area in _areas()
+        for event in area.events
+        if event.belief
+    )
+
+
 def event_page() -> str:
     """Return the page of all events in Markdown."""
     return '\n'.join((_HEAD, *map(_section, event_areas())))
--- a/src/jasminewheel/_internal/events/conversation.py
+++ b/src/jasminewheel/_internal/events/conversation.py
@@ -11,7 +11,7 @@
     'disk failed, its log goes on in a new file',
     'replace this disk VM if this goes on',
 )
-SET_ADOPTED = Event(1802, logging.INFO, 'replica set in force')
+SET_ADOPTED = Event(1802, logging.INFO, 'replica set in force', belief=True)
 SET_PROPOSED = Event(1803, logging.INFO, 'change of the replica set proposed')
 SET_LOST_RACE = Event(
     1804, logging.INFO, 'another process changed the replica set first'
@@ -28,13 +28,15 @@
     logging.WARNING,
     'a replica does not answer and is asked last',
     'see whether its VM runs',
+    belief=True,
 )
-REPLICA_BACK = Event(1808, logging.INFO, 'a replica answers again')
+REPLICA_BACK = Event(1808, logging.INFO, 'a replica answers again', belief=True)
 QUORUM_MISSED = Event(
     1809,
     logging.WARNING,
     'too few replicas answered; the request is refused or cut',
     'see whether the disk VMs run',
+    belief=True,
 )
 RETIRE_STATUS = Event(1810, logging.INFO, 'progress of emptying a disk VM')
 STALE_SET_REFUSED = Event(
@@ -45,9 +47,13 @@
     logging.WARNING,
     'a replica is reached through another entry',
     'see what cuts this VM off from the replica',
+    belief=True,
 )
 RELAY_FAILED = Event(
-    1813, logging.INFO, 'another entry does not reach the replica either'
+    1813,
+    logging.INFO,
+    'another entry does not reach the replica either',
+    belief=True,
 )
 ENTRY_SKIPPED = Event(
     1814,
@@ -56,19 +62,28 @@
     'see which process wrote the key',
 )
 FILE_CLEANED = Event(
-    1815, logging.INFO, 'an old file of the log was emptied and removed'
+    1815,
+    logging.INFO,
+    'an old file of the log was emptied and removed',
+    belief=True,
 )
 WRITE_SLOW = Event(
     1816,
     logging.WARNING,
     'records took long to become durable',
     'see whether the disk of this VM is slow',
+    belief=True,
+)
+COPY_BEGUN = Event(
+    1817, logging.INFO, 'this disk copies for a change', belief=True
+)
+COPIED_FROM = Event(
+    1818, logging.INFO, 'records copied from one replica', belief=True
 )
-COPY_BEGUN = Event(1817, logging.INFO, 'this disk copies for a change')
-COPIED_FROM = Event(1818, logging.INFO, 'records copied from one replica')
 CLEANING_FAILED = Event(
     1819,
     logging.WARNING,
     'an old file of the log could not be removed; it is tried again',
     'see whether the disk of this VM is full or failed',
+    belief=True,
 )
--- a/src/jasminewheel/_internal/events/frame.py
+++ b/src/jasminewheel/_internal/events/frame.py
@@ -4,8 +4,10 @@
 
 from jasminewheel._internal.events.event import Event
 
-STARTED = Event(1000, logging.INFO, 'process serves')
-STOPPING = Event(1001, logging.INFO, 'stop requested; finishing requests')
+STARTED = Event(1000, logging.INFO, 'process serves', belief=True)
+STOPPING = Event(
+    1001, logging.INFO, 'stop requested; finishing requests', belief=True
+)
 STOPPED = Event(1002, logging.INFO, 'process stopped')
 SETTINGS_REFUSED = Event(
     1003,
--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -18,23 +18,31 @@
 FAULTY_REQUEST = Event(
     1875, logging.INFO, 'bytes that are no acceptable request were refused'
 )
-RUNNER_LISTED = Event(1876, logging.INFO, 'runner listed')
-RUNNER_DRAINING = Event(1877, logging.INFO, 'runner gets no new calls')
-RUNNER_GONE = Event(1878, logging.INFO, 'runner not listed any more')
+RUNNER_LISTED = Event(1876, logging.INFO, 'runner listed', belief=True)
+RUNNER_DRAINING = Event(
+    1877, logging.INFO, 'runner gets no new calls', belief=True
+)
+RUNNER_GONE = Event(
+    1878, logging.INFO, 'runner not listed any more', belief=True
+)
 RUNNER_SKIPPED = Event(
     1879,
     logging.WARNING,
     'entry of a runner cannot be used and is skipped',
     'see which writer the entry has',
 )
-ROUTES_ADOPTED = Event(1880, logging.INFO, 'configuration in force')
+ROUTES_ADOPTED = Event(
+    1880, logging.INFO, 'configuration in force', belief=True
+)
 ROUTES_SKIPPED = Event(
     1881,
     logging.WARNING,
     'configuration cannot be read; the last one stays in force',
     'write it again',
 )
-READY = Event(1882, logging.INFO, 'readiness of this entry changed')
+READY = Event(
+    1882, logging.INFO, 'readiness of this entry changed', belief=True
+)
 DRAINING = Event(1883, logging.INFO, 'stop requested; requests are finished')
 ROUTE_SKIPPED = Event(
     1885,
@@ -50,4 +58,5 @@
     logging.WARNING,
     'a turn that the caller got could not be kept; its stream is cut',
     'see why the disks did not answer',
+    belief=True,
 )
--- a/src/jasminewheel/_internal/events/store.py
+++ b/src/jasminewheel/_internal/events/store.py
@@ -9,8 +9,9 @@
     logging.WARNING,
     'the store does not answer; what is known stays in force',
     'see whether the store runs and this VM reaches it',
+    belief=True,
 )
-BACK = Event(1851, logging.INFO, 'the store answers again')
+BACK = Event(1851, logging.INFO, 'the store answers again', belief=True)
 HISTORY_LOST = Event(
     1852, logging.INFO, 'the store forgot changes; all keys are read anew'
 )
@@ -20,11 +21,13 @@
     logging.WARNING,
     'lease of this process not renewed',
     'see whether the store runs and this VM reaches it',
+    belief=True,
 )
 KNOWN_TAKEN = Event(
     1855,
     logging.INFO,
     'the store cannot be read; another process told its keys',
+    belief=True,
 )
 KNOWN_UNREADABLE = Event(
     1856,
--- a/src/jasminewheel/commands/ctl/log_explanation.py
+++ b/src/jasminewheel/commands/ctl/log_explanation.py
@@ -7,14 +7,11 @@
 
 from attrs import frozen
 
+from jasminewheel._internal.events.catalogue import belief_numbers
 from jasminewheel.commands.ctl.errors import CommandError
 from jasminewheel.commands.ctl.exit_codes import ExitCode
 from jasminewheel.commands.ctl.tables import fields_text, time_text
 
-# Events that change what a process believes: they explain what follows.
-BELIEF_EVENTS = frozenset(
-    (1000, 1001, 1802, 1807, 1808, 1809, 1850, 1851, 1877, 1878, 1880, 1882)
-)
 # How long before a request's last line beliefs are shown.
 BEFORE_SECONDS = 10.0
 _SHOWN_APART = frozenset(('time', 'level', 'process', 'logger', 'event'))
@@ -65,6 +62,7 @@
             ExitCode.missing,
             remedy='give the logs of all processes of that time',
         )
+    beliefs = belief_numbers()
     processes = {line.process for line in named}
     first = named[0].at - BEFORE_SECONDS
     last = named[-1].at
@@ -73,7 +71,7 @@
         for line in lines
         if line in named
         or (
-            line.event in BELIEF_EVENTS
+            line.event in beliefs
             and line.process in processes
             and first <= line.at <= last
         )
--- a/tests/unit/test_local_commands.py
+++ b/tests/unit/test_local_commands.py
@@ -10,6 +10,8 @@
     StoredTurn,
 )
 from jasminewheel._internal.conversation.segments import LogBlock
+from jasminewheel._internal.events import conversation, gateway, store
+from jasminewheel._internal.events.catalogue import event_areas
 from jasminewheel.cli.ctl import app
 from jasminewheel.commands.ctl.exit_codes import ExitCode
 from tests.turn_replicas import reservation, turn
@@ -37,9 +39,16 @@
     return f'{at} {process} {json.dumps(line)}\n'
 
 
+def _explained(folder, capsys, lines) -> list[str]:
+    """Explain request r1 by the lines; return the numbers shown."""
+    (folder / 'all.log').write_text(''.join(lines))
+    assert _run('explain-log', 'r1', str(folder)) == ExitCode.done
+    shown = capsys.readouterr().out.splitlines()
+    return [line.split()[2] for line in shown]
+
+
 def test_request_is_explained_with_its_beliefs(tmp_path, capsys):
     """Its lines are shown in order, with recent changes of belief."""
-    log = tmp_path / 'all.log'
     lines = (
         _line(1.0, 'front-1', 1880, version=3),
         _line(50.0, 'front-1', 1850, problem='silent'),
@@ -47,12 +56,50 @@
         _line(52.0, 'front-1', 1872, request='r1', outcome='lost'),
         _line(52.1, 'front-1', 1871, request='r1', code='target-failed'),
         _line(52.2, 'front-1', 1870, request='r2'),
+        'no json\n',
+        '{broken\n',
     )
-    log.write_text(''.join((*lines, 'no json\n', '{broken\n')))
-    assert _run('explain-log', 'r1', str(tmp_path)) == ExitCode.done
-    shown = capsys.readouterr().out.splitlines()
-    numbers = [line.split()[2] for line in shown]
-    assert numbers == ['JW1850', 'JW1872', 'JW1871']
+    assert _explained(tmp_path, capsys, lines) == [
+        'JW1850',
+        'JW1872',
+        'JW1871',
+    ]
+
+
+@pytest.mark.parametrize(
+    'event',
+    [
+        conversation.RELAY_USED,
+        conversation.RELAY_FAILED,
+        conversation.FILE_CLEANED,
+        conversation.WRITE_SLOW,
+        conversation.COPY_BEGUN,
+        conversation.COPIED_FROM,
+        conversation.CLEANING_FAILED,
+        store.LEASE_LOST,
+        store.KNOWN_TAKEN,
+        gateway.RUNNER_LISTED,
+        gateway.TURN_NOT_KEPT,
+    ],
+    ids=lambda event: str(event.number),
+)
+def test_no_belief_is_left_out_of_an_explanation(tmp_path, capsys, event):
+    """What cut an entry off from its disks, or held them up, is shown."""
+    lines = (
+        _line(50.0, 'front-1', event.number, replica='disk-1'),
+        _line(52.0, 'front-1', 1871, request='r1'),
+    )
+    shown = _explained(tmp_path, capsys, lines)
+    assert shown == [f'JW{event.number}', 'JW1871']
+
+
+def test_events_declared_as_beliefs_are_explained_no_others(tmp_path, capsys):
+    """An event's declaration decides, whatever its number."""
+    events = [one for area in event_areas() for one in area.events]
+    lines = [_line(50.0, 'front-1', one.number) for one in events]
+    lines.append(_line(52.0, 'front-1', 1, request='r1'))
+    beliefs = [f'JW{one.number}' for one in events if one.belief]
+    assert _explained(tmp_path, capsys, lines) == [*beliefs, 'JW1']
 
 
 def test_unknown_request_is_said_to_be_missing(tmp_path, capsys):
