Count a damaged list of the store's values as a lost store

What was seen: found by reading. An entry or a disk that reads all of the store's values ended with KeyError or ValueError where the answer was JSON without its revision or its word on more pages, with nothing but a traceback. A page that says more follows, but is empty or ends where the last one did, was asked for again without end or a pause.

Ruled out: the other answers (changes, put, leases) are read by that function already.

Change: a page is decoded once, to a type of its own, and refused as StoreUnavailableError if it cannot be read or does not go on.

--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -3,6 +3,7 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 from urllib.parse import quote
 
@@ -47,6 +48,20 @@
     fields: Mapping[str, Any]
 
 
+@frozen
+class StorePage:
+    """Hold values in the order of their keys, and whether more follow."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    more: bool
+
+    @property
+    def last_key(self) -> str:
+        """Return the key after which the next page begins."""
+        return self.items[-1].key if self.items else ''
+
+
 @define(eq=False)
 class PlatformStore:
     """Make calls one after the other, and watch on a connection of its own."""
@@ -65,11 +80,12 @@
         while more:
             path = f'/kv-range?Prefix=&after={quote(after, safe="")}'
             reply = await self.call('GET', path)
-            found.extend(_items(reply, 'items'))
+            page = _readable(reply, partial(_page, after))
+            found.extend(page.items)
             # Changes after the first page are asked for as changes.
-            revision = revision or int(reply.fields['AsOf'])
-            more = bool(reply.fields['HasMore']) and bool(found)
-            after = found[-1].key if found else ''
+            revision = revision or page.revision
+            more = page.more
+            after = page.last_key
         return StoreSnapshot(tuple(found), revision)
 
     async def changes(
@@ -237,8 +253,15 @@
     )
 
 
-def _items(reply: StoreReply, name: str) -> list[StoreItem]:
-    return _readable(reply, lambda fields: [_item(one) for one in fields[name]])
+def _page(after: str, fields: Mapping[str, Any]) -> StorePage:
+    page = StorePage(
+        tuple(map(_item, fields['items'])),
+        int(fields['AsOf']),
+        bool(fields['HasMore']),
+    )
+    if page.more and page.last_key <= after:
+        raise ValueError('a page that says more follows, but does not go on')
+    return page
 
 
 def _changes(fields: Mapping[str, Any]) -> StoreChanges:
