Start a test fleet's processes at once instead of one after the other

What was seen: the set-up of a fleet of eleven processes is among the slowest parts of the tests, since each process was awaited before the next one was begun.

Change: a fleet begins its stand-ins together, then the first history, then the other histories, then the entries, and awaits each group's ports. Members that a test kills together, and those it starts again when it is healed, start together too. Each process still runs by itself and is told of a living member; entries started together are no longer told of each other but find each other through the histories. No assertion, bound or fault changed.

--- a/tests/functional/fault_steps.py
+++ b/tests/functional/fault_steps.py
@@ -7,7 +7,7 @@
 import httpx
 from attrs import define, field
 from callers import CallerClient, Stream, ask, service
-from process_fleet import poll
+from server_group import poll
 
 from jasminewheel._internal.membership.rendezvous import hash_score
 from jasminewheel._internal.replication.placement import (
--- a/tests/functional/faults.py
+++ b/tests/functional/faults.py
@@ -2,12 +2,14 @@
 
 import signal
 
-from process_fleet import poll
 from processes import STOP_SECONDS
+from server_group import poll
 
 TAKE_OVER_SECONDS = 45
 LINK_DELAY_SECONDS = 0.05
 STORE_DELAY_SECONDS = 1.0
+# The binaries that are started again when they ended.
+MEMBERS = frozenset(('entry', 'history'))
 
 
 def kill_owner(cell):
@@ -31,8 +33,7 @@
     names = [name for name in cell.fleet.servers if name.startswith('entry-')]
     for name in names:
         cell.fleet[name].kill()
-    for name in names:
-        cell.fleet.start_entry(int(name.partition('-')[2]))
+    cell.fleet.start_members(names)
 
 
 def kill_history(cell):
@@ -118,13 +119,16 @@
     """Start what is dead and wait until all serve again."""
     fleet['store'].fault(mode='ok')
     fleet.relays.heal()
-    for name in list(fleet.servers):
-        fleet[name].thaw()
-        kind, _, number = name.partition('-')
-        if fleet[name].popen.poll() is None:
-            continue
-        if kind == 'entry':
-            fleet.start_entry(int(number))
-        elif kind == 'history':
-            fleet.start_history(int(number))
+    for server in fleet.servers.values():
+        server.thaw()
+    fleet.start_members(dead_members(fleet))
     fleet.wait_ready()
+
+
+def dead_members(fleet):
+    """Return the names of the histories and entries that ended."""
+    return [
+        name
+        for name, server in fleet.servers.items()
+        if server.module in MEMBERS and server.popen.poll() is not None
+    ]
--- a/tests/functional/test_configuration_processes.py
+++ b/tests/functional/test_configuration_processes.py
@@ -6,7 +6,8 @@
 import httpx
 import pytest
 from attrs import define
-from process_fleet import poll, running_fleet
+from process_fleet import running_fleet
+from server_group import poll
 
 from jasminewheel._internal.configuration.root import ROOT_KEY
 from jasminewheel.commands.ctl.client import OperatorClient
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -4,7 +4,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from callers import CallerClient, Stream, ask, service
-from process_fleet import poll
+from server_group import poll
 
 from jasminewheel._internal.fakes.answers import make_answer
 
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -1,77 +1,22 @@
 """Run a whole fleet of real processes for a test."""
 
-import json
 import secrets
-import signal
-import time
 from contextlib import ExitStack, contextmanager
-from pathlib import Path
 
-import httpx
 from attrs import define, field
 from fleet_configuration import commit, resources
-from processes import STOP_SECONDS, Process, start, wait_for_port
-from relay import Relays
+from server_group import ServerGroup
 
 from jasminewheel.commands.ctl.histories import audit_folders
 
 KEYS = ('cafe', 'yard')
-READY_SECONDS = 40
 ZONES = (('north', 'n-1'), ('north', 'n-2'), ('south', 's-1'))
 
 
-def poll(condition, seconds=READY_SECONDS, message='not in time'):
-    """Return the first true value of the condition."""
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        found = condition()
-        if found:
-            return found
-        time.sleep(0.02)
-    raise AssertionError(message)
-
-
 @define
-class Server(Process):
-    """Hold one process of the fleet with the settings it was started by."""
-
-    module: str = ''
-    arguments: tuple = ()
-    peer_port: int = 0
-
-    def freeze(self):
-        """Stop the process without its notice."""
-        self.popen.send_signal(signal.SIGSTOP)
-
-    def thaw(self):
-        """Let a frozen process go on."""
-        self.popen.send_signal(signal.SIGCONT)
-
-    def get(self, path):
-        """Return the JSON of a control request."""
-        return httpx.get(f'{self.url}{path}', timeout=10).json()
-
-    def fault(self, **fields):
-        """Install a fault in a stand-in."""
-        answer = httpx.post(
-            f'{self.url}/control/faults', json=fields, timeout=10
-        )
-        answer.raise_for_status()
+class ProcessFleet(ServerGroup):
+    """Start the processes of a fleet."""
 
-    def is_ready(self):
-        """Return whether an entry takes requests."""
-        try:
-            answer = httpx.get(f'{self.url}/readyz', timeout=2)
-        except httpx.HTTPError:
-            return False
-        return answer.status_code == httpx.codes.OK
-
-
-@define
-class ProcessFleet:
-    """Start, stop and find the processes of a fleet by name."""
-
-    folder: Path
     entries: int = 2
     histories: int = 3
     engines: int = 2
@@ -82,49 +27,54 @@
     caller_fields: dict = field(factory=dict)
     policy_fields: dict = field(factory=dict)
     entry_fields: dict = field(factory=dict)
-    servers: dict = field(factory=dict)
-    relays: Relays = field(factory=Relays)
-
-    def __getitem__(self, name):
-        """Return a process."""
-        return self.servers[name]
 
     def start_all(self):
         """Start everything and wait until the entries are ready."""
         key_file = self.folder / 'key'
         key_file.write_text(secrets.token_hex(32))
         key_file.chmod(0o600)
-        self.stand_in('store', 'fake_store', {})
+        self.start_stand_ins()
+        commit(self['store'].url, resources(self))
+        # The first member is the one that all others are told of.
+        self.start_history(0)
+        self.start_members(
+            f'history-{number}' for number in range(1, self.histories)
+        )
+        self.start_members(f'entry-{number}' for number in range(self.entries))
+        self.wait_ready()
+
+    def start_stand_ins(self):
+        """Start the store, the engines and the tools at once."""
+        self.begin_stand_in('store', 'fake_store', {})
         for number in range(self.engines):
-            self.stand_in(
+            self.begin_stand_in(
                 f'engine-{number}', 'fake_engine', self.engine_settings
             )
         for number in range(self.tools):
-            self.stand_in(f'tool-{number}', 'fake_tool', self.tool_settings)
-        commit(self['store'].url, resources(self))
-        for number in range(self.histories):
-            self.start_history(number)
-        for number in range(self.entries):
-            self.start_entry(number)
-        self.wait_ready()
-
-    def wait_ready(self):
-        """Wait until all running entries are ready."""
-        running = [
-            server
-            for server in self.named('entry-')
-            if server.popen.poll() is None
-        ]
-        for server in running:
-            poll(server.is_ready, message=f'{server.arguments} not ready')
-
-    def stand_in(self, name, module, settings):
-        """Start a stand-in."""
+            self.begin_stand_in(
+                f'tool-{number}', 'fake_tool', self.tool_settings
+            )
+        self.wait_ports()
+
+    def start_members(self, names):
+        """Start histories and entries at once, again if they ran before."""
+        for name in names:
+            kind, _, number = name.partition('-')
+            begin = {'entry': self.begin_entry, 'history': self.begin_history}
+            begin[kind](int(number))
+        self.wait_ports()
+
+    def begin_stand_in(self, name, module, settings):
+        """Begin to start a stand-in."""
         path = self.write(f'{name}.json', settings)
-        return self.launch(name, module, ('--settings', str(path)))
+        self.launch(name, module, ('--settings', str(path)))
 
     def start_history(self, number):
-        """Start a history, on its former port and folder if it ran before."""
+        """Start a history."""
+        self.start_members([f'history-{number}'])
+
+    def begin_history(self, number):
+        """Begin to start a history, on its former folder if it ran before."""
         name = f'history-{number}'
         settings = {
             **self.member(name, number),
@@ -132,10 +82,14 @@
             'port_file': str(self.folder / f'{name}.port'),
         }
         path = self.write(f'{name}.json', settings)
-        return self.launch(name, 'history', ('--settings', str(path)))
+        self.launch(name, 'history', ('--settings', str(path)))
 
-    def start_entry(self, number, **fields):
-        """Start an entry, on its former peer port if it ran before."""
+    def start_entry(self, number):
+        """Start an entry."""
+        self.start_members([f'entry-{number}'])
+
+    def begin_entry(self, number):
+        """Begin to start an entry."""
         name = f'entry-{number}'
         settings = {
             **self.member(name, number),
@@ -145,10 +99,9 @@
             'peer_port_file': str(self.folder / f'{name}.peer'),
             'trace_file': str(self.folder / f'{name}.spans'),
             **self.entry_fields,
-            **fields,
         }
         path = self.write(f'{name}.json', settings)
-        return self.launch(name, 'entry', ('--settings', str(path)))
+        self.launch(name, 'entry', ('--settings', str(path)))
 
     def member(self, name, number):
         """Return the settings that all members have."""
@@ -173,42 +126,6 @@
             if server.peer_port and other != name
         ]
 
-    def launch(self, name, module, arguments):
-        """Start a process and wait for its port."""
-        port_file = self.folder / f'{name}.port'
-        port_file.unlink(missing_ok=True)
-        if module.startswith('fake_'):
-            arguments = ('--port-file', str(port_file), *arguments)
-        popen = start(module, *arguments)
-        server = Server(popen, 0, module, arguments)
-        self.servers[name] = server
-        server.port = wait_for_port(popen, port_file)
-        server.peer_port = self.peer_port_of(name, module, server)
-        self.relays.lead(name, server.peer_port)
-        return server
-
-    def peer_port_of(self, name, module, server):
-        """Return where peers reach a process; 0 for a stand-in."""
-        if module == 'history':
-            return server.port
-        if module == 'entry':
-            return int((self.folder / f'{name}.peer').read_text())
-        return 0
-
-    def write(self, name, settings):
-        """Write a settings file."""
-        path = self.folder / name
-        path.write_text(json.dumps(settings))
-        return path
-
-    def named(self, prefix):
-        """Return the processes whose names start with a prefix."""
-        return [
-            server
-            for name, server in self.servers.items()
-            if name.startswith(prefix)
-        ]
-
     def tool_runs(self):
         """Return how often each request ran at any tool."""
         runs = {}
@@ -218,16 +135,6 @@
                 runs[request_id] = runs.get(request_id, 0) + count
         return runs
 
-    def end_all(self):
-        """End every process that still runs."""
-        for server in self.servers.values():
-            if server.popen.poll() is None:
-                server.thaw()
-                server.popen.kill()
-        for server in self.servers.values():
-            server.popen.wait(STOP_SECONDS)
-        self.relays.close()
-
 
 def audit_histories(fleet):
     """Check what the histories stored against the specification."""
