Take the platform store's connections from the pool

Cause: PlatformStore kept two connections of its own, for calls and for the watch, beside the pool that all other clients of the platform take theirs from, with a second copy of the rule when one may be used again.

Change: it takes them from a ConnectionPool; an entry gives it the one that its runners use, so idle ones are closed in time there, too. The gauge connections_opened counts the store's with the others. Calls are made one after the other as before, so there are two connections at the most.

Ruled out: `fresh` for writes. The rule stays that an idle connection is used unless something came over it; whoever writes reads back after a lost answer.

--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -35,7 +35,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Know the platform's store, and the replicas once they are listed."""
-        self.store = PlatformStore(self.settings.store_address)
+        self.store = PlatformStore(
+            self.settings.store_address, self.connections
+        )
         self.peers = EntryPeers(self.settings, self.pool, self.store)
 
     def gateway(self, nursery: trio.Nursery) -> Gateway:
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -16,11 +16,8 @@
     StoreItem,
     StoreSnapshot,
 )
-from jasminewheel._internal.web.client import (
-    HttpConnection,
-    OutgoingRequest,
-    open_connection,
-)
+from jasminewheel._internal.web.client import HttpConnection, OutgoingRequest
+from jasminewheel._internal.web.pool import ConnectionPool
 from jasminewheel.errors import (
     ConnectionLostError,
     StoreConflictError,
@@ -64,11 +61,10 @@
 
 @define(eq=False)
 class PlatformStore:
-    """Make calls one after the other, and watch on a connection of its own."""
+    """Make calls one after the other; watch beside them."""
 
     address: str
-    calls: HttpConnection | None = None
-    watching: HttpConnection | None = None
+    pool: ConnectionPool = field(factory=ConnectionPool)
     lock: trio.Lock = field(factory=trio.Lock)
 
     async def snapshot(self) -> StoreSnapshot:
@@ -97,12 +93,7 @@
             f'&WaitMs={int(wait_seconds * MILLISECONDS)}'
         )
         timeout = wait_seconds + WATCH_SLACK_SECONDS
-        connection = self.watching
-        self.watching = None
-        connection, reply = await self.exchange(
-            connection, _request('GET', path), timeout
-        )
-        self.watching = connection
+        reply = await self.exchange(_request('GET', path), timeout)
         if reply.status == _HISTORY_GONE:
             raise StoreHistoryLostError('changes are no longer known')
         _check(reply)
@@ -155,33 +146,26 @@
     ) -> StoreReply:
         """Return a reply; raise StoreError for what callers can't use."""
         async with self.lock:
-            connection = self.calls
-            self.calls = None
-            connection, reply = await self.exchange(
-                connection, _request(method, path, fields), CALL_SECONDS
+            reply = await self.exchange(
+                _request(method, path, fields), CALL_SECONDS
             )
-            self.calls = connection
         _check(reply)
         return reply
 
     async def exchange(
-        self,
-        connection: HttpConnection | None,
-        request: OutgoingRequest,
-        timeout_seconds: float,
-    ) -> tuple[HttpConnection | None, StoreReply]:
-        """Return the reply, and the connection if it may be used again."""
-        now = trio.current_time()
-        if connection and not connection.is_usable(now):
-            connection.close()
-            connection = None
+        self, request: OutgoingRequest, timeout_seconds: float
+    ) -> StoreReply:
+        """Return the reply; its connection is kept if it stays good."""
+        connection: HttpConnection | None = None
         try:
             with trio.fail_after(timeout_seconds):
-                if connection is None:
-                    connection = await open_connection(
-                        self.address, CONNECT_SECONDS
-                    )
-                return await _exchange(connection, self.address, request)
+                connection = await self.pool.take(
+                    self.address,
+                    trio.current_time(),
+                    CONNECT_SECONDS,
+                    fresh=False,
+                )
+                kept, reply = await _exchange(connection, self.address, request)
         except (ConnectionLostError, trio.TooSlowError, ValueError) as error:
             _close(connection)
             raise StoreUnavailableError(
@@ -191,6 +175,9 @@
         except BaseException:
             _close(connection)
             raise
+        if kept:
+            self.pool.give(kept)
+        return reply
 
 
 def _close(connection: HttpConnection | None) -> None:
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -6,9 +6,11 @@
 
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from jasminewheel._internal.events import store as events
 from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.web.pool import ConnectionPool
 from jasminewheel._internal.web.server import WebServer
 from jasminewheel.errors import StoreUnavailableError
 from jasminewheel.platform.store_client import PlatformStore
@@ -93,3 +95,27 @@
     seen = [getattr(one, 'event', 0) for one in caplog.records]
     assert events.LOST.number in seen
     assert events.BACK.number in seen
+
+
+async def _opened() -> int:
+    stand_in = DamagedStore()
+    stand_in.write('a', b'kept')
+    pool = ConnectionPool()
+    with trio.fail_after(GIVE_UP_SECONDS):
+        async with trio.open_nursery() as nursery:
+            address = await _serve(nursery, stand_in)
+            store = PlatformStore(address, pool)
+            await store.put('b', b'1')
+            read = await store.snapshot()
+            nursery.start_soon(store.changes, read.revision, 5)
+            await wait_all_tasks_blocked()
+            await store.put('c', b'1')
+            while len(pool.idle[address]) < 2:
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+    return pool.opened
+
+
+def test_calls_and_watches_take_connections_of_the_pool():
+    """A call beside a waiting watch opens the second and last one."""
+    assert trio.run(_opened) == 2
