Run the checks of the specification a few at once

What was seen: test_specification.py checks fifteen models one after the other, each compiled by spin and gcc for itself; each takes a single core.

Change: the checks of all selected tests begin together, four at a time, and each test awaits its own. The models, macros, options, the time bound of each program and the assertions are the same; a test run alone begins just its own check.

--- a/tests/functional/test_specification.py
+++ b/tests/functional/test_specification.py
@@ -4,6 +4,7 @@
 import shutil
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from functools import reduce
 from importlib import import_module
 from pathlib import Path
@@ -13,6 +14,8 @@
 
 SPECIFICATION = Path(__file__).parents[2] / 'spec' / 'ownership.pml'
 CHECK_SECONDS = 60
+# Each may take 2 GB, and gets a core of a common machine.
+CHECKS_AT_ONCE = 4
 STATES = re.compile(r'([\d.e+]+) states, stored')
 ERRORS = re.compile(r'errors: (\d+)')
 DONE = 'State-vector'
@@ -68,7 +71,7 @@
     return done.stdout
 
 
-@pytest.fixture(autouse=True)
+@pytest.fixture(scope='module', autouse=True)
 def _programs():
     for name in ('spin', 'gcc'):
         assert shutil.which(name), (
@@ -76,10 +79,29 @@
         )
 
 
+@pytest.fixture(scope='module')
+def checks(request, tmp_path_factory):
+    """Begin the checks of all selected tests, a few at once."""
+    pool = ThreadPoolExecutor(CHECKS_AT_ONCE)
+    yield {
+        macros: pool.submit(check, tmp_path_factory.mktemp('check'), *macros)
+        for macros in selected_macros(request)
+    }
+    pool.shutdown(cancel_futures=True)
+
+
+def selected_macros(request):
+    """Yield the macros of each selected test that awaits a check."""
+    for test in request.session.items:
+        if test.path == request.path and 'checks' in test.fixturenames:
+            named = test.callspec.params
+            yield (*named['sizes'], *filter(None, [named.get('guard')]))
+
+
 @pytest.mark.parametrize('sizes', [TAKE_OVER, FOUR_OWNERS, CHANGE])
-def test_holds_for_small_sizes(sizes, tmp_path, capsys):
+def test_holds_for_small_sizes(sizes, checks, capsys):
     """No reachable state breaks a rule."""
-    outcome = check(tmp_path, *sizes)
+    outcome = checks[sizes].result()
     sizes_text = ' '.join(sizes)
     with capsys.disabled():
         sys.stdout.write(f'\n{sizes_text}: {outcome.states} states\n')
@@ -104,9 +126,9 @@
         ('NO_DISK_IDENTITY', CHANGE),
     ],
 )
-def test_each_guard_is_needed(guard, sizes, tmp_path):
+def test_each_guard_is_needed(guard, sizes, checks):
     """Without the guard there is a counterexample."""
-    outcome = check(tmp_path, *sizes, guard)
+    outcome = checks[(*sizes, guard)].result()
     assert outcome.errors > 0
 
 
