--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -3,6 +3,7 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 from urllib.parse import quote
 
@@ -20,11 +21,8 @@
     AnswerRoom,
     HeldBytes,
 )
-from jasminewheel._internal.web.client import (
-    HttpConnection,
-    OutgoingRequest,
-    open_connection,
-)
+from jasminewheel._internal.web.client import HttpConnection, OutgoingRequest
+from jasminewheel._internal.web.pool import ConnectionPool
 from jasminewheel.errors import (
     ConnectionLostError,
     StoreConflictError,
@@ -59,13 +57,26 @@
     fields: Mapping[str, Any]
 
 
+@frozen
+class StorePage:
+    """Hold values in the order of their keys, and whether more follow."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    more: bool
+
+    @property
+    def last_key(self) -> str:
+        """Return the key after which the next page begins."""
+        return self.items[-1].key if self.items else ''
+
+
 @define(eq=False)
 class PlatformStore:
-    """Make calls one after the other, and watch on a connection of its own."""
+    """Make calls one after the other; watch beside them."""
 
     address: str
-    calls: HttpConnection | None = None
-    watching: HttpConnection | None = None
+    pool: ConnectionPool = field(factory=ConnectionPool)
     lock: trio.Lock = field(factory=trio.Lock)
 
     async def snapshot(self) -> StoreSnapshot:
@@ -74,7 +85,7 @@
         while pages.more:
             after = quote(pages.after, safe='')
             reply = await self.call('GET', f'/kv-range?Prefix=&after={after}')
-            pages.add(_readable(reply, _page))
+            pages.add(_readable(reply, partial(_page, pages.after)))
         return StoreSnapshot(tuple(pages.found), pages.revision)
 
     async def changes(
@@ -86,12 +97,7 @@
             f'&WaitMs={int(wait_seconds * MILLISECONDS)}'
         )
         timeout = wait_seconds + WATCH_SLACK_SECONDS
-        connection = self.watching
-        self.watching = None
-        connection, reply = await self.exchange(
-            connection, _request('GET', path), timeout
-        )
-        self.watching = connection
+        reply = await self.exchange(_request('GET', path), timeout)
         if reply.status == _HISTORY_GONE:
             raise StoreHistoryLostError('changes are no longer known')
         _check(reply)
@@ -144,34 +150,27 @@
     ) -> StoreReply:
         """Return a reply; raise StoreError for what callers can't use."""
         async with self.lock:
-            connection = self.calls
-            self.calls = None
-            connection, reply = await self.exchange(
-                connection, _request(method, path, fields), CALL_SECONDS
+            reply = await self.exchange(
+                _request(method, path, fields), CALL_SECONDS
             )
-            self.calls = connection
         _check(reply)
         return reply
 
     async def exchange(
-        self,
-        connection: HttpConnection | None,
-        request: OutgoingRequest,
-        timeout_seconds: float,
-    ) -> tuple[HttpConnection | None, StoreReply]:
-        """Return the reply, and the connection if it may be used again."""
-        now = trio.current_time()
-        if connection and not connection.is_usable(now):
-            connection.close()
-            connection = None
+        self, request: OutgoingRequest, timeout_seconds: float
+    ) -> StoreReply:
+        """Return the reply; its connection is kept if it stays good."""
+        connection: HttpConnection | None = None
         try:
             with trio.fail_after(timeout_seconds):
-                if connection is None:
-                    connection = await open_connection(
-                        self.address, CONNECT_SECONDS
-                    )
-                    connection.limits = _LIMITS
-                return await _exchange(connection, self.address, request)
+                connection = await self.pool.take(
+                    self.address,
+                    trio.current_time(),
+                    CONNECT_SECONDS,
+                    fresh=False,
+                )
+                connection.limits = _LIMITS
+                kept, reply = await _exchange(connection, self.address, request)
         except (ConnectionLostError, trio.TooSlowError, ValueError) as error:
             _close(connection)
             raise StoreUnavailableError(
@@ -181,6 +180,9 @@
         except BaseException:
             _close(connection)
             raise
+        if kept:
+            self.pool.give(kept)
+        return reply
 
 
 def _close(connection: HttpConnection | None) -> None:
@@ -252,13 +254,6 @@
     )
 
 
-@frozen
-class _Page:
-    found: list[StoreItem]
-    revision: int
-    more: bool
-
-
 @define
 class _Pages:
     found: list[StoreItem] = field(factory=list)
@@ -268,30 +263,31 @@
     more: bool = True
     held_bytes: int = 0
 
-    def add(self, page: _Page) -> None:
+    def add(self, page: StorePage) -> None:
         """Take a page; raise StoreUnavailableError for pages without end."""
-        last = page.found[-1].key if page.found else ''
         self.held_bytes += sum(
-            ITEM_BYTES + len(one.value) for one in page.found
+            ITEM_BYTES + len(one.value) for one in page.items
         )
-        stuck = page.more and last == self.after
-        if stuck or self.held_bytes > SNAPSHOT_BYTES:
+        if self.held_bytes > SNAPSHOT_BYTES:
             raise StoreUnavailableError(
                 'the pages of the store do not end',
                 remedy='see whether the store is in trouble',
             )
-        self.found.extend(page.found)
+        self.found.extend(page.items)
         self.revision = self.revision or page.revision
         self.more = page.more
-        self.after = last
+        self.after = page.last_key
 
 
-def _page(fields: Mapping[str, Any]) -> _Page:
-    return _Page(
-        [_item(one) for one in fields['items']],
+def _page(after: str, fields: Mapping[str, Any]) -> StorePage:
+    page = StorePage(
+        tuple(map(_item, fields['items'])),
         int(fields['AsOf']),
         bool(fields['HasMore']),
     )
+    if page.more and page.last_key <= after:
+        raise ValueError('a page that says more follows, but does not go on')
+    return page
 
 
 def _changes(fields: Mapping[str, Any]) -> StoreChanges:
