--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -383,7 +383,7 @@
 
     async def answer_page(_request, answer) -> None:
         sent.append(1)
-        key = f'k{len(sent):09d}'
+        key = str(len(sent)).zfill(9)
         item = {'Key': key, 'Value': VALUE, 'Revision': 1}
         page = {'items': [item], 'HasMore': True, 'AsOf': 1}
         await answer.send_whole(200, [], json.dumps(page).encode())
