--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -3,6 +3,7 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 from urllib.parse import quote
 
@@ -15,11 +16,13 @@
     StoreItem,
     StoreSnapshot,
 )
-from jasminewheel._internal.web.client import (
-    HttpConnection,
-    OutgoingRequest,
-    open_connection,
+from jasminewheel._internal.web.answer_limits import (
+    AnswerLimits,
+    AnswerRoom,
+    HeldBytes,
 )
+from jasminewheel._internal.web.client import HttpConnection, OutgoingRequest
+from jasminewheel._internal.web.pool import ConnectionPool
 from jasminewheel.errors import (
     ConnectionLostError,
     StoreConflictError,
@@ -32,6 +35,13 @@
 # A watch that answers this much after its wait has gone silent.
 WATCH_SLACK_SECONDS = 1.2
 MILLISECONDS = 1000
+# A page of values has about 1 MB, changes of a long time may have more.
+REPLY_BYTES = 16777216
+# All values together; a configuration and its runners take some 100 KB.
+SNAPSHOT_BYTES = 33554432
+# What holding a value takes beside its bytes.
+ITEM_BYTES = 256
+_LIMITS = AnswerLimits(answer_bytes=REPLY_BYTES)
 _OK = 200
 _NOT_FOUND = 404
 _HISTORY_GONE = 410
@@ -47,30 +57,36 @@
     fields: Mapping[str, Any]
 
 
+@frozen
+class StorePage:
+    """Hold values in the order of their keys, and whether more follow."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    more: bool
+
+    @property
+    def last_key(self) -> str:
+        """Return the key after which the next page begins."""
+        return self.items[-1].key if self.items else ''
+
+
 @define(eq=False)
 class PlatformStore:
-    """Make calls one after the other, and watch on a connection of its own."""
+    """Make calls one after the other; watch beside them."""
 
     address: str
-    calls: HttpConnection | None = None
-    watching: HttpConnection | None = None
+    pool: ConnectionPool = field(factory=ConnectionPool)
     lock: trio.Lock = field(factory=trio.Lock)
 
     async def snapshot(self) -> StoreSnapshot:
         """Return all values."""
-        found: list[StoreItem] = []
-        revision = 0
-        after = ''
-        more = True
-        while more:
-            path = f'/kv-range?Prefix=&after={quote(after, safe="")}'
-            reply = await self.call('GET', path)
-            found.extend(_items(reply, 'items'))
-            # Changes after the first page are asked for as changes.
-            revision = revision or int(reply.fields['AsOf'])
-            more = bool(reply.fields['HasMore']) and bool(found)
-            after = found[-1].key if found else ''
-        return StoreSnapshot(tuple(found), revision)
+        pages = _Pages()
+        while pages.more:
+            after = quote(pages.after, safe='')
+            reply = await self.call('GET', f'/kv-range?Prefix=&after={after}')
+            pages.add(_readable(reply, partial(_page, pages.after)))
+        return StoreSnapshot(tuple(pages.found), pages.revision)
 
     async def changes(
         self, after_revision: int, wait_seconds: float
@@ -81,12 +97,7 @@
             f'&WaitMs={int(wait_seconds * MILLISECONDS)}'
         )
         timeout = wait_seconds + WATCH_SLACK_SECONDS
-        connection = self.watching
-        self.watching = None
-        connection, reply = await self.exchange(
-            connection, _request('GET', path), timeout
-        )
-        self.watching = connection
+        reply = await self.exchange(_request('GET', path), timeout)
         if reply.status == _HISTORY_GONE:
             raise StoreHistoryLostError('changes are no longer known')
         _check(reply)
@@ -139,33 +150,27 @@
     ) -> StoreReply:
         """Return a reply; raise StoreError for what callers can't use."""
         async with self.lock:
-            connection = self.calls
-            self.calls = None
-            connection, reply = await self.exchange(
-                connection, _request(method, path, fields), CALL_SECONDS
+            reply = await self.exchange(
+                _request(method, path, fields), CALL_SECONDS
             )
-            self.calls = connection
         _check(reply)
         return reply
 
     async def exchange(
-        self,
-        connection: HttpConnection | None,
-        request: OutgoingRequest,
-        timeout_seconds: float,
-    ) -> tuple[HttpConnection | None, StoreReply]:
-        """Return the reply, and the connection if it may be used again."""
-        now = trio.current_time()
-        if connection and not connection.is_usable(now):
-            connection.close()
-            connection = None
+        self, request: OutgoingRequest, timeout_seconds: float
+    ) -> StoreReply:
+        """Return the reply; its connection is kept if it stays good."""
+        connection: HttpConnection | None = None
         try:
             with trio.fail_after(timeout_seconds):
-                if connection is None:
-                    connection = await open_connection(
-                        self.address, CONNECT_SECONDS
-                    )
-                return await _exchange(connection, self.address, request)
+                connection = await self.pool.take(
+                    self.address,
+                    trio.current_time(),
+                    CONNECT_SECONDS,
+                    fresh=False,
+                )
+                connection.limits = _LIMITS
+                kept, reply = await _exchange(connection, self.address, request)
         except (ConnectionLostError, trio.TooSlowError, ValueError) as error:
             _close(connection)
             raise StoreUnavailableError(
@@ -175,6 +180,9 @@
         except BaseException:
             _close(connection)
             raise
+        if kept:
+            self.pool.give(kept)
+        return reply
 
 
 def _close(connection: HttpConnection | None) -> None:
@@ -188,13 +196,22 @@
     request.headers.append((b'Host', host.encode()))
     await connection.send(request)
     response = await connection.response(bool)
-    body = await connection.whole_body(response)
+    held = HeldBytes(AnswerRoom(REPLY_BYTES), REPLY_BYTES)
+    body = await connection.whole_body(response, held)
     kept: HttpConnection | None = connection
     if not connection.finish(response, trio.current_time()):
         connection.close()
         kept = None
-    fields = json.loads(body) if body.startswith(b'{') else {}
-    return kept, StoreReply(response.status, fields)
+    return kept, StoreReply(response.status, _decoded(body))
+
+
+def _decoded(body: bytes) -> Mapping[str, Any]:
+    if not body.startswith(b'{'):
+        return {}
+    try:
+        return json.loads(body)
+    except RecursionError as error:
+        raise ValueError('values nested without end') from error
 
 
 def _request(
@@ -237,8 +254,40 @@
     )
 
 
-def _items(reply: StoreReply, name: str) -> list[StoreItem]:
-    return _readable(reply, lambda fields: [_item(one) for one in fields[name]])
+@define
+class _Pages:
+    found: list[StoreItem] = field(factory=list)
+    # That of the first page; later changes are asked for as changes.
+    revision: int = 0
+    after: str = ''
+    more: bool = True
+    held_bytes: int = 0
+
+    def add(self, page: StorePage) -> None:
+        """Take a page; raise StoreUnavailableError for pages without end."""
+        self.held_bytes += sum(
+            ITEM_BYTES + len(one.value) for one in page.items
+        )
+        if self.held_bytes > SNAPSHOT_BYTES:
+            raise StoreUnavailableError(
+                'the pages of the store do not end',
+                remedy='see whether the store is in trouble',
+            )
+        self.found.extend(page.items)
+        self.revision = self.revision or page.revision
+        self.more = page.more
+        self.after = page.last_key
+
+
+def _page(after: str, fields: Mapping[str, Any]) -> StorePage:
+    page = StorePage(
+        tuple(map(_item, fields['items'])),
+        int(fields['AsOf']),
+        bool(fields['HasMore']),
+    )
+    if page.more and page.last_key <= after:
+        raise ValueError('a page that says more follows, but does not go on')
+    return page
 
 
 def _changes(fields: Mapping[str, Any]) -> StoreChanges:
