Bound the answers of the product's own clients in bytes and time

What was seen: the clients of engines, of the key-value service and of the list of VMs read a body of any length whole, and a line or an event of a stream without a bound; the time allowed was for each part that arrives, so a server that always sends was never left. A reply that is nested without end raised RecursionError, which ended the task that asked. Only the services' client had a bound.

Change: `http.bounded` reads whole answers up to 16 MiB (64 MiB for a listing of the store) and 30 s beyond the time that a server may be silent, and lines up to 1 MiB; `http.sse` bounds one event. What is over a bound is a failed transport, so each client says of it what it says of a cut answer: may have run, unavailable, or unreadable list. The services' client uses the same bound as before by the shared function.

Ruled out: heads without end. The case `field` passed before (the HTTP library bounds them), as did chunk extensions; both stay as guards.

--- a/src/jasminewheel/_internal/http/sse.py
+++ b/src/jasminewheel/_internal/http/sse.py
@@ -4,9 +4,11 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from attrs import frozen
+from attrs import define, field, frozen
 
 CONTENT_TYPE = 'text/event-stream'
+# Of the data of one event.
+EVENT_CHARACTERS = 1048576
 _EVENT = 'event: '
 _DATA = 'data: '
 
@@ -28,25 +30,37 @@
     return f'{prefix}{_EVENT}{name}\n{_DATA}{text}\n\n'.encode()
 
 
+@define
+class _OpenEvent:
+    name: str = 'message'
+    data: list[str] = field(factory=list)
+    characters: int = 0
+
+    def take(self, line: str) -> None:
+        """Take a line; raise ValueError if the event is too large."""
+        if line.startswith(_EVENT):
+            self.name = line.removeprefix(_EVENT)
+        elif line.startswith(_DATA):
+            self.data.append(line.removeprefix(_DATA))
+            self.characters += len(line)
+        if self.characters > EVENT_CHARACTERS:
+            raise ValueError(f'event {self.name!r} is too large')
+
+    def parse(self) -> ServerSentEvent:
+        """Return the whole event; raise ValueError for a broken one."""
+        fields = json.loads('\n'.join(self.data))
+        if not isinstance(fields, dict):
+            raise ValueError(f'event {self.name!r} holds no JSON object')
+        return ServerSentEvent(self.name, fields)
+
+
 async def parse_events(
     lines: AsyncIterator[str],
 ) -> AsyncIterator[ServerSentEvent]:
     """Yield the events that lines hold; raise ValueError for broken ones."""
-    name = 'message'
-    data: list[str] = []
+    opened = _OpenEvent()
     async for line in lines:
-        if line.startswith(_EVENT):
-            name = line.removeprefix(_EVENT)
-        elif line.startswith(_DATA):
-            data.append(line.removeprefix(_DATA))
-        elif not line and data:
-            yield _parse(name, data)
-            name = 'message'
-            data = []
-
-
-def _parse(name: str, data: list[str]) -> ServerSentEvent:
-    fields = json.loads('\n'.join(data))
-    if not isinstance(fields, dict):
-        raise ValueError(f'event {name!r} holds no JSON object')
-    return ServerSentEvent(name, fields)
+        opened.take(line)
+        if not line and opened.data:
+            yield opened.parse()
+            opened = _OpenEvent()
--- a/src/jasminewheel/_internal/membership/vm_list.py
+++ b/src/jasminewheel/_internal/membership/vm_list.py
@@ -7,9 +7,11 @@
 import httpx
 from attrs import define, field, frozen
 
+from jasminewheel._internal.http.bounded import whole_answer
 from jasminewheel.errors import UnavailableError
 
 TIMEOUT_SECONDS = 5.0
+_UNREADABLE = (httpx.HTTPError, LookupError, ValueError, RecursionError)
 _LEAVING = 'leaving'
 
 
@@ -50,10 +52,10 @@
     async def rows(self) -> list[ListedVm]:
         """Return the rows; raise UnavailableError without a readable list."""
         try:
-            answer = await self.http.get('/v1/vms')
+            answer = await whole_answer(self.http, 'GET', '/v1/vms')
             found = answer.raise_for_status().json()
             return [_row(raw) for raw in found if isinstance(raw, dict)]
-        except (httpx.HTTPError, LookupError, ValueError) as error:
+        except _UNREADABLE as error:
             raise UnavailableError(
                 f'the list of VMs cannot be read: {error!r}',
             ) from error
--- a/src/jasminewheel/_internal/store/client.py
+++ b/src/jasminewheel/_internal/store/client.py
@@ -8,15 +8,19 @@
 import httpx
 from attrs import define, field, frozen
 
+from jasminewheel._internal.http.bounded import whole_answer
 from jasminewheel.errors import (
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
 )
 
+# All values below a prefix: 64 MiB.
+LISTING_BYTES = 67108864
 _TIMEOUT_SECONDS = 5
 _WATCH_SECONDS = 30
 _NOT_FOUND = 404
+_UNREADABLE = (KeyError, TypeError, ValueError, RecursionError)
 _CONFLICT = 409
 _TOO_MANY = 429
 _FIRST_SERVER_ERROR = 500
@@ -132,7 +136,9 @@
     async def list(self, prefix: str) -> StoreListing:
         """Return all values below prefix."""
         query = {'prefix': prefix}
-        answer = await self.request('GET', '/v1/list', params=query)
+        answer = await self.request(
+            'GET', '/v1/list', params=query, most_bytes=LISTING_BYTES
+        )
         return _listing(answer)
 
     async def watch(self, prefix: str, from_revision: int) -> StoreListing:
@@ -146,6 +152,7 @@
                 'wait_seconds': self.watch_seconds,
             },
             timeout=self.watch_seconds + self.timeout_seconds,
+            most_bytes=LISTING_BYTES,
         )
         return _listing(answer)
 
@@ -170,7 +177,7 @@
     ) -> httpx.Response:
         """Return the answer; raise StoreError for what callers can't use."""
         try:
-            answer = await self.http.request(method, path, **options)
+            answer = await whole_answer(self.http, method, path, **options)
         except httpx.HTTPError as error:
             raise StoreUnavailableError(
                 f'{method} {path}: no answer: {error!r}',
@@ -208,7 +215,7 @@
 def _readable_answer() -> Iterator[None]:
     try:
         yield
-    except (KeyError, TypeError, ValueError) as error:
+    except _UNREADABLE as error:
         raise StoreUnavailableError(f'unreadable answer: {error!r}') from error
 
 
--- a/src/jasminewheel/_internal/targets/connection.py
+++ b/src/jasminewheel/_internal/targets/connection.py
@@ -13,6 +13,11 @@
 import httpx
 from attrs import define, field
 
+from jasminewheel._internal.http.bounded import (
+    lines_of,
+    whole_answer,
+    whole_body,
+)
 from jasminewheel._internal.http.sse import ServerSentEvent, parse_events
 from jasminewheel._internal.targets.failures import (
     status_error,
@@ -57,7 +62,7 @@
     async def ask(self, method: str, path: str, **options: Any) -> Any:
         """Return the JSON of a whole answer."""
         with target_errors(self.url):
-            answer = await self.http.request(method, path, **options)
+            answer = await whole_answer(self.http, method, path, **options)
             if answer.is_error:
                 raise status_error(self.url, answer.status_code, answer.text)
             return answer.json()
@@ -73,8 +78,9 @@
                     self.http.stream(method, path, **options),
                 )
                 if answer.is_error:
-                    body = (await answer.aread()).decode(errors='replace')
-                    raise status_error(self.url, answer.status_code, body)
+                    body = await whole_body(answer)
+                    problem = body.decode(errors='replace')
+                    raise status_error(self.url, answer.status_code, problem)
             yield self.read_events(answer)
 
     async def read_events(
@@ -82,5 +88,5 @@
     ) -> AsyncIterator[ServerSentEvent]:
         """Yield the events of an open answer."""
         with target_errors(self.url):
-            async for event in parse_events(answer.aiter_lines()):
+            async for event in parse_events(lines_of(answer)):
                 yield event
--- a/src/jasminewheel/_internal/targets/failures.py
+++ b/src/jasminewheel/_internal/targets/failures.py
@@ -18,6 +18,7 @@
 _CONFLICT = 409
 _FIRST_SERVER_ERROR = 500
 _PROBLEM_CHARACTERS = 300
+_UNREADABLE = (KeyError, TypeError, ValueError, RecursionError)
 # Raised before the first byte of a request goes out.
 _UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
@@ -31,7 +32,7 @@
         raise TargetFailedError(f'{url}: cannot connect') from unsent
     except (httpx.HTTPError, httpx.StreamError, trio.TooSlowError) as error:
         raise broken(url, repr(error)) from error
-    except (KeyError, TypeError, ValueError) as error:
+    except _UNREADABLE as error:
         raise broken(url, f'unreadable answer: {error!r}') from error
 
 
--- a/src/jasminewheel/_internal/targets/service.py
+++ b/src/jasminewheel/_internal/targets/service.py
@@ -12,11 +12,11 @@
 import trio
 from attrs import define, field, frozen
 
+from jasminewheel._internal.http.bounded import whole_body
 from jasminewheel._internal.targets.connection import TargetConnection
 from jasminewheel._internal.targets.engine import read_feed
 from jasminewheel._internal.targets.load_report import LoadReport
 from jasminewheel._internal.targets.failures import (
-    broken,
     status_error,
     target_errors,
 )
@@ -24,7 +24,6 @@
 _CONNECT_SECONDS = 2
 _TOO_MANY = 429
 _FIRST_SERVER_ERROR = 500
-_ANSWER_LIMIT_BYTES = 16_777_216
 
 
 @frozen
@@ -74,16 +73,12 @@
 
     async def read(self, answer: httpx.Response) -> ServiceAnswer:
         """Return the whole answer, up to a limit of its size."""
-        content = bytearray()
-        async for chunk in answer.aiter_bytes():
-            content.extend(chunk)
-            if len(content) > _ANSWER_LIMIT_BYTES:
-                raise broken(self.url, 'the answer is too large')
+        content = await whole_body(answer)
         status = answer.status_code
         if status == _TOO_MANY or status >= _FIRST_SERVER_ERROR:
             body = content.decode(errors='replace')
             raise status_error(self.url, status, body)
-        return ServiceAnswer(status, _parse(answer, bytes(content)))
+        return ServiceAnswer(status, _parse(answer, content))
 
     @asynccontextmanager
     async def feed(self) -> AsyncIterator[AsyncIterator[LoadReport]]:
--- /dev/null
+++ b/tests/functional/test_endless_targets.py
@@ -0,0 +1,136 @@
+"""Check the product's own clients against servers that send without end."""
+
+from contextlib import asynccontextmanager
+from types import MappingProxyType
+
+import pytest
+import trio
+
+from jasminewheel._internal.membership.vm_list import HttpVmList
+from jasminewheel._internal.store.client import HttpStore
+from jasminewheel._internal.targets.engine import EngineClient, EngineRequest
+from jasminewheel._internal.targets.service import ServiceClient
+from jasminewheel.errors import (
+    StoreUnavailableError,
+    TargetFailedError,
+    UnavailableError,
+)
+from jasminewheel.models.verdict import Verdict
+from tests.endless_server import EndlessServer
+
+# What the kernel of a test machine may hold on the way.
+KERNEL_BYTES = 2097152
+# The clients' bound of a whole answer.
+ANSWER_BYTES = 16777216
+SOON_SECONDS = 3.5
+CLOSE_SECONDS = 1.0
+CHUNK = b'1000\r\n%b\r\n' % (b'a' * 4096)
+LINES = b'1000\r\n%b\r\n' % (b'data: a\n' * 512)
+OK = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+FAILED = b'HTTP/1.1 500 Bad\r\nTransfer-Encoding: chunked\r\n\r\n'
+ENDLESS = MappingProxyType(
+    {
+        'field': (b'HTTP/1.1 200 OK\r\nX: ', b'a'),
+        'chunks': (OK, CHUNK),
+        'no length': (b'HTTP/1.1 200 OK\r\n\r\n', b'a'),
+        'chunk extension': (b'%b1;' % OK, b'a'),
+        'failure': (FAILED, CHUNK),
+    }
+)
+NESTED = b'{"items":%b%b}' % (b'[' * 100000, b']' * 100000)
+
+
+def _get(store: HttpStore):
+    return store.get('key')
+
+
+def _rows(vms: HttpVmList):
+    return vms.rows()
+
+
+def _look(service: ServiceClient):
+    return service.call('look', {}, 'q1', SOON_SECONDS)
+
+
+def _pins(engine: EngineClient):
+    return engine.pins()
+
+
+def _each(cases: dict):
+    return pytest.mark.parametrize(
+        ('start', 'repeated'), cases.values(), ids=cases.keys()
+    )
+
+
+@asynccontextmanager
+async def _serving(server: EndlessServer):
+    """Serve; check that the client closed and had not read much."""
+    async with trio.open_nursery() as nursery:
+        address = await server.serve(nursery)
+        with trio.fail_after(SOON_SECONDS):
+            yield f'http://{address}'
+        await server.wait_closed(CLOSE_SECONDS)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('open_client', 'ask', 'error', 'verdict'),
+    [
+        (HttpStore, _get, StoreUnavailableError, None),
+        (HttpVmList, _rows, UnavailableError, Verdict.not_run),
+        (ServiceClient, _look, TargetFailedError, Verdict.may_have_run),
+        (EngineClient, _pins, TargetFailedError, Verdict.may_have_run),
+    ],
+    ids=['store', 'list of VMs', 'service', 'engine'],
+)
+@_each(ENDLESS)
+def test_answer_without_end_fails_soon(
+    start, repeated, open_client, ask, error, verdict
+):
+    """The caller learns soon what is known; the connection is closed."""
+    server = EndlessServer(start, repeated)
+
+    async def scenario() -> None:
+        async with _serving(server) as url, open_client(url) as client:
+            with pytest.raises(error) as caught:
+                await ask(client)
+            assert getattr(caught.value, 'verdict', None) is verdict
+
+    trio.run(scenario)
+    assert server.most_sent <= ANSWER_BYTES + KERNEL_BYTES
+
+
+async def _read(client: EngineClient, request: EngineRequest) -> None:
+    async with client.generate(request) as answer:
+        async for _ in answer:
+            await trio.sleep(0)
+
+
+@pytest.mark.parametrize('repeated', [CHUNK, LINES], ids=['a line', 'an event'])
+def test_event_without_end_may_have_run(repeated):
+    """One event of an engine is bounded, in one line or many."""
+    server = EndlessServer(OK, repeated)
+    messages = ({'role': 'user', 'content': 'a'},)
+    request = EngineRequest('q1', 'guide', messages, 12)
+
+    async def scenario() -> None:
+        async with _serving(server) as url, EngineClient(url) as client:
+            with pytest.raises(TargetFailedError) as caught:
+                await _read(client, request)
+            assert caught.value.verdict is Verdict.may_have_run
+
+    trio.run(scenario)
+    assert server.most_sent <= ANSWER_BYTES + KERNEL_BYTES
+
+
+def test_store_reply_nested_without_end_is_unavailable():
+    """A reply that cannot be decoded ends no task."""
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(NESTED)
+    server = EndlessServer(b'%b%b' % (head, NESTED), b'a')
+
+    async def scenario() -> None:
+        async with _serving(server) as url, HttpStore(url) as store:
+            with pytest.raises(StoreUnavailableError):
+                await store.list('')
+
+    trio.run(scenario)
