Probe a runner again after it refused its probe

What was seen: reading the code for what a breaker is told of each ending of a sending. A runner whose breaker had opened, and that refused the one call sent to probe it (it was full), kept a breaker that waits for that probe: it got no call while any other runner of its target was trusted.

Cause: `_Sending` told the breaker of an ending without a result only where no outcome was noted, and a refusal is one.

Change: each ending tells it; the breaker takes notice only while it waits for a probe.

Ruled out: counting a refusal as success. A full runner may still be failing.

Test: tests/unit/test_probes.py failed before.

--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -174,8 +174,8 @@
         """Count the end of the call."""
         now = trio.current_time()
         self.view.load.ended(now)
-        if not self.outcome:
-            self.view.breaker.abandoned(now)
+        # A refusal says nothing of the runner's health either.
+        self.view.breaker.abandoned(now)
 
     def takes(self, answer: RunnerAnswer) -> bool:
         """Learn from the head of an answer; tell whether it is final."""
--- /dev/null
+++ b/tests/unit/test_probes.py
@@ -0,0 +1,60 @@
+"""Check that a runner's breaker is not left waiting for a probe."""
+
+import math
+from contextlib import asynccontextmanager
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.gateway.attempts import Attempts, CallRecord
+from jasminewheel._internal.gateway.call import Call
+from jasminewheel._internal.gateway.choice import RunnerChoice
+from jasminewheel._internal.gateway.routes import CallKind, Route, TargetShare
+from jasminewheel._internal.gateway.runners import (
+    Runner,
+    RunnerDirectory,
+    RunnerView,
+)
+from jasminewheel._internal.scheduling.breaker import BreakerState
+
+
+@define(eq=False)
+class Refusal:
+    """Refuse a call."""
+
+    status: int = 503
+    refused: bool = True
+    headers: list = field(factory=list)
+    load: None = None
+
+    async def drop_rest(self) -> None:
+        """Have nothing more."""
+
+
+@define(eq=False)
+class RefusingPort:
+    """Refuse each sending."""
+
+    @asynccontextmanager
+    async def attempt(self, _attempt):
+        """Give the refusal."""
+        yield Refusal()
+
+
+def test_refused_probe_lets_another_one_go():
+    """A runner that was busy when it was probed is not left out for good."""
+    view = RunnerView(Runner('r1', 'desk', '127.0.0.1:1', 'a', False, 6))
+    view.breaker.state = BreakerState.open
+    route = Route(
+        'r', 'h', '/', CallKind.unsafe, (TargetShare('desk', 1),), 4, 1, 2
+    )
+    call = Call('q1', 'h', '/', b'GET', b'/', [], b'', 0, math.inf)
+    record = CallRecord(call, route, 'desk', 1e9)
+    choice = RunnerChoice(RunnerDirectory(), lambda _runner: 0)
+    attempts = Attempts(choice, RefusingPort())
+
+    async def run() -> bool:
+        await attempts.try_once(record, view, b'', trio.sleep)
+        return view.breaker.allows(trio.current_time())
+
+    assert trio.run(run)
