Copy a slot that is taken over amid a change of replica sets

What callers would see: calls answered with FencedError after an entry took a slot over (its owner died) while the slot's replica set was changing.

Cause: Ownership.follow copies the slots owned when a placement arrives. A slot sealed after that, already under the joint sets, was copied by nobody, so its new owner made no progress with it, and the carrier of the change took it over when its patience ended. The same class as in test_owner_moves_and_goes_on: a live owner fenced off for a copy that it was not let finish.

Change: own starts the copy in background where the sets are changing. The carrier seals for its own copies without it.

Open: an owner whose copy failed does not try again by itself; the carrier takes the slot over after its patience.

--- a/src/jasminewheel/_internal/replication/change.py
+++ b/src/jasminewheel/_internal/replication/change.py
@@ -202,7 +202,7 @@
             await self.ownership.move(slot, placement)
             return
         copier = self.ownership.of_placement(placement)
-        owned = await copier.own(slot)
+        owned = await copier.seal(slot, placement)
         await owned.copy()
 
 
--- a/src/jasminewheel/_internal/replication/ownership.py
+++ b/src/jasminewheel/_internal/replication/ownership.py
@@ -70,8 +70,13 @@
         async with self.locks.setdefault(slot, trio.Lock()):
             owned = self.owned(slot)
             if owned is None:
-                owned = await self.seal(slot, self.placement_source.current)
+                placement = self.placement_source.current
+                owned = await self.seal(slot, placement)
                 self.slots[slot] = owned
+                if placement.sets_of(slot).is_changing:
+                    # Who takes a slot over amid a change copies it.
+                    nursery = self.replicas.pool.nursery
+                    nursery.start_soon(self.try_move, slot, placement)
             return owned
 
     def of_placement(self, placement: Placement) -> 'Ownership':
--- a/tests/functional/test_copy_of_owner.py
+++ b/tests/functional/test_copy_of_owner.py
@@ -273,3 +273,22 @@
     """Append to a log of its own until another process has the slot."""
     with suppress(FencedError):
         await append_on(slot, 'new', 0)
+
+
+def test_owner_that_takes_a_slot_amid_a_change_keeps_it(tmp_path, monkeypatch):
+    """A slot taken over under the joint sets is copied by its new owner."""
+
+    async def scenario(folder):
+        async with timed_fleet(folder, *FOUR) as fleet:
+            change = Moving(fleet)
+            await fill(await change.owner.own(0))
+            await change.begin()
+            heir = fleet.owner('heir', await change.placement())
+            fleet.nursery.start_soon(heir.follow, change.view)
+            await trio.testing.wait_all_tasks_blocked()
+            slot = await heir.own(0)
+            await change.carrier.step(trio.current_time())
+            assert heir.owned(0) is slot
+            await slot.append('a', RECORDS, 'turn', b'next')
+
+    run_timed(scenario, tmp_path, monkeypatch)
