Pause between looks while a test waits for calls to be made

Cause: test_budget_over_death waited for the first twenty calls in a loop without a pause, in the process whose threads make these calls, so it held them up and took a core of the machine meanwhile.

Change: it looks every 2 ms. What it asserts at each look, and when it kills, is as before.

--- a/tests/functional/test_budget_fleet.py
+++ b/tests/functional/test_budget_fleet.py
@@ -1,5 +1,6 @@
 """Check budgets end to end, by what the engines counted."""
 
+import time
 from concurrent.futures import ThreadPoolExecutor
 from types import MappingProxyType
 
@@ -14,6 +15,8 @@
 BUDGET = Budget(tokens=6000, window_seconds=86400)
 MAX_TOKENS = 50
 REFUSALS = 20
+# A loop without a pause holds up the spenders' threads.
+POLL_SECONDS = 0.002
 # A breaker that opens keeps calls from the runners whose attempts are counted.
 BREAKERS_SHUT = MappingProxyType({'breaker_failures': 1_000_000})
 # The most that one call reserves: its prompt and its answer.
@@ -116,6 +119,7 @@
     def kill(spenders):
         while sum(spender.calls for spender in spenders) < 20:
             assert not any(spender.refusals for spender in spenders)
+            time.sleep(POLL_SECONDS)
         fleet[f'entry-{victim}'].kill()
 
     spend(fleet, kill)
