Name the function that waits for the copies in the specification

test_functions_named_exist failed: is_copied went from ReplicaChange when the carrier began to watch progress, and a comment of the specification kept its name. It names ReplicaChange.copy now, which returns only once all slots have the mark. Only that comment differs; test_functions_named_exist passes with it.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -319,7 +319,7 @@
 #else
     placement = 1;
     /* Implemented by jasminewheel._internal.replication.change:finish_change */
-    /* Implemented by jasminewheel._internal.replication.change:ReplicaChange.is_copied */
+    /* Implemented by jasminewheel._internal.replication.change:ReplicaChange.copy */
 #ifndef NO_COPY
     copied;
 #endif
