Let the store's stand-in renew a lease for the time it was granted for

What callers saw: nothing yet; found while real processes were put before the stand-in. Cause: kv-keep renewed each lease for 3 s, so the key of an entry, under a lease of 30 s that it renews less often, would have gone after its first renewal. Change: the time granted is remembered. A runner's listing is apart from its serving, a runner's stream answers the request it was given rather than the last that ran, a configuration may have other routes, and a request can be sent outside a fleet: what the soak needs of the same stand-ins.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -2,7 +2,7 @@
 
 import json
 from base64 import b64decode
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager, closing
 from pathlib import Path
 from types import MappingProxyType
@@ -78,8 +78,15 @@
     async def add_runner(self, runner_id: str, target: str) -> RunnerStandIn:
         """Start a runner and list it."""
         runner = RunnerStandIn(runner_id)
-        address = await self.serve(runner.handle)
         self.runners[runner_id] = runner
+        address = await self.serve(runner.handle)
+        self.list_runner(runner_id, target, address)
+        return runner
+
+    def list_runner(
+        self, runner_id: str, target: str, address: str, state: str = 'ready'
+    ) -> None:
+        """List a runner, as it lists itself."""
         self.store.write_json(
             f'servers/{runner_id}',
             {
@@ -88,15 +95,16 @@
                 'Zone': 'east-a',
                 'Version': 'v1',
                 'Slots': 6,
-                'State': 'ready',
+                'State': state,
                 'ColdLeftMs': 0,
                 'Seq': 1,
                 'born': 1,
             },
         )
-        return runner
 
-    def configure(self, version: int = 7, **changes) -> None:
+    def configure(
+        self, version: int = 7, routes: Mapping = ROUTES, **changes
+    ) -> None:
         """Write the configuration; changes go to every route."""
         standard = {
             'Host': CALLS_HOST,
@@ -105,9 +113,9 @@
             'MaxAttempts': 2,
             'Priority': 1,
         }
-        routes = [
+        listed = [
             {**standard, 'Name': name, **fields, **changes}
-            for name, fields in ROUTES.items()
+            for name, fields in routes.items()
         ]
         targets = [
             {'Name': 'model', 'Engine': {'Slots': 6, 'StreamStride': 2}},
@@ -123,7 +131,7 @@
             'op/config',
             {
                 'Version': version,
-                'Routes': routes,
+                'Routes': listed,
                 'Services': targets,
                 'Limits': limits,
             },
@@ -209,21 +217,23 @@
         method = b'POST' if body else b'GET'
         pairs = [(name.encode(), fields[name].encode()) for name in fields]
         request = OutgoingRequest(method, path.encode(), pairs, body)
-        return await _ask_once(entry.callers_address, request)
+        return await ask_once(entry.callers_address, request)
 
     async def scrape(self, role: NodeSettings) -> Answered:
         """Return a role's metrics."""
         request = OutgoingRequest(b'GET', b'/metrics', [(b'Host', b'h')])
-        return await _ask_once(f'{role.ip}:{role.metrics_port}', request)
+        return await ask_once(f'{role.ip}:{role.metrics_port}', request)
 
 
-async def _ask_once(address: str, request: OutgoingRequest) -> Answered:
+async def ask_once(address: str, request: OutgoingRequest) -> Answered:
+    """Send one request on a connection of its own."""
     connection = await open_connection(address, 1)
     with closing(connection):
-        return await _answered(connection, request)
+        return await answered(connection, request)
 
 
-async def _answered(connection, request: OutgoingRequest) -> Answered:
+async def answered(connection, request: OutgoingRequest) -> Answered:
+    """Send one request on an open connection, and read its answer."""
     await connection.send(request)
     response = await connection.response(bool)
     received: list[bytes] = []
@@ -243,7 +253,7 @@
     """Tell whether an entry says that it is ready."""
     request = OutgoingRequest(b'GET', b'/ready', [(b'Host', b'h')])
     try:
-        asked = await _ask_once(settings.readiness_address, request)
+        asked = await ask_once(settings.readiness_address, request)
     except ConnectionLostError:
         return False
     return asked.status == 200
--- a/tests/platform_runner.py
+++ b/tests/platform_runner.py
@@ -56,7 +56,7 @@
             foreign = [(b'Request-Id', b'other'), *headers[1:]]
             await answer.send_whole(200, foreign, b'not yours')
         if request.target.startswith(b'/turns/'):
-            await self.stream(answer, fault)
+            await self.stream(request, answer, fault)
             return
         await self.answer_plain(request, answer, fault)
 
@@ -89,9 +89,10 @@
             return
         await answer.send_whole(200, headers, body)
 
-    async def stream(self, answer: AnswerWriter, fault: str) -> None:
+    async def stream(
+        self, request: HttpRequest, answer: AnswerWriter, fault: str
+    ) -> None:
         """Answer in events."""
-        request = self.ran[-1]
         await answer.start(200, self.headers(request))
         number = 0
         while number < self.events:
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -22,6 +22,7 @@
     items: dict[str, dict] = field(factory=dict)
     events: list[dict] = field(factory=list)
     leases: dict[int, float] = field(factory=dict)
+    ttl_seconds: dict[int, float] = field(factory=dict)
     oldest: int = 1
     # A status that is answered instead, for a while.
     refuse_with: int = 0
@@ -143,7 +144,8 @@
     def grant(self, fields: dict) -> tuple[int, dict]:
         """Grant a lease."""
         lease = 1000 + len(self.leases) + self.calls
-        self.leases[lease] = trio.current_time() + fields['TtlMs'] / 1000
+        self.ttl_seconds[lease] = fields['TtlMs'] / 1000
+        self.leases[lease] = trio.current_time() + self.ttl_seconds[lease]
         return 200, {'Lease': lease, 'TtlMs': fields['TtlMs']}
 
     def keep(self, argument: str) -> tuple[int, dict]:
@@ -151,8 +153,9 @@
         lease = int(argument)
         if lease not in self.leases:
             return 404, {}
-        self.leases[lease] = trio.current_time() + 3
-        return 200, {'TtlMs': 3000}
+        ttl_seconds = self.ttl_seconds[lease]
+        self.leases[lease] = trio.current_time() + ttl_seconds
+        return 200, {'TtlMs': int(ttl_seconds * 1000)}
 
     def revoke(self, argument: str) -> tuple[int, dict]:
         """End a lease."""
