Add a soak of the real programs under random faults

One seed gives the faults: processes killed, paused, stopped, several at once; a disk emptied when no other is lost; links delayed, cut one way or both, reset, gone silent for what is open; the store away, slow, silent, losing answers or its history; configurations; runners that refuse, drop, cut, hang, fail, come late or twice, answer another call, send no answer or bytes without end, and that drain. While it runs it checks at most once, refusals, whole answers and their owner, chains byte by byte, kept turns, budgets, versions of the configuration in one life of an entry, cancelled work, bounded ends, planned stops, memory and descriptors; after the faults, that every entry serves everything within 15 s and kept turns go on. A violation ends the seed and prints the faults so far and what explain-log tells of the request. What was started ends by its own handle, also after a signal. Not in it yet: clocks that step, disks that fill, fail or tear a write, retiring a VM, shrinking of a failing schedule.

--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak the real programs under random faults, and check what they promise."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,66 @@
+"""Run seeds: python -m tests.soak --seed N --minutes M --processes P."""
+
+import sys
+import tempfile
+import time
+from argparse import ArgumentParser, Namespace
+from functools import partial
+from pathlib import Path
+
+import trio
+
+from tests.soak.soak import Report, soak_seed
+
+SECONDS = 60
+
+
+def arguments() -> Namespace:
+    """Return the arguments of the command."""
+    parser = ArgumentParser(prog='scripts/soak', description=__doc__)
+    parser.add_argument(
+        '--seed', type=int, help='one seed; a fresh one if none'
+    )
+    parser.add_argument('--seeds', help='seeds A-B, one after the other')
+    parser.add_argument('--minutes', type=float, default=1 / 3)
+    parser.add_argument('--processes', type=int, default=6)
+    parser.add_argument('--folder', type=Path, help='where logs stay')
+    return parser.parse_args()
+
+
+def seeds(given: Namespace) -> list[int]:
+    """Return the seeds to run."""
+    if given.seeds:
+        first, _, last = given.seeds.partition('-')
+        return list(range(int(first), int(last) + 1))
+    if given.seed is None:
+        return [time.time_ns() % 1000000]
+    return [given.seed]
+
+
+def run_seed(seed: int, given: Namespace, folder: Path) -> Report:
+    """Run one seed and print what it showed."""
+    own = folder / f'seed-{seed}'
+    own.mkdir(parents=True)
+    sys.stdout.write(f'seed {seed}, logs in {own}\n')
+    seconds = given.minutes * SECONDS
+    report = trio.run(partial(soak_seed, seed, seconds, given.processes, own))
+    verdict = 'passed' if report.passed else 'FAILED'
+    sys.stdout.write(f'{report.text}\nseed {seed} {verdict}\n')
+    sys.stdout.flush()
+    return report
+
+
+def main() -> int:
+    """Run all seeds; return an error if one failed."""
+    given = arguments()
+    folder = given.folder or Path(tempfile.mkdtemp(prefix='soak-'))
+    reports = [run_seed(seed, given, folder) for seed in seeds(given)]
+    failed = [report.seed for report in reports if not report.passed]
+    sys.stdout.write(
+        f'{len(reports)} seeds ran, {len(failed)} failed: {failed}\n'
+    )
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/program.py
@@ -0,0 +1,160 @@
+"""Programs of turns, with tools between them, and plain callers."""
+
+from collections import deque
+from itertools import count
+
+import trio
+from attrs import define, field, frozen
+
+from tests.platform_fleet import Answered
+from tests.soak.client import Client
+from tests.soak.ledger import OK, SAFE_ROUTES, TOKENS_PER_EVENT, Sent
+from tests.soak.runner import MOST_EVENTS
+
+MOST_TURNS = 8
+MOST_TOKENS = MOST_EVENTS * TOKENS_PER_EVENT
+BUDGETS = (24, 40, 1000)
+PAUSE_SECONDS = 0.25
+
+
+@frozen
+class KeptTurn:
+    """Hold a turn that was answered whole, with all that was said."""
+
+    turn_id: str
+    said: bytes
+    kept_at: float
+    program_id: str
+    budget: int
+
+
+@define(eq=False)
+class Program:
+    """Run turns one after the other; some continue from an older one."""
+
+    client: Client
+    program_id: str
+    budget: int
+    kept: list[KeptTurn] = field(factory=list)
+
+    async def run(self) -> list[KeptTurn]:
+        """Run to the end; return the turns that were answered."""
+        turns = 1 + self.client.random.randrange(MOST_TURNS)
+        number = 0
+        while number < turns and await self.step(number):
+            number += 1
+            await trio.sleep(self.client.random.random() * PAUSE_SECONDS)
+        return self.kept
+
+    async def step(self, number: int) -> bool:
+        """Run a turn and its tools; tell whether it was answered."""
+        name = f'{self.program_id}.{number}'
+        got = await self.turn(f'{name}.'.encode())
+        if got.status != OK:
+            return False
+        route = self.client.random.choice(('look', 'book'))
+        await call_plain(self.client, route, name)
+        return True
+
+    async def turn(self, added: bytes) -> Answered:
+        """Send one turn, at most twice again if it broke off."""
+        before = self.previous()
+        got = await self.send_turn(before, added)
+        repeats = 2
+        while not got.whole and repeats:
+            repeats -= 1
+            got = await self.send_turn(before, added)
+        return got
+
+    def previous(self) -> KeptTurn | None:
+        """Return the newest turn, or an older one as a sub-agent does."""
+        if not self.kept:
+            return None
+        newest = self.client.random.random() < 2 / 3
+        return self.kept[-1] if newest else self.client.random.choice(self.kept)
+
+    async def send_turn(
+        self, before: KeptTurn | None, added: bytes
+    ) -> Answered:
+        """Send a turn that continues from another one, or begins a chain."""
+        said = added if before is None else before.said + added
+        got = await continue_turn(self, before, added)
+        if got.whole and got.status == OK:
+            self.kept.append(
+                KeptTurn(
+                    got.headers['request-id'],
+                    said + output_of(got.body),
+                    trio.current_time(),
+                    self.program_id,
+                    self.budget,
+                )
+            )
+        return got
+
+
+async def continue_turn(
+    program: Program, before: KeptTurn | None, added: bytes
+) -> Answered:
+    """Send one turn of a program."""
+    headers = {
+        'Program-Id': program.program_id,
+        'Session-Id': program.program_id,
+        'Token-Budget': str(program.budget),
+        'Token-Usage': f'10,{MOST_TOKENS}',
+        'body': added,
+    }
+    if before:
+        headers['Previous-Turn'] = before.turn_id
+    sent = Sent(
+        '',
+        'turns',
+        '',
+        0,
+        prompt=added if before is None else before.said + added,
+        program_id=program.program_id,
+        budget=program.budget,
+        most_tokens=MOST_TOKENS,
+        previous_kept_at=before.kept_at if before else 0,
+    )
+    return await program.client.call('/turns/a', sent, headers)
+
+
+def output_of(stream: bytes) -> bytes:
+    """Return the data of all events, each with a line feed."""
+    lines = [
+        line.removeprefix(b'data: ')
+        for line in stream.split(b'\n')
+        if line.startswith(b'data: ')
+    ]
+    return b''.join(b'%b\n' % line for line in lines)
+
+
+async def call_plain(
+    client: Client, route: str, name: str, prefix: str = ''
+) -> Answered:
+    """Send a request; the prefix is the route's name if none is given."""
+    body = b'' if route in SAFE_ROUTES else name.encode()
+    sent = Sent('', route, '', 0, prompt=body)
+    first = prefix or route
+    path = f'/{first}/{name}'
+    return await client.call(path, sent, {'body': body})
+
+
+@define(eq=False)
+class Workload:
+    """Run programs on one client after the other, until cancelled."""
+
+    client: Client
+    remembered: deque[KeptTurn]
+    numbers: count = field(factory=count)
+
+    async def run(self) -> None:
+        """Run programs."""
+        while True:
+            number = next(self.numbers)
+            client = self.client.name
+            name = f'{client}p{number}'
+            budget = self.client.random.choice(BUDGETS)
+            program = Program(self.client, name, budget)
+            self.remembered.extend(await program.run())
+            await trio.sleep(self.client.random.random() * PAUSE_SECONDS)
--- /dev/null
+++ b/tests/soak/role_process.py
@@ -0,0 +1,194 @@
+"""One real process of a role, with its settings file, folder and log."""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+from attrs import define, field, frozen
+
+from jasminewheel.platform.settings import FILE_VARIABLE
+from tests.processes import STOP_SECONDS
+
+GRACE_SECONDS = 4.0
+POLL_SECONDS = 0.02
+FRONT_PORT = 8149
+READY_PORT = 8141
+CONTROL_PORT = 8144
+PEER_PORT = 7380
+PROC = Path('/proc')
+ZONES = ('east-a', 'east-b', 'west-a')
+TEMPLATE = """
+NodeName = "{name}"
+Ip = "{ip}"
+Zone = "{zone}"
+PortRange = [7380, 7395]
+Seeds = [{seeds}]
+Bootstrap = {first}
+DataDir = "{folder}"
+[Zones]
+east-a = "east"
+east-b = "east"
+west-a = "west"
+[Listen]
+{listen}
+[FaultTolerance]
+Machines = 1
+[Bounds]
+GraceS = {grace}
+[Platform]
+Address = "{store}"
+"""
+
+
+@frozen
+class Place:
+    """Say where a process runs, and how it reaches others."""
+
+    name: str
+    ip: str
+    zone: str
+    folder: Path
+    store: str = ''
+    seeds: tuple[str, ...] = ()
+
+    @property
+    def role(self) -> str:
+        """Return the role."""
+        return self.name.partition('-')[0]
+
+    @property
+    def front(self) -> str:
+        """Return where clients connect."""
+        return f'{self.ip}:{FRONT_PORT}'
+
+    @property
+    def ready(self) -> str:
+        """Return where the balancer asks."""
+        return f'{self.ip}:{READY_PORT}'
+
+    def settings(self, *, first: bool) -> str:
+        """Return the settings file."""
+        listen = f'Control = "{self.ip}:{CONTROL_PORT}"'
+        if self.role == 'entry':
+            listen = f'Front = "{self.front}"\nReady = "{self.ready}"'
+        return TEMPLATE.format(
+            name=self.name,
+            ip=self.ip,
+            zone=self.zone,
+            seeds=', '.join(f'"{seed}"' for seed in self.seeds),
+            first=str(first).lower(),
+            folder=self.folder / self.name,
+            listen=listen,
+            grace=GRACE_SECONDS,
+            store=self.store,
+        )
+
+
+@define(eq=False)
+class RoleProcess:
+    """Start, signal and end one process."""
+
+    place: Place
+    popen: subprocess.Popen | None = None
+    starts: int = 0
+    paused: bool = False
+    # What planned ends a process; a crash is one that nobody asked for.
+    ending: bool = False
+    lock: trio.Lock = field(factory=trio.Lock)
+
+    @property
+    def name(self) -> str:
+        """Return the name of the VM."""
+        return self.place.name
+
+    @property
+    def log(self) -> Path:
+        """Return the file of the process's lines."""
+        return self.place.folder / f'{self.name}.log'
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process lives."""
+        return self.popen is not None and self.popen.poll() is None
+
+    @property
+    def proc(self) -> Path:
+        """Return where the kernel tells of the process."""
+        return PROC / str(self.popen.pid)
+
+    def start(self) -> None:
+        """Start the process, with what is on its disk."""
+        path = self.place.folder / f'{self.name}.toml'
+        text = self.place.settings(first=not self.starts)
+        path.write_text(text, encoding='utf-8')
+        with self.log.open('ab') as log:
+            self.popen = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'jasminewheel.platform',
+                    self.place.role,
+                ],
+                env={**os.environ, FILE_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self.starts += 1
+        self.ending = False
+        self.paused = False
+
+    def pause(self) -> None:
+        """Stop the process without its notice."""
+        self.paused = True
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.paused = False
+        self.popen.send_signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """Kill the process."""
+        self.ending = True
+        self.popen.kill()
+        await self.wait()
+
+    async def terminate(self) -> bool:
+        """Ask for a stop; tell whether it ended within its grace."""
+        self.ending = True
+        self.popen.terminate()
+        with trio.move_on_after(GRACE_SECONDS):
+            await self.wait()
+            return True
+        await self.kill()
+        return False
+
+    async def wait(self) -> None:
+        """Wait until the process is gone."""
+        while self.running:
+            await trio.sleep(POLL_SECONDS)
+
+    def wipe(self) -> None:
+        """Remove all that is on the disk."""
+        shutil.rmtree(self.place.folder / self.name, ignore_errors=True)
+
+    def end(self) -> None:
+        """End the process at once, in whatever state it is."""
+        if self.running:
+            self.ending = True
+            self.popen.kill()
+            self.popen.wait(STOP_SECONDS)
+
+    def memory_bytes(self) -> int:
+        """Return the resident memory."""
+        text = (self.proc / 'statm').read_text(encoding='ascii')
+        return int(text.split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+    def descriptors(self) -> int:
+        """Return how many descriptors are open."""
+        return len(os.listdir(self.proc / 'fd'))
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,104 @@
+"""Run one seed from start to verdict."""
+
+import os
+import signal
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+from attrs import define
+
+from tests.soak.client import Client
+from tests.soak.faults import FaultMaker
+from tests.soak.plan import plan
+from tests.soak.program import KeptTurn, Workload
+from tests.soak.recovery import Recovery
+from tests.soak.report import Report, report
+from tests.soak.watch import Watch
+from tests.soak.world import World, all_entries, new_world
+
+CLIENTS_PER_ENTRY = 6
+CHECK_SECONDS = 0.1
+# Of the turns kept last, the check at the end continues some.
+REMEMBERED = 200
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+class InterruptedSoakError(Exception):
+    """Report that a signal ended the soak."""
+
+
+@define(eq=False)
+class Soak:
+    """Run the load, the faults and the checks of one seed."""
+
+    world: World
+    seconds: float
+    watch: Watch
+    kept: deque[KeptTurn]
+
+    async def run(self) -> None:
+        """Run until the end, or until the first violation."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.stop_at_violation, nursery.cancel_scope)
+            self.watch.start(nursery)
+            await self.start_clients(nursery)
+            until = trio.current_time() + self.seconds
+            faults = plan(self.world.seed, self.seconds)
+            await FaultMaker(self.world).run(faults)
+            await trio.sleep_until(until)
+            await Recovery(self.world, self.watch, self.kept).run()
+            nursery.cancel_scope.cancel()
+
+    async def start_clients(self, nursery: trio.Nursery) -> None:
+        """Start the balancer and the clients."""
+        balancer = all_entries(self.world)
+        for entry in balancer.entries:
+            nursery.start_soon(balancer.run, entry)
+        for number in range(CLIENTS_PER_ENTRY * len(balancer.entries)):
+            name = f'c{number}'
+            client = Client(
+                name, balancer, self.world.ledger, self.world.random(name)
+            )
+            nursery.start_soon(Workload(client, self.kept).run)
+
+    async def stop_at_violation(self, scope: trio.CancelScope) -> None:
+        """End the soak once a promise is broken."""
+        while not self.world.ledger.violations:
+            await trio.sleep(CHECK_SECONDS)
+        scope.cancel()
+
+
+async def soak_seed(
+    seed: int, seconds: float, processes: int, folder: Path
+) -> Report:
+    """Run one seed; whatever happens, its processes end."""
+    async with running_world(seed, folder) as world:
+        await world.start(processes)
+        soak = Soak(world, seconds, Watch(world), deque(maxlen=REMEMBERED))
+        await soak.run()
+        # Processes end before their logs are read.
+        world.end()
+        return report(world, soak.watch)
+
+
+@asynccontextmanager
+async def running_world(seed: int, folder: Path) -> AsyncIterator[World]:
+    """Give a world that is ended on the way out, also by a signal."""
+    async with trio.open_nursery() as nursery:
+        world = new_world(seed, folder, nursery)
+        nursery.start_soon(_raise_at_signal)
+        try:
+            yield world
+        finally:
+            world.end()
+        nursery.cancel_scope.cancel()
+
+
+async def _raise_at_signal() -> None:
+    with trio.open_signal_receiver(*SIGNALS) as received:
+        async for number in received:
+            name = signal.Signals(number).name
+            raise InterruptedSoakError(f'{name} in process {os.getpid()}')
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,184 @@
+"""Everything that one soak runs: processes, stand-ins, links and clients."""
+
+from pathlib import Path
+from random import Random
+from types import MappingProxyType
+
+import trio
+from attrs import define, evolve, field
+
+from tests.platform_fleet import ROUTES, PlatformFleet, stored_json
+from tests.soak.balancer import Balancer, is_ready
+from tests.soak.interval_log import IntervalLog
+from tests.soak.ledger import Ledger
+from tests.soak.links import Links
+from tests.soak.role_process import (
+    CONTROL_PORT,
+    PEER_PORT,
+    ZONES,
+    Place,
+    RoleProcess,
+)
+from tests.soak.runner import SoakRunner
+from tests.soak.store import StoreViews
+
+RUNNERS = MappingProxyType(
+    {'desk-1': 'desk', 'desk-2': 'desk', 'model-1': 'model', 'model-2': 'model'}
+)
+FEWEST_HISTORIES = 3
+# From this many processes on a fourth history is there to take over.
+SPARE_FROM = 7
+SET_KEY = 'jasminewheel/replicas'
+POLL_SECONDS = 0.05
+START_SECONDS = 30.0
+
+
+@define(eq=False)
+class World:
+    """Hold the parts of one soak."""
+
+    seed: int
+    folder: Path
+    nursery: trio.Nursery
+    fleet: PlatformFleet
+    links: Links
+    store: StoreViews
+    ledger: Ledger
+    processes: dict[str, RoleProcess] = field(factory=dict)
+    runners: list[SoakRunner] = field(factory=list)
+    version: int = 10
+    subnet: str = ''
+
+    @property
+    def faults(self) -> IntervalLog:
+        """Return the faults so far."""
+        return self.ledger.faults
+
+    def entries(self) -> list[RoleProcess]:
+        """Return the entries."""
+        return self.of_role('entry')
+
+    def of_role(self, role: str) -> list[RoleProcess]:
+        """Return the processes of a role."""
+        return [
+            process
+            for process in self.processes.values()
+            if process.place.role == role
+        ]
+
+    def random(self, purpose: str) -> Random:
+        """Return a generator of its own for one purpose."""
+        return Random(f'{self.seed} {purpose}')
+
+    def configure(self) -> None:
+        """Write the next configuration; only it has its own route."""
+        self.version += 1
+        own = {
+            'Prefix': f'/v{self.version}/',
+            'Kind': 'safe',
+            'Service': 'desk',
+        }
+        self.fleet.configure(self.version, {**ROUTES, 'own': own})
+
+    async def start(self, processes: int) -> None:
+        """Start all, and wait until every entry is ready."""
+        self.configure()
+        async with trio.open_nursery() as nursery:
+            for runner_id in RUNNERS:
+                nursery.start_soon(self.start_runner, runner_id)
+        histories = FEWEST_HISTORIES + (processes >= SPARE_FROM)
+        entries = max(1, processes - histories)
+        await self.place(
+            [
+                *(f'history-{number}' for number in range(histories)),
+                *(f'entry-{number}' for number in range(entries)),
+            ]
+        )
+        with trio.fail_after(START_SECONDS):
+            await self.start_processes()
+
+    async def start_processes(self) -> None:
+        """Start histories, then entries, and wait for them."""
+        for history in self.of_role('history'):
+            history.start()
+        while SET_KEY not in self.fleet.store.items:
+            await trio.sleep(POLL_SECONDS)
+        async with trio.open_nursery() as nursery:
+            for entry in self.entries():
+                entry.start()
+                nursery.start_soon(wait_ready, entry)
+
+    async def start_runner(self, runner_id: str) -> None:
+        """Start a runner and list it."""
+        runner = SoakRunner(
+            runner_id, ledger=self.ledger, random=self.random(runner_id)
+        )
+        runner.address = await self.fleet.serve(runner.handle)
+        self.links.add(runner_id, runner.address)
+        self.runners.append(runner)
+        self.list_runner(runner)
+
+    def list_runner(self, runner: SoakRunner, state: str = 'ready') -> None:
+        """List a runner in a state."""
+        target = RUNNERS[runner.runner_id]
+        self.fleet.list_runner(runner.runner_id, target, runner.address, state)
+
+    async def place(self, names: list[str]) -> None:
+        """Give each process an address, a folder and its ways to others."""
+        ips = [f'{self.subnet}.{number}' for number in range(1, 1 + len(names))]
+        for name, own_ip in zip(names, ips, strict=True):
+            self.links.add(name, f'{own_ip}:{PEER_PORT}')
+            self.links.add(name, f'{own_ip}:{CONTROL_PORT}')
+        seeds = [f'{ip}:{CONTROL_PORT}' for ip in ips[:FEWEST_HISTORIES]]
+        async with trio.open_nursery() as nursery:
+            for number, placed in enumerate(names):
+                zone = ZONES[number % len(ZONES)]
+                place = Place(placed, ips[number], zone, self.folder)
+                self.processes[placed] = RoleProcess(place)
+                nursery.start_soon(self.lead_ways, place, seeds)
+
+    async def lead_ways(self, place: Place, seeds: list[str]) -> None:
+        """Give a process its ways to the store and to the histories."""
+        store = await self.store.open(place.name)
+        ways = tuple(self.links.way(place.name, seed) for seed in seeds)
+        process = self.processes[place.name]
+        process.place = evolve(place, store=store, seeds=ways)
+
+    def replica_set(self) -> dict:
+        """Return the replica set in the store."""
+        return stored_json(self.fleet, SET_KEY)
+
+    def end(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes.values():
+            process.end()
+
+
+async def wait_ready(entry: RoleProcess) -> None:
+    """Wait until an entry is ready."""
+    while not await is_ready(entry):
+        await trio.sleep(POLL_SECONDS)
+
+
+def new_world(seed: int, folder: Path, nursery: trio.Nursery) -> World:
+    """Return a world in which nothing runs yet."""
+    fleet = PlatformFleet(folder, nursery)
+    links = Links(nursery)
+    ledger = Ledger(IntervalLog(trio.current_time()))
+    # Any seed may run beside any other.
+    low, high = Random().sample(range(1, 255), 2)
+    return World(
+        seed,
+        folder,
+        nursery,
+        fleet,
+        links,
+        StoreViews(fleet, links),
+        ledger,
+        subnet=f'127.{low}.{high}',
+    )
+
+
+def all_entries(world: World) -> Balancer:
+    """Return the balancer of a world."""
+    return Balancer(world.entries())
