--- a/tests/soak/interval_log.py
+++ b/tests/soak/interval_log.py
@@ -7,6 +7,9 @@
 import trio
 from attrs import define, field
 
+# A stall of the soak itself makes its measured times uncertain.
+SOAK = 'soak'
+
 
 @define
 class Disturbance:
--- a/tests/soak/watch.py
+++ b/tests/soak/watch.py
@@ -7,6 +7,7 @@
 
 from tests.soak.balancer import Balancer
 from tests.soak.client import Client
+from tests.soak.interval_log import SOAK
 from tests.soak.ledger import OK, OWN
 from tests.soak.program import call_plain
 from tests.soak.role_process import RoleProcess
@@ -17,10 +18,9 @@
 # The limits of the smaller of the users' first two deployments.
 MEMORY_MIB = MappingProxyType({'entry': 150, 'history': 170})
 DESCRIPTORS = MappingProxyType({'entry': 3900, 'history': 8000})
-# A stall of the soak itself makes its measured times uncertain.
+# Less is how a busy machine runs its processes.
 STALL_SECONDS = 0.2
 BEAT_SECONDS = 0.05
-SOAK = 'soak'
 
 
 def pinned_client(world: World, entry: RoleProcess, purpose: str) -> Client:
