--- a/tests/free_port.py
+++ b/tests/free_port.py
@@ -1,6 +1,5 @@
 """Find ports for the processes of a test."""
 
-import os
 import secrets
 import socket
 from collections.abc import Iterator
@@ -24,15 +23,11 @@
 
 
 def _candidates() -> Iterator[int]:
-    # Each of the processes that run tests side by side has ports of its own.
-    worker = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
-    workers = int(os.environ.get('PYTEST_XDIST_WORKER_COUNT', '1'))
-    count = (outgoing_ports().start - LOWEST) // workers
-    lowest = LOWEST + count * int(worker.removeprefix('gw'))
-    # Other runs of tests begin elsewhere.
+    count = outgoing_ports().start - LOWEST
+    # Tests that run beside these begin elsewhere.
     first = secrets.randbelow(count)
     for step in range(count):
-        port = lowest + (first + step) % count
+        port = LOWEST + (first + step) % count
         if _is_free(port):
             yield port
 
--- a/tests/functional/test_drain.py
+++ b/tests/functional/test_drain.py
@@ -11,8 +11,6 @@
 from process_fleet import running_fleet
 from processes import running
 
-pytestmark = pytest.mark.alone
-
 # A leaving runner receives no new work after this time.
 DRAIN_SECONDS = 4
 LAG_SECONDS = 0.5
--- a/tests/functional/test_early_sockets.py
+++ b/tests/functional/test_early_sockets.py
@@ -14,8 +14,6 @@
 from jasminewheel._internal.web.server import WebServer
 from tests.free_port import HOST, free_port
 
-pytestmark = pytest.mark.alone
-
 SETTINGS = """
 NodeName = "front-1"
 Ip = "127.0.0.1"
--- a/tests/functional/test_heartbeats.py
+++ b/tests/functional/test_heartbeats.py
@@ -1,12 +1,9 @@
 """Check heartbeats between members over real connections."""
 
-import pytest
 import trio
 
 from members import running_fleet, until, until_joined
 
-pytestmark = pytest.mark.alone
-
 
 def test_all_members_learn_of_all():
     """Members that know one peer come to know all."""
--- a/tests/functional/test_lost_disks.py
+++ b/tests/functional/test_lost_disks.py
@@ -2,14 +2,11 @@
 
 from collections import Counter
 
-import pytest
 import trio
 
 from tests.relay_entries import start_entries
 from tests.turn_replicas import turn, turn_replicas
 
-pytestmark = pytest.mark.alone
-
 ENTRIES = 16
 DISKS = 5
 LOST = 2
--- a/tests/functional/test_newcomer_copies.py
+++ b/tests/functional/test_newcomer_copies.py
@@ -1,6 +1,5 @@
 """Check what a disk that joins copies, and from whom."""
 
-import pytest
 import trio
 from attrs import evolve
 
@@ -9,8 +8,6 @@
 from jasminewheel._internal.peer.traffic import TRAFFIC
 from tests.turn_replicas import reservation, turn, turn_replicas
 
-pytestmark = pytest.mark.alone
-
 TURNS = 40
 SILENT_SECONDS = 2.0
 PROMPT = bytes(65536)
--- a/tests/functional/test_peer_connections.py
+++ b/tests/functional/test_peer_connections.py
@@ -2,7 +2,6 @@
 
 from contextlib import asynccontextmanager
 
-import pytest
 import trio
 
 from jasminewheel._internal.peer.identity import PeerIdentity
@@ -11,8 +10,6 @@
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import PeerError
 
-pytestmark = pytest.mark.alone
-
 KEY = b'k' * 32
 QUESTIONS = 60
 TIMEOUT_SECONDS = 0.1
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -9,8 +9,6 @@
 from jasminewheel._internal.events import gateway as events
 from tests.platform_fleet import is_ready, platform_fleet, stored_json
 
-pytestmark = pytest.mark.alone
-
 SLOW_EVENT_SECONDS = 0.2
 DISKS_AWAY_SECONDS = 1.5
 
--- a/tests/functional/test_prefix_retention.py
+++ b/tests/functional/test_prefix_retention.py
@@ -20,8 +20,6 @@
 from jasminewheel._internal.targets.engine import EngineRequest
 from jasminewheel._internal.targets.prefix import chain
 
-pytestmark = pytest.mark.alone
-
 MESSAGES = ({'role': 'user', 'content': 'jute sacks, lot 7'},)
 BLOCK = chain(MESSAGES)[-1].block
 
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -14,8 +14,6 @@
 from tests.relay_entries import start_entries
 from tests.turn_replicas import reservation, turn, turn_replicas
 
-pytestmark = pytest.mark.alone
-
 # A stream may pause for 0.4 s; the first turn after a cut stays below it.
 FIRST_SECONDS = 0.4
 LATER_SECONDS = 0.1
--- a/tests/functional/test_replica_change.py
+++ b/tests/functional/test_replica_change.py
@@ -20,8 +20,6 @@
 from tests.histories import fleet, placement_of
 from tests.memory_store import MemoryStore
 
-pytestmark = pytest.mark.alone
-
 FOUR = ('h1', 'h2', 'h3', 'h4')
 TIMING = ChangeTiming(
     interval_seconds=0.05,
--- a/tests/functional/test_take_over_time.py
+++ b/tests/functional/test_take_over_time.py
@@ -8,8 +8,6 @@
 from fault_steps import owner_of
 from process_fleet import running_fleet
 
-pytestmark = pytest.mark.alone
-
 KILLS = 3
 LONG_KILLS = 40
 # Well below what it takes to declare a member dead.
