--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,8 +13,6 @@
 
 from tests.soak.soak import soak_seed
 
-pytestmark = pytest.mark.alone
-
 # Seeds that failed once stay here, each with a line on its cause.
 SEEDS = (1, 2)
 SECONDS = 16.2
