Log what a call's runner was believed by, and when its bytes went out

New: JW1890 (a removed runner stays in use, for how long, why); the revision on JW1876 to JW1878; on request lines the revision and age of the list, whether the runner was unlisted, and when its connection stood and its bytes were out; on JW1851 for how long the store was away; the gauge store_told_seconds_ago. No decision changes. Unit tests and test_platform pass.

--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -71,3 +71,9 @@
     'a runner sent more than an answer has; its connection is closed',
     'see whether the runner is in trouble, and replace it',
 )
+RUNNER_KEPT = Event(
+    1890,
+    logging.INFO,
+    'runner not listed any more, and used until its entry may be back',
+    belief=True,
+)
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -101,7 +101,7 @@
     ) -> bool:
         """Send to one runner; tell whether its answer was read."""
         sending = _Sending(view, record, self.choice, trio.current_time())
-        attempt = self.attempt(record, view, body)
+        attempt = self.attempt(record, sending, body)
         try:
             async with sending, self.port.attempt(attempt) as answer:
                 if sending.takes(answer):
@@ -127,15 +127,16 @@
         return view
 
     def attempt(
-        self, record: CallRecord, view: RunnerView, body: bytes
+        self, record: CallRecord, sending: '_Sending', body: bytes
     ) -> Attempt:
         """Return what is sent to the runner."""
         return Attempt(
             call=record.call,
-            runner=view.runner,
+            runner=sending.view.runner,
             body=body,
             seconds_left=record.deadline_at - trio.current_time(),
             repeatable=record.repeatable,
+            watch=sending,
             priority=record.route.priority,
         )
 
@@ -159,17 +160,37 @@
 
     async def __aenter__(self) -> None:
         """Count the call at its runner; note what was believed of it."""
-        load = self.view.load
-        self.record.notes.update(
-            believed_load=load.estimate(self.started_at),
-            own_load=load.own_running,
-            report_age=round(self.started_at - load.reported_at, 2),
-        )
+        self.record.notes.update(self.beliefs())
         self.record.runner = self.view.runner.runner_id
         self.record.attempts += 1
         self.view.load.started(self.started_at)
         self.view.breaker.sent(self.started_at)
 
+    def beliefs(self) -> dict[str, object]:
+        """Return what decided on the runner, and how old that is."""
+        load = self.view.load
+        contact = self.choice.directory.contact
+        return {
+            'believed_load': load.estimate(self.started_at),
+            'own_load': load.own_running,
+            'report_age': round(self.started_at - load.reported_at, 2),
+            'list_revision': contact.revision,
+            'list_age': round(contact.age(self.started_at), 2),
+            'unlisted': self.view.unlisted_until is not None,
+        }
+
+    def sending(self) -> None:
+        """Note how long the connection took."""
+        waited = trio.current_time() - self.started_at
+        self.record.notes['connected_in'] = round(waited, 4)
+
+    def sent(self) -> None:
+        """Note when the whole call was out."""
+        now = trio.current_time()
+        arrived_at = self.record.call.arrived_at
+        self.record.notes['sent_in'] = round(now - self.started_at, 4)
+        self.record.notes['sent_after'] = round(now - arrived_at, 4)
+
     async def __aexit__(self, *_exception: object) -> None:
         """Count the end of the call."""
         now = trio.current_time()
--- a/src/jasminewheel/_internal/gateway/ports.py
+++ b/src/jasminewheel/_internal/gateway/ports.py
@@ -12,6 +12,16 @@
 from jasminewheel._internal.web.headers import Headers
 
 
+class SendWatch(Protocol):
+    """Learn how far the sending of a call is."""
+
+    def sending(self) -> None:
+        """Note that the connection is open and the call goes out."""
+
+    def sent(self) -> None:
+        """Note that the whole call went out."""
+
+
 @frozen
 class Attempt:
     """Hold one sending of a call to a runner."""
@@ -22,6 +32,7 @@
     # What is left of the caller's time.
     seconds_left: float
     repeatable: bool
+    watch: SendWatch
     # Lower is more urgent; None leaves it to the runner.
     priority: int | None = None
 
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -9,6 +9,7 @@
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
 from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
+from jasminewheel._internal.store.contact import StoreContact
 
 # After the store was away, runners it no longer lists have this long to list
 # themselves again; they are used meanwhile.
@@ -52,6 +53,8 @@
     views: dict[str, RunnerView] = field(factory=dict)
     by_target: dict[str, dict[str, RunnerView]] = field(factory=dict)
     rates: dict[str, TargetRates] = field(factory=dict)
+    # What the list of runners is as of.
+    contact: StoreContact = field(factory=StoreContact)
     store_away: bool = False
     relist_until: float = 0
 
@@ -61,7 +64,12 @@
         if view and view.runner.started_ms == runner.started_ms:
             view.unlisted_until = None
             if view.runner.draining != runner.draining:
-                events.RUNNER_DRAINING.log(_LOGGER, runner=runner.runner_id)
+                events.RUNNER_DRAINING.log(
+                    _LOGGER,
+                    runner=runner.runner_id,
+                    draining=runner.draining,
+                    revision=self.contact.revision,
+                )
             if view.runner.target == runner.target:
                 view.runner = runner
                 return
@@ -70,7 +78,11 @@
         self.views[runner.runner_id] = view
         self.by_target.setdefault(runner.target, {})[runner.runner_id] = view
         events.RUNNER_LISTED.log(
-            _LOGGER, runner=runner.runner_id, target=runner.target
+            _LOGGER,
+            runner=runner.runner_id,
+            target=runner.target,
+            draining=runner.draining,
+            revision=self.contact.revision,
         )
 
     def remove(self, runner_id: str, now: float) -> None:
@@ -80,9 +92,18 @@
             return
         if not self.store_away and now >= self.relist_until:
             self.forget(runner_id)
-            events.RUNNER_GONE.log(_LOGGER, runner=runner_id)
+            events.RUNNER_GONE.log(
+                _LOGGER, runner=runner_id, revision=self.contact.revision
+            )
         elif view.unlisted_until is None:
             view.unlisted_until = max(now, self.relist_until) + RELIST_SECONDS
+            events.RUNNER_KEPT.log(
+                _LOGGER,
+                runner=runner_id,
+                seconds=round(view.unlisted_until - now, 3),
+                store_away=self.store_away,
+                revision=self.contact.revision,
+            )
 
     def forget(self, runner_id: str) -> None:
         """Drop what is known of a runner."""
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -134,7 +134,8 @@
         found = [
             StoreItem(one.key, one.value, one.revision) for one in told.items
         ]
-        if self.mirror.take_known(found, told.revision):
+        now = trio.current_time()
+        if self.mirror.take_known(found, told.revision, now):
             events.KNOWN_TAKEN.log(
                 _LOGGER,
                 address=address,
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from jasminewheel._internal.events import store as events
+from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.port import (
     StoreChanges,
     StoreHistoryLostError,
@@ -53,6 +54,7 @@
     # Up to which revision changes are among the items.
     known_revision: int = 0
     available: bool = True
+    contact: StoreContact = field(factory=StoreContact)
     loaded: trio.Event = field(factory=trio.Event)
 
     async def run(self) -> None:
@@ -73,16 +75,20 @@
             wait = WATCH_SECONDS if self.available else LOST_WATCH_SECONDS
             changes = await self.store.changes(self.revision, wait)
             self.note_back()
+            self.contact.told(changes.revision, trio.current_time())
             self.take_changes(changes)
             if changes.written or changes.removed:
                 await trio.sleep(GATHER_SECONDS)
             return
         snapshot = await self.store.snapshot()
         self.note_back()
+        self.contact.told(snapshot.revision, trio.current_time())
         self.take_snapshot(snapshot.items, snapshot.revision)
         self.loaded.set()
 
-    def take_known(self, found: Iterable[StoreItem], revision: int = 0) -> bool:
+    def take_known(
+        self, found: Iterable[StoreItem], revision: int, now: float
+    ) -> bool:
         """Use what another process knows while the store cannot be read.
 
         Tell whether that was newer than what is known here.
@@ -93,6 +99,7 @@
         readable = self.available and self.loaded.is_set()
         if readable or revision <= self.known_revision:
             return False
+        self.contact.told(revision, now)
         self.take_snapshot(items, revision if self.revision else 0)
         self.known_revision = revision
         return True
@@ -130,6 +137,7 @@
         if self.available:
             events.LOST.log(_LOGGER, problem=error)
             self.available = False
+            self.contact.lost(trio.current_time())
         for listener in self.listeners:
             listener.store_lost()
 
@@ -137,7 +145,10 @@
         """Note that the store answers."""
         if self.available:
             return
-        events.BACK.log(_LOGGER, revision=self.revision)
+        away = self.contact.back(trio.current_time())
+        events.BACK.log(
+            _LOGGER, revision=self.known_revision, away=round(away, 3)
+        )
         self.available = True
         for listener in self.listeners:
             listener.store_back()
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -59,6 +59,7 @@
         return StoreMirror(
             self.store,
             [*self.peers.listeners(), listener],
+            contact=self.directory.contact,
         )
 
     def gauges(self) -> dict[str, float]:
@@ -72,6 +73,7 @@
             'store_away': float(self.directory.store_away),
             'runners_listed': len(self.directory.views),
             'runners_usable': usable,
+            'store_told_seconds_ago': self.directory.contact.age(now),
             'calls_at_runners': sum(view.load.own_running for view in views),
             'connections_opened': self.connections.opened,
         }
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -39,7 +39,7 @@
     board = PlatformRetireBoard(parts.store)
     known = KnownItemsFile(parts.folder / KNOWN_ITEMS_NAME)
     mirror = StoreMirror(parts.store, [parts.listener, board, known])
-    mirror.take_known(known.load())
+    mirror.take_known(known.load(), 0, trio.current_time())
     async with trio.open_nursery() as nursery:
         await start_server(nursery, parts, mirror)
         nursery.start_soon(mirror.run)
--- a/src/jasminewheel/platform/runner_protocol.py
+++ b/src/jasminewheel/platform/runner_protocol.py
@@ -93,8 +93,7 @@
         answer: PlatformAnswer | None = None
         held = HeldBytes(self.connections.room)
         try:
-            await connection.send(_request(attempt))
-            response = await connection.response(_belongs_to(attempt))
+            response = await _first_answer(connection, attempt)
             answer = PlatformAnswer(connection, response, held)
             yield answer
         finally:
@@ -113,6 +112,15 @@
             connection.close()
 
 
+async def _first_answer(
+    connection: HttpConnection, attempt: Attempt
+) -> HttpResponse:
+    attempt.watch.sending()
+    await connection.send(_request(attempt))
+    attempt.watch.sent()
+    return await connection.response(_belongs_to(attempt))
+
+
 def _request(attempt: Attempt) -> OutgoingRequest:
     left = max(1, int(attempt.seconds_left * MILLISECONDS))
     headers = [
--- a/tests/unit/test_store_mirror.py
+++ b/tests/unit/test_store_mirror.py
@@ -202,5 +202,5 @@
     mirror = StoreMirror(AwayStore())
     mirror.take_snapshot([StoreItem('a', b'', 3)], 4)
     mirror.loaded.set()
-    assert not mirror.take_known([StoreItem('b', b'', 9)], 9)
+    assert not mirror.take_known([StoreItem('b', b'', 9)], 9, now=1)
     assert set(mirror.items) == {'a'}
