Show that runners that left still get calls, by tests that fail

For the incident DRAIN. A stand-in of the store that each process reaches by a way of its own, three other processes to ask, and a clock that is played: an entry back from a cut, watches cut for all, an entry that is turned away while one of three reads the store, a lapse that is not mended, a lapse told by another process, an unreadable entry, and a runner that left while the connection to it opened.

--- /dev/null
+++ b/tests/unit/test_leaving_runners.py
@@ -0,0 +1,287 @@
+"""Check that runners that left get no calls, and lapsed ones do for a while."""
+
+import math
+from contextlib import asynccontextmanager
+from functools import partial
+
+import pytest
+import trio
+from attrs import define, field
+from trio.testing import MockClock
+
+from jasminewheel._internal.gateway.attempts import Attempts, CallRecord
+from jasminewheel._internal.gateway.call import Call
+from jasminewheel._internal.gateway.choice import Need, RunnerChoice
+from jasminewheel._internal.gateway.gateway import RoutesHolder
+from jasminewheel._internal.gateway.routes import CallKind, Route, TargetShare
+from jasminewheel._internal.gateway.runners import RunnerDirectory
+from jasminewheel._internal.store.known_items import (
+    KnownItemsAsker,
+    KnownItemsService,
+)
+from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel.errors import PeerError
+from jasminewheel.platform.listener import PlatformListener
+from tests.watched_store import SharedStore, StoreWay
+
+# The users' bounds on their first deployments.
+DRAIN_SECONDS = 2.5
+CONTACT_SECONDS = 4.0
+RELIST_SECONDS = 2.0
+LEFT = 'servers/left'
+
+
+@define(eq=False)
+class Process:
+    """Hold a process that follows the store by its own way."""
+
+    way: StoreWay
+    directory: RunnerDirectory = field(factory=RunnerDirectory)
+    mirror: StoreMirror = field(init=False)
+    dead: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Take the runners from the mirror."""
+        listener = PlatformListener(RoutesHolder(), self.directory, None)
+        contact = self.directory.contact
+        self.mirror = StoreMirror(self.way, [listener], contact=contact)
+
+    def uses(self, runner_id: str) -> bool:
+        """Tell whether new calls go to the runner."""
+        usable = self.directory.usable('desk', trio.current_time())
+        return runner_id in {view.runner.runner_id for view in usable}
+
+
+@define(eq=False)
+class Processes:
+    """Hold an entry, and others that it may ask."""
+
+    store: SharedStore = field(factory=SharedStore)
+    entry: Process = field(init=False)
+    others: dict[str, Process] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """List two runners."""
+        self.entry = Process(StoreWay(self.store))
+        self.others = {
+            name: Process(StoreWay(self.store)) for name in ('a', 'b', 'c')
+        }
+        self.store.list_runner('left')
+        self.store.list_runner('stays')
+
+    def all(self) -> list[Process]:
+        """Return all processes."""
+        return [self.entry, *self.others.values()]
+
+    async def ask(self, address, message, reply_kind, *, timeout_seconds):
+        """Ask one of the others, as a pool of peers does."""
+        other = self.others[address]
+        if other.dead:
+            await trio.sleep(timeout_seconds)
+            raise PeerError(f'{address} did not answer')
+        await trio.sleep(0.002)
+        return await KnownItemsService(other.mirror).read(None, message)
+
+
+def _play(scenario) -> None:
+    async def run() -> None:
+        world = Processes()
+        asker = KnownItemsAsker(world.entry.mirror, world, tuple(world.others))
+        async with trio.open_nursery() as nursery:
+            for process in world.all():
+                nursery.start_soon(process.mirror.run)
+            nursery.start_soon(asker.run)
+            await scenario(world)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize('alone', [False, True])
+def test_entry_back_from_a_cut_keeps_no_runner_that_left(alone):
+    """Guards against DRAIN: a cut of one entry is no outage of the store."""
+
+    async def scenario(world) -> None:
+        for other in world.others.values():
+            other.dead = alone
+        await trio.sleep_until(1)
+        world.entry.way.silent = True
+        healed_at = 5.3
+        await trio.sleep_until(healed_at)
+        world.entry.way.silent = False
+        await trio.sleep(0.15)
+        world.store.remove(LEFT)
+        await trio.sleep_until(healed_at + CONTACT_SECONDS)
+        assert not world.entry.uses('left')
+        assert world.entry.uses('stays')
+
+    _play(scenario)
+
+
+def test_cut_watches_keep_no_runner_that_left():
+    """Guards against DRAIN: watches of all processes cut at one moment."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(2)
+        for process in world.all():
+            process.way.deaf = True
+        await trio.sleep(0.9)
+        world.store.remove(LEFT)
+        removed_at = trio.current_time()
+        await trio.sleep(0.3)
+        world.store.forgotten = world.store.revision
+        for process in world.all():
+            process.way.deaf = False
+            process.way.cut_watches()
+        await trio.sleep_until(removed_at + DRAIN_SECONDS)
+        assert not world.entry.uses('left')
+        assert world.entry.uses('stays')
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize('moment', range(10))
+def test_entry_turned_away_hears_of_runners_that_left(moment):
+    """Guards against DRAIN: one of three that are asked reads the store."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(1)
+        world.entry.way.refused = True
+        world.entry.way.cut_watches()
+        world.others['a'].dead = True
+        world.others['b'].way.refused = True
+        world.others['b'].way.cut_watches()
+        await trio.sleep_until(9 + moment * 0.3)
+        world.store.remove(LEFT)
+        await trio.sleep(DRAIN_SECONDS)
+        assert not world.entry.uses('left')
+        assert world.entry.uses('stays')
+
+    _play(scenario)
+
+
+async def _away_for_all(world) -> float:
+    await trio.sleep_until(1)
+    for process in world.all():
+        process.way.silent = True
+    await trio.sleep_until(10)
+    world.store.remove(LEFT)
+    for process in world.all():
+        process.way.silent = False
+    return trio.current_time()
+
+
+def test_lapsed_runner_is_used_until_its_entry_may_be_back():
+    """The store was away for all; the runner that lapsed lists itself."""
+
+    async def scenario(world) -> None:
+        await _away_for_all(world)
+        await trio.sleep(RELIST_SECONDS - 0.1)
+        assert world.entry.uses('left')
+        world.store.list_runner('left')
+        await trio.sleep(RELIST_SECONDS + 2)
+        assert world.entry.uses('left')
+
+    _play(scenario)
+
+
+def test_lapsed_runner_that_does_not_come_back_is_gone():
+    """Two seconds after the store's return, as soon as that is noticed."""
+
+    async def scenario(world) -> None:
+        returned_at = await _away_for_all(world)
+        while not world.entry.mirror.available:
+            await trio.sleep(0.01)
+        noticed_at = trio.current_time()
+        assert noticed_at < returned_at + RELIST_SECONDS
+        await trio.sleep_until(noticed_at + RELIST_SECONDS + 0.05)
+        assert not world.entry.uses('left')
+
+    _play(scenario)
+
+
+def test_lapse_told_by_another_waits_for_the_store():
+    """What a process read that lost the store again is no word on leaving."""
+
+    async def scenario(world) -> None:
+        await _away_for_all(world)
+        world.entry.way.refused = True
+        await trio.sleep(2)
+        assert world.entry.uses('left')
+        for other in world.others.values():
+            other.way.refused = True
+            other.way.cut_watches()
+        await trio.sleep(6)
+        assert world.entry.uses('left')
+        world.entry.way.refused = False
+        await trio.sleep(RELIST_SECONDS + 1)
+        assert not world.entry.uses('left')
+
+    _play(scenario)
+
+
+def test_runner_with_an_unreadable_entry_is_not_used():
+    """An entry that is there is no lapse, whatever became of the store."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(1)
+        world.entry.way.refused = True
+        world.entry.way.cut_watches()
+        await trio.sleep(4)
+        world.entry.way.refused = False
+        world.store.write(LEFT, b'{"State": 7}')
+        await trio.sleep(0.8)
+        assert not world.entry.uses('left')
+
+    _play(scenario)
+
+
+@define(eq=False)
+class SlowPort:
+    """Open connections slowly, and answer; note who was sent the call."""
+
+    began: list[str] = field(factory=list)
+    sent: list[str] = field(factory=list)
+    status: int = 200
+    refused: bool = False
+    headers: list = field(factory=list)
+    load: None = None
+
+    @asynccontextmanager
+    async def attempt(self, attempt):
+        """Give an answer half a second after the runner was chosen."""
+        self.began.append(attempt.runner.runner_id)
+        await trio.sleep(0.5)
+        attempt.watch.sending()
+        self.sent.append(attempt.runner.runner_id)
+        attempt.watch.sent()
+        yield self
+
+
+async def _call(world, port) -> None:
+    choice = RunnerChoice(world.entry.directory, {'a': 0}.__getitem__)
+    route = Route(
+        'r', 'h', '/', CallKind.unsafe, (TargetShare('desk', 1),), 4, 1, 2
+    )
+    call = Call('q1', 'h', '/', b'GET', b'/', [], b'', 0, math.inf)
+    record = CallRecord(call, route, 'desk', 1e9)
+    need = Need('desk', CallKind.unsafe, avoided=record.avoided)
+    read = partial(trio.sleep, 0)
+    await Attempts(choice, port).run(record, b'', need, lambda _: read())
+    assert record.attempts == 1
+
+
+def test_call_goes_to_no_runner_that_left_meanwhile():
+    """Guards against DRAIN: news of the runner comes after it was chosen."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(1)
+        port = SlowPort()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call, world, port)
+            await trio.sleep(0.2)
+            world.store.remove(f'servers/{port.began[0]}')
+        assert port.sent == port.began[1:]
+        assert len(port.sent) == 1
+
+    _play(scenario)
--- /dev/null
+++ b/tests/watched_store.py
@@ -0,0 +1,134 @@
+"""Stand in for a store that each process reaches by a way of its own."""
+
+import json
+
+import trio
+from attrs import define, field
+
+from jasminewheel._internal.store.port import (
+    StoreChanges,
+    StoreHistoryLostError,
+    StoreItem,
+    StoreSnapshot,
+)
+from jasminewheel.errors import StoreUnavailableError
+
+ANSWER_SECONDS = 0.004
+# A call that meets a silence ends this long after its wait.
+SLACK_SECONDS = 1.2
+
+
+@define(eq=False)
+class SharedStore:
+    """Hold items and the changes that led to them."""
+
+    revision: int = 1
+    items: dict[str, StoreItem] = field(factory=dict)
+    # Revision, key, and what was written; None where it was removed.
+    changes: list[tuple[int, str, StoreItem | None]] = field(factory=list)
+    forgotten: int = 0
+    changed: trio.Event = field(factory=trio.Event)
+
+    def list_runner(self, runner_id: str, target: str = 'desk') -> None:
+        """Write the entry of a runner that is ready."""
+        fields = {
+            'Service': target,
+            'Address': '127.0.0.1:1',
+            'Zone': 'a',
+            'Slots': 6,
+            'State': 'ready',
+            'born': 1,
+        }
+        self.write(f'servers/{runner_id}', json.dumps(fields).encode())
+
+    def write(self, key: str, stored: bytes) -> None:
+        """Write a key."""
+        self.items[key] = StoreItem(key, stored, self.revision + 1)
+        self.note(key, self.items[key])
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.items.pop(key)
+        self.note(key, None)
+
+    def note(self, key: str, stored: StoreItem | None) -> None:
+        """Remember a change and wake up the watches."""
+        self.revision += 1
+        self.changes.append((self.revision, key, stored))
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+@define(eq=False)
+class StoreWay:
+    """Read the store as one process can; a way may be silent or refused."""
+
+    store: SharedStore
+    silent: bool = False
+    refused: bool = False
+    # A watch hears nothing while changes are made.
+    deaf: bool = False
+    # Set when waiting watches are cut.
+    cut: trio.Event = field(factory=trio.Event)
+
+    def cut_watches(self) -> None:
+        """Break off the watches that wait."""
+        self.cut.set()
+        self.cut = trio.Event()
+
+    async def snapshot(self) -> StoreSnapshot:
+        """Return all values."""
+        await self.pass_over(0)
+        return StoreSnapshot(
+            tuple(self.store.items.values()), self.store.revision
+        )
+
+    async def changes(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Wait for changes as a watch does."""
+        await self.pass_over(wait_seconds)
+        if after_revision < self.store.forgotten:
+            raise StoreHistoryLostError('forgotten')
+        asked_at = trio.current_time()
+        cut = self.cut
+        with trio.move_on_at(asked_at + wait_seconds):
+            await self.wait_for_change(after_revision, cut)
+        if cut.is_set():
+            raise StoreUnavailableError('the watch was cut')
+        left = asked_at + wait_seconds - trio.current_time()
+        await self.pass_over(max(0, left))
+        return self.found(after_revision)
+
+    async def wait_for_change(
+        self, after_revision: int, cut: trio.Event
+    ) -> None:
+        """Wait until there is news, or the watch is cut."""
+        while not cut.is_set():
+            heard = not (self.deaf or self.silent)
+            if heard and self.store.revision > after_revision:
+                return
+            with trio.move_on_after(0.01):
+                await cut.wait()
+
+    def found(self, after_revision: int) -> StoreChanges:
+        """Return what changed; the last change of a key rules."""
+        last = {
+            key: stored
+            for revision, key, stored in self.store.changes
+            if revision > after_revision
+        }
+        return StoreChanges(
+            tuple(one for one in last.values() if one),
+            tuple(key for key, one in last.items() if one is None),
+            self.store.revision,
+        )
+
+    async def pass_over(self, wait_seconds: float) -> None:
+        """Take the way to the store; raise if it leads nowhere now."""
+        await trio.sleep(ANSWER_SECONDS)
+        if self.refused:
+            raise StoreUnavailableError('refused')
+        if self.silent:
+            await trio.sleep(wait_seconds + SLACK_SECONDS)
+            raise StoreUnavailableError('silent')
