Use a missing runner on only where the store's absence may explain it

Callers saw nothing; runners that had left got their requests up to 4 s after the store had acknowledged that (bound 2.5 s).

Cause: an entry took each failed call to the store for an absence of the store, and a runner missing after that for one whose entry had lapsed: it was used for two seconds after the two in which lapsed runners list themselves. So an entry back from a cut, or whose watch was cut, sent calls to a runner that had left for up to 4 s after its return. Told by another process, it kept the runner for 2 s more, or dropped one that had lapsed while the store was still away.

Class: taking the loss of one's own way for the loss of what it leads to, and counting a grace from one's own observation.

Change: StoreContact says whether what is known is settled. A loss shorter than a heartbeat makes nothing lapse; after a longer one a missing key is in doubt until two seconds after the return, or until another process that has read the store up to the same revision without such a loss tells that it is gone. What another process tells carries whether it is settled there.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -100,6 +100,7 @@
 struct KnownItems {
   1: list<KnownItem> items,
   2: i64 revision,             // up to which changes are among the items
+  3: bool settled,             // a missing key was removed, and has not lapsed
 }
 
 // Asked of another entry by one that does not reach a replica itself.
--- a/src/jasminewheel/_internal/conversation/set_listener.py
+++ b/src/jasminewheel/_internal/conversation/set_listener.py
@@ -13,6 +13,7 @@
 )
 from jasminewheel._internal.conversation.set_change import Candidate
 from jasminewheel._internal.conversation.set_holder import SetHolder
+from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import StoreItem
 
 OWN_PREFIX = 'jasminewheel/'
@@ -22,7 +23,7 @@
 
 
 @define(eq=False)
-class SetListener:
+class SetListener(MirrorListener):
     """Decode the replica set and the live disks from the store's items."""
 
     holder: SetHolder = field(factory=SetHolder)
--- a/src/jasminewheel/_internal/events/store.py
+++ b/src/jasminewheel/_internal/events/store.py
@@ -29,6 +29,12 @@
     'the store cannot be read; another process told its keys',
     belief=True,
 )
+SETTLED = Event(
+    1858,
+    logging.INFO,
+    'another process tells that keys which are missing are gone',
+    belief=True,
+)
 KNOWN_UNREADABLE = Event(
     1856,
     logging.WARNING,
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -176,7 +176,7 @@
             'report_age': round(self.started_at - load.reported_at, 2),
             'list_revision': contact.revision,
             'list_age': round(contact.age(self.started_at), 2),
-            'unlisted': self.view.unlisted_until is not None,
+            'unlisted': self.view.unlisted,
         }
 
     def sending(self) -> None:
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -9,11 +9,8 @@
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
 from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
-from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.contact import StoreContact, rounded
 
-# After the store was away, runners it no longer lists have this long to list
-# themselves again; they are used meanwhile.
-RELIST_SECONDS = 2.0
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -37,13 +34,8 @@
     runner: Runner
     load: RunnerLoad = field(factory=lambda: RunnerLoad(lag_seconds=0))
     breaker: CircuitBreaker = field(factory=CircuitBreaker)
-    # Until when a runner that is not listed any more is used.
-    unlisted_until: float | None = None
-
-    def usable(self, now: float) -> bool:
-        """Tell whether the runner may be sent new calls."""
-        listed = self.unlisted_until is None or now < self.unlisted_until
-        return listed and not self.runner.draining
+    # Its entry is missing and may have lapsed, until the list is settled.
+    unlisted: bool = False
 
 
 @define(eq=False)
@@ -55,14 +47,12 @@
     rates: dict[str, TargetRates] = field(factory=dict)
     # What the list of runners is as of.
     contact: StoreContact = field(factory=StoreContact)
-    store_away: bool = False
-    relist_until: float = 0
 
     def put(self, runner: Runner) -> None:
         """Add or update one runner."""
         view = self.views.get(runner.runner_id)
         if view and view.runner.started_ms == runner.started_ms:
-            view.unlisted_until = None
+            view.unlisted = False
             if view.runner.draining != runner.draining:
                 events.RUNNER_DRAINING.log(
                     _LOGGER,
@@ -86,43 +76,54 @@
         )
 
     def remove(self, runner_id: str, now: float) -> None:
-        """Use a runner no more, or not for long if it may list itself."""
+        """Use a runner no more, unless its entry may have lapsed."""
         view = self.views.get(runner_id)
         if view is None:
             return
-        if not self.store_away and now >= self.relist_until:
-            self.forget(runner_id)
-            events.RUNNER_GONE.log(
-                _LOGGER, runner=runner_id, revision=self.contact.revision
-            )
-        elif view.unlisted_until is None:
-            view.unlisted_until = max(now, self.relist_until) + RELIST_SECONDS
+        if self.contact.settled(now):
+            self.drop(runner_id)
+        elif not view.unlisted:
+            view.unlisted = True
             events.RUNNER_KEPT.log(
                 _LOGGER,
                 runner=runner_id,
-                seconds=round(view.unlisted_until - now, 3),
-                store_away=self.store_away,
+                seconds=rounded(self.contact.settled_at - now),
+                store_away=self.contact.lost_at is not None,
                 revision=self.contact.revision,
             )
 
+    def drop_unlisted(self, now: float) -> None:
+        """Drop the runners that are missing in a settled list."""
+        if not self.contact.settled(now):
+            return
+        missing = [one for one, view in self.views.items() if view.unlisted]
+        for runner_id in missing:
+            self.drop(runner_id)
+
+    def drop(self, runner_id: str) -> None:
+        """Use a runner no more."""
+        self.forget(runner_id)
+        events.RUNNER_GONE.log(
+            _LOGGER, runner=runner_id, revision=self.contact.revision
+        )
+
     def forget(self, runner_id: str) -> None:
         """Drop what is known of a runner."""
         view = self.views.pop(runner_id, None)
         if view:
             self.by_target[view.runner.target].pop(runner_id, None)
 
-    def note_store(self, *, away: bool, now: float) -> None:
-        """Note whether the list can be followed."""
-        if self.store_away and not away:
-            self.relist_until = now + RELIST_SECONDS
-        self.store_away = away
-
     def usable(self, target: str, now: float) -> Iterator[RunnerView]:
         """Yield the target's runners that may be sent new calls."""
         for view in self.by_target.get(target, {}).values():
-            if view.usable(now):
+            if self.may_use(view, now):
                 yield view
 
+    def may_use(self, view: RunnerView, now: float) -> bool:
+        """Tell whether a runner may be sent new calls."""
+        gone = view.unlisted and self.contact.settled(now)
+        return not (gone or view.runner.draining)
+
     def rates_of(self, target: str) -> TargetRates:
         """Return the learned rates of a target."""
         return self.rates.setdefault(target, new_rates())
--- a/src/jasminewheel/_internal/peer/sockets.py
+++ b/src/jasminewheel/_internal/peer/sockets.py
@@ -1,5 +1,6 @@
 """Set socket options that show silent connections early."""
 
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +17,9 @@
     trio.BrokenResourceError,
     trio.ClosedResourceError,
 )
+_SILENT_ERRORS = frozenset(
+    (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+)
 
 
 async def accept_on(
@@ -28,6 +32,17 @@
     await trio.serve_listeners(accept, listeners)
 
 
+def is_silence(error: BaseException | None) -> bool:
+    """Tell whether an error, or its cause, is that no sign came."""
+    if error is None:
+        return False
+    if isinstance(error, trio.TooSlowError):
+        return True
+    if isinstance(error, OSError) and error.errno in _SILENT_ERRORS:
+        return True
+    return is_silence(error.__cause__)
+
+
 def tune(opened: trio.socket.SocketType) -> None:
     """Send small messages at once and notice a peer that vanished."""
     tcp = socket.IPPROTO_TCP
--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -1,32 +1,93 @@
-"""Hold what a process knows of the store, and since when."""
+"""Hold what a process knows of the store, and whether that is settled."""
+
+import math
 
 from attrs import define
 
+# After the store was away, those whose keys lapsed write them again in this
+# time; a key that is missing later is gone.
+RELIST_SECONDS = 2.0
+# A key lapses after several times this without a sign of its writer.
+HEARTBEAT_SECONDS = 1.2
+
+
+def rounded(seconds: float) -> float | None:
+    """Return a time for the log; None if it is not known."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
 
 @define(eq=False)
 class StoreContact:
-    """Hold up to which revision the store is known, and from when."""
+    """Hold up to which revision the store is known, and how well.
+
+    What is known is settled if a missing key was removed, and unsettled if
+    it may have lapsed while the store was away.
+    """
 
+    heartbeat_seconds: float = HEARTBEAT_SECONDS
+    # Up to which revision changes are known.
     revision: int = 0
     # When the store, or another process for it, last told something.
     told_at: float = 0
     lost_at: float | None = None
+    settled_at: float = -math.inf
+    # When the store itself answered for the first time.
+    first_read_at: float = math.inf
+
+    def read(self, revision: int, now: float) -> float:
+        """Note an answer of the store; return for how long none had come.
+
+        A loss shorter than a heartbeat makes no key lapse.
+        """
+        away = 0 if self.lost_at is None else now - self.lost_at
+        in_doubt = self.settled_at == math.inf
+        if away >= self.heartbeat_seconds or (in_doubt and away):
+            self.settled_at = now + RELIST_SECONDS
+        elif in_doubt:
+            self.settled_at = now
+        self.lost_at = None
+        self.first_read_at = min(self.first_read_at, now)
+        self.note(revision, now)
+        return away
+
+    def heard(self, revision: int, now: float, *, settled: bool) -> None:
+        """Note what another process told for the store."""
+        self.settled_at = now if settled else math.inf
+        self.note(revision, now)
 
-    def told(self, revision: int, now: float) -> None:
-        """Note what was told."""
+    def note(self, revision: int, now: float) -> None:
+        """Note that something was told."""
         self.revision = max(self.revision, revision)
         self.told_at = now
 
-    def lost(self, now: float) -> None:
-        """Note that the store does not answer."""
+    def lost(self, now: float, *, silent: bool) -> None:
+        """Note that the store does not answer.
+
+        Of one that is silent it is not known since when.
+        """
         if self.lost_at is None:
-            self.lost_at = now
+            self.lost_at = -math.inf if silent else now
+        if not self.settled(now):
+            self.settled_at = math.inf
 
-    def back(self, now: float) -> float:
-        """Note that the store answers; return for how long it had not."""
-        away = 0 if self.lost_at is None else now - self.lost_at
-        self.lost_at = None
-        return away
+    def confirm(self, revision: int, now: float) -> bool:
+        """Take it that a revision is settled; tell whether that is news."""
+        if revision < self.revision or self.settled(now):
+            return False
+        self.settled_at = now
+        return True
+
+    def settled(self, now: float) -> bool:
+        """Tell whether a missing key was removed."""
+        return now >= self.settled_at
+
+    def vouches(self, now: float) -> bool:
+        """Tell whether others may take it that what is known is settled.
+
+        Who started just now may have missed the end of an outage.
+        """
+        long_read = now >= self.first_read_at + RELIST_SECONDS
+        return long_read and self.settled(now)
 
     def age(self, now: float) -> float:
         """Return how long ago something was told."""
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -87,12 +87,16 @@
             wire.KnownItem(key=one.key, value=one.value, revision=one.revision)
             for one in self.mirror.items.values()
         ]
-        return wire.KnownItems(items=found, revision=self.mirror.known_revision)
+        return wire.KnownItems(
+            items=found,
+            revision=self.mirror.known_revision,
+            settled=self.mirror.contact.vouches(trio.current_time()),
+        )
 
 
 @frozen
 class KnownItemsAsker:
-    """Ask other processes in turn while the store cannot be read.
+    """Ask other processes while the store cannot be read, or just could not.
 
     One of them may have missed the last changes, or may still read a store
     that turns this process away: the newest that is told is used.
@@ -103,16 +107,20 @@
     addresses: tuple[str, ...]
 
     async def run(self) -> None:
-        """Ask until cancelled, but not while the store can be read."""
+        """Ask until cancelled, but not while what is known is settled."""
         addresses = cycle(self.addresses)
         while self.addresses:
             if not self.mirror.items:
                 await self.ask_all()
-            elif not self.mirror.available:
+            elif self.needs_others(trio.current_time()):
                 await self.ask(next(addresses))
             known = self.mirror.items
             await trio.sleep(PAUSE_SECONDS if known else RETRY_SECONDS)
 
+    def needs_others(self, now: float) -> bool:
+        """Tell whether others may know more."""
+        return not (self.mirror.available and self.mirror.contact.settled(now))
+
     async def ask_all(self) -> None:
         """Ask all at once, for the first to tell may lag behind."""
         async with trio.open_nursery() as nursery:
@@ -135,13 +143,17 @@
             StoreItem(one.key, one.value, one.revision) for one in told.items
         ]
         now = trio.current_time()
-        if self.mirror.take_known(found, told.revision, now):
+        settled = bool(told.settled)
+        if self.mirror.take_known(found, told.revision, now, settled=settled):
             events.KNOWN_TAKEN.log(
                 _LOGGER,
                 address=address,
                 items=len(found),
                 revision=told.revision,
+                settled=settled,
             )
+        elif settled:
+            self.mirror.take_settled(told.revision, now)
 
 
 def _to_text(items: Iterable[StoreItem]) -> str:
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from jasminewheel._internal.events import store as events
-from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.contact import StoreContact, rounded
 from jasminewheel._internal.store.port import (
     StoreChanges,
     StoreHistoryLostError,
@@ -41,6 +41,9 @@
     def store_back(self) -> None:
         """Note that the store answers again."""
 
+    def store_settled(self) -> None:
+        """Note that keys which are missing have not lapsed."""
+
 
 @define(eq=False)
 class StoreMirror:
@@ -51,12 +54,15 @@
     items: dict[str, StoreItem] = field(factory=dict)
     # From where changes are asked for; zero asks for all values anew.
     revision: int = 0
-    # Up to which revision changes are among the items.
-    known_revision: int = 0
     available: bool = True
     contact: StoreContact = field(factory=StoreContact)
     loaded: trio.Event = field(factory=trio.Event)
 
+    @property
+    def known_revision(self) -> int:
+        """Return up to which revision changes are among the items."""
+        return self.contact.revision
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -74,20 +80,23 @@
         if self.revision:
             wait = WATCH_SECONDS if self.available else LOST_WATCH_SECONDS
             changes = await self.store.changes(self.revision, wait)
-            self.note_back()
-            self.contact.told(changes.revision, trio.current_time())
+            self.note_read(changes.revision)
             self.take_changes(changes)
             if changes.written or changes.removed:
                 await trio.sleep(GATHER_SECONDS)
             return
         snapshot = await self.store.snapshot()
-        self.note_back()
-        self.contact.told(snapshot.revision, trio.current_time())
+        self.note_read(snapshot.revision)
         self.take_snapshot(snapshot.items, snapshot.revision)
         self.loaded.set()
 
     def take_known(
-        self, found: Iterable[StoreItem], revision: int, now: float
+        self,
+        found: Iterable[StoreItem],
+        revision: int,
+        now: float,
+        *,
+        settled: bool = False,
     ) -> bool:
         """Use what another process knows while the store cannot be read.
 
@@ -99,11 +108,23 @@
         readable = self.available and self.loaded.is_set()
         if readable or revision <= self.known_revision:
             return False
-        self.contact.told(revision, now)
+        self.contact.heard(revision, now, settled=settled)
+        self.tell_settled(now)
         self.take_snapshot(items, revision if self.revision else 0)
-        self.known_revision = revision
         return True
 
+    def take_settled(self, revision: int, now: float) -> None:
+        """Take another process's word that its revision is settled."""
+        if self.contact.confirm(revision, now):
+            events.SETTLED.log(_LOGGER, revision=revision)
+            self.tell_settled(now)
+
+    def tell_settled(self, now: float) -> None:
+        """Tell the listeners if what is known is settled."""
+        if self.contact.settled(now):
+            for listener in self.listeners:
+                listener.store_settled()
+
     def take_snapshot(self, found: Iterable[StoreItem], revision: int) -> None:
         """Replace all items."""
         items = {one.key: one for one in found}
@@ -113,7 +134,7 @@
         }
         self.items = items
         self.revision = revision
-        self.known_revision = max(self.known_revision, revision)
+        self.contact.revision = max(self.known_revision, revision)
         self.tell(changed)
 
     def take_changes(self, changes: StoreChanges) -> None:
@@ -123,7 +144,7 @@
         for key in changes.removed:
             self.items.pop(key, None)
         self.revision = changes.revision
-        self.known_revision = changes.revision
+        self.contact.revision = changes.revision
         self.tell({*(one.key for one in changes.written), *changes.removed})
 
     def tell(self, keys: set[str]) -> None:
@@ -134,20 +155,27 @@
 
     def note_lost(self, error: StoreError) -> None:
         """Note that the store does not answer."""
+        now = trio.current_time()
+        self.tell_settled(now)
+        self.contact.lost(now, silent=error.silent)
         if self.available:
-            events.LOST.log(_LOGGER, problem=error)
+            events.LOST.log(_LOGGER, problem=error, silent=error.silent)
             self.available = False
-            self.contact.lost(trio.current_time())
         for listener in self.listeners:
             listener.store_lost()
 
-    def note_back(self) -> None:
+    def note_read(self, revision: int) -> None:
         """Note that the store answers."""
+        now = trio.current_time()
+        self.tell_settled(now)
+        away = self.contact.read(revision, now)
         if self.available:
             return
-        away = self.contact.back(trio.current_time())
         events.BACK.log(
-            _LOGGER, revision=self.known_revision, away=round(away, 3)
+            _LOGGER,
+            revision=revision,
+            away=rounded(away),
+            settled=self.contact.settled(now),
         )
         self.available = True
         for listener in self.listeners:
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1456,18 +1456,21 @@
     Attributes:
      - items
      - revision
+     - settled
 
     """
 
     __slots__ = (
         'items',
         'revision',
+        'settled',
     )
 
 
-    def __init__(self, items=None, revision=None,):
+    def __init__(self, items=None, revision=None, settled=None,):
         self.items = items
         self.revision = revision
+        self.settled = settled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1494,6 +1497,11 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1515,6 +1523,10 @@
             oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 3)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1819,6 +1831,7 @@
     None,  # 0
     (1, TType.LIST, 'items', (TType.STRUCT, [KnownItem, None], False), None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.BOOL, 'settled', None, None, ),  # 3
 )
 all_structs.append(RelayQuestion)
 RelayQuestion.thrift_spec = (
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -159,6 +159,8 @@
 
     code = 'store-failed'
     status = 503
+    # No sign came from the store.
+    silent = False
 
 
 class StoreConflictError(StoreError):
@@ -172,6 +174,13 @@
 
     code = 'store-unavailable'
 
+    def __init__(
+        self, message: str, *, remedy: str = '', silent: bool = False
+    ) -> None:
+        """Keep whether no sign came from the store, not even a refusal."""
+        super().__init__(message, remedy=remedy)
+        self.silent = silent
+
 
 class FencedError(JasminewheelError):
     """Report that a newer fence has taken over the slot."""
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -28,6 +28,7 @@
 # Callers give up a connection that is not read for a second.
 UNPREPARED_SECONDS = 0.4
 STALE_CHECK_SECONDS = 1.0
+UNLISTED_CHECK_SECONDS = 0.5
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -93,6 +94,8 @@
     asker = KnownItemsAsker(mirror, parts.pool, parts.settings.seeds)
     nursery.start_soon(mirror.run)
     nursery.start_soon(asker.run)
+    drop_unlisted = parts.directory.drop_unlisted
+    nursery.start_soon(background(drop_unlisted, UNLISTED_CHECK_SECONDS))
     close_stale = parts.connections.close_stale
     nursery.start_soon(background(close_stale, STALE_CHECK_SECONDS))
 
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -11,6 +11,7 @@
 from jasminewheel._internal.gateway.runners import RunnerDirectory
 from jasminewheel._internal.gateway.turn_flow import TurnFlow
 from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.web.pool import ConnectionPool
 from jasminewheel._internal.web.server import WebServer
@@ -28,13 +29,15 @@
     settings: NodeSettings
     pool: PeerPool
     routes: RoutesHolder = field(factory=RoutesHolder)
-    directory: RunnerDirectory = field(factory=RunnerDirectory)
     connections: ConnectionPool = field(factory=ConnectionPool)
+    directory: RunnerDirectory = field(init=False)
     store: PlatformStore = field(init=False)
     peers: EntryPeers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Know the platform's store, and the replicas once they are listed."""
+        contact = StoreContact(self.settings.heartbeat_seconds)
+        self.directory = RunnerDirectory(contact=contact)
         self.store = PlatformStore(
             self.settings.store_address, self.connections
         )
@@ -66,11 +69,11 @@
         """Return what the metrics show of this entry now."""
         now = trio.current_time()
         views = self.directory.views.values()
-        usable = sum(view.usable(now) for view in views)
+        usable = sum(self.directory.may_use(view, now) for view in views)
         return {
             **self.peers.gauges(),
             'configuration_version': self.routes.current.version,
-            'store_away': float(self.directory.store_away),
+            'store_away': float(self.directory.contact.lost_at is not None),
             'runners_listed': len(self.directory.views),
             'runners_usable': usable,
             'store_told_seconds_ago': self.directory.contact.age(now),
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -8,6 +8,7 @@
 from jasminewheel._internal.conversation.cleaner import LogCleaner
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.known_items import KnownItemsFile
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.web.early_sockets import EarlySockets
@@ -38,7 +39,11 @@
     parts = HistoryParts(settings, settings.data_folder)
     board = PlatformRetireBoard(parts.store)
     known = KnownItemsFile(parts.folder / KNOWN_ITEMS_NAME)
-    mirror = StoreMirror(parts.store, [parts.listener, board, known])
+    mirror = StoreMirror(
+        parts.store,
+        [parts.listener, board, known],
+        contact=StoreContact(settings.heartbeat_seconds),
+    )
     mirror.take_known(known.load(), 0, trio.current_time())
     async with trio.open_nursery() as nursery:
         await start_server(nursery, parts, mirror)
--- a/src/jasminewheel/platform/listener.py
+++ b/src/jasminewheel/platform/listener.py
@@ -9,6 +9,7 @@
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.gateway import RoutesHolder
 from jasminewheel._internal.gateway.runners import RunnerDirectory
+from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import StoreItem
 from jasminewheel._internal.web.server import WebServer
 from jasminewheel.errors import ConfigurationError
@@ -22,7 +23,7 @@
 
 
 @define(eq=False)
-class PlatformListener:
+class PlatformListener(MirrorListener):
     """Keep routes, limits and runners as the platform's keys say."""
 
     routes: RoutesHolder
@@ -58,10 +59,6 @@
         else:
             self.directory.put(runner)
 
-    def store_lost(self) -> None:
-        """Keep runners that may be unlisted only because of the store."""
-        self.directory.note_store(away=True, now=trio.current_time())
-
-    def store_back(self) -> None:
-        """Give unlisted runners a moment to list themselves again."""
-        self.directory.note_store(away=False, now=trio.current_time())
+    def store_settled(self) -> None:
+        """Drop the runners that have not listed themselves again."""
+        self.directory.drop_unlisted(trio.current_time())
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -9,12 +9,15 @@
 from attrs import frozen
 
 from jasminewheel._internal.peer.distance import ZoneDistance
+from jasminewheel._internal.store.contact import HEARTBEAT_SECONDS
 from jasminewheel.errors import SettingsError
 
 FILE_VARIABLE = 'JASMINEWHEEL_NODE_FILE'
 # The deploy file names the same port for each role.
 METRICS_PORT = 9464
 _ENTRY_ROLE = 'Front'
+_MILLISECONDS = 1000
+_HEARTBEAT_MS = HEARTBEAT_SECONDS * _MILLISECONDS
 FieldT = TypeVar('FieldT')
 
 
@@ -37,6 +40,8 @@
     grace_seconds: float
     disks_lost: int
     store_address: str
+    # How often runners show that they live.
+    heartbeat_seconds: float = HEARTBEAT_SECONDS
 
     @property
     def own_address(self) -> str:
@@ -112,8 +117,13 @@
         grace_seconds=fields.take('Bounds.GraceS', float, default=8),
         disks_lost=fields.take('FaultTolerance.Machines', int, default=1),
         store_address=fields.take('Platform.Address', str),
+        heartbeat_seconds=fields.take('HeartbeatMs', _seconds, _HEARTBEAT_MS),
     )
 
 
+def _seconds(found: Any) -> float:
+    return float(found) / _MILLISECONDS
+
+
 def _first_port(found: Any) -> int:
     return int(found[0])
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -10,6 +10,7 @@
 import trio
 from attrs import define, field, frozen
 
+from jasminewheel._internal.peer.sockets import is_silence
 from jasminewheel._internal.store.port import (
     StoreChanges,
     StoreHistoryLostError,
@@ -176,6 +177,7 @@
             raise StoreUnavailableError(
                 f'no answer from the store: {error!r}',
                 remedy='the change may have taken effect; read it back',
+                silent=is_silence(error),
             ) from error
         except BaseException:
             _close(connection)
