Ask a process that reads the store, again and again, for what is new

Callers saw nothing; an entry that the store turned away sent calls to a runner up to 2.4 s after others knew that it had left.

Each answer carried all keys.

Change: one that reads the store is remembered and asked each 0.3 s, another beside it; without one up to three are asked at once. The asker says up to where it knows changes, and gets the keys only where there are newer ones.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -89,6 +89,7 @@
 
 // What a process that cannot reach the store asks of one that could before.
 struct ReadKnownItems {
+  1: i64 after_revision,       // up to which the asker knows changes
 }
 
 struct KnownItem {
@@ -98,9 +99,10 @@
 }
 
 struct KnownItems {
-  1: list<KnownItem> items,
+  1: list<KnownItem> items,    // none if the asker knows as much
   2: i64 revision,             // up to which changes are among the items
   3: bool settled,             // a missing key was removed, and has not lapsed
+  4: bool reads,               // the store answers who tells this
 }
 
 // Asked of another entry by one that does not reach a replica itself.
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -3,7 +3,7 @@
 import json
 import logging
 from base64 import b64decode, b64encode
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from itertools import cycle
 from pathlib import Path
 
@@ -25,9 +25,11 @@
 # Changes that come close together are written once.
 WRITE_SECONDS = 0.5
 ASK_SECONDS = 1.0
-RETRY_SECONDS = 0.3
-# Between questions of a process that knows something already.
-PAUSE_SECONDS = 0.6
+ASK_AGAIN_SECONDS = 0.3
+# Some of those that are asked may not answer, or not read the store either.
+ASKED_AT_ONCE = 3
+# One that reads the store may lag behind.
+ASKED_BESIDE_READER = 2
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -82,68 +84,107 @@
     async def read(
         self, exchange: Exchange, request: wire.ReadKnownItems
     ) -> wire.KnownItems:
-        """Return all known items."""
+        """Return all known items, or none if the asker knows as much."""
+        known = self.mirror.known_revision
+        newer = known > (request.after_revision or 0)
         found = [
             wire.KnownItem(key=one.key, value=one.value, revision=one.revision)
             for one in self.mirror.items.values()
+            if newer
         ]
         return wire.KnownItems(
             items=found,
-            revision=self.mirror.known_revision,
+            revision=known,
             settled=self.mirror.contact.vouches(trio.current_time()),
+            reads=self.mirror.available and self.mirror.loaded.is_set(),
         )
 
 
-@frozen
+@define(eq=False)
 class KnownItemsAsker:
     """Ask other processes while the store cannot be read, or just could not.
 
     One of them may have missed the last changes, or may still read a store
-    that turns this process away: the newest that is told is used.
+    that turns this process away: the newest that is told is used. One that
+    reads the store is asked again and again, and another one beside it.
     """
 
     mirror: StoreMirror
     pool: PeerPool
     addresses: tuple[str, ...]
+    reader: str = ''
+    asked: set[str] = field(factory=set)
+    turns: Iterator[str] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin with the first address."""
+        self.turns = cycle(self.addresses)
 
     async def run(self) -> None:
         """Ask until cancelled, but not while what is known is settled."""
-        addresses = cycle(self.addresses)
-        while self.addresses:
-            if not self.mirror.items:
-                await self.ask_all()
-            elif self.needs_others(trio.current_time()):
-                await self.ask(next(addresses))
-            known = self.mirror.items
-            await trio.sleep(PAUSE_SECONDS if known else RETRY_SECONDS)
+        async with trio.open_nursery() as nursery:
+            while self.addresses:
+                for address in self.take_turns(trio.current_time()):
+                    nursery.start_soon(self.ask, address)
+                await trio.sleep(ASK_AGAIN_SECONDS)
 
     def needs_others(self, now: float) -> bool:
         """Tell whether others may know more."""
+        if not self.mirror.items:
+            return True
         return not (self.mirror.available and self.mirror.contact.settled(now))
 
-    async def ask_all(self) -> None:
-        """Ask all at once, for the first to tell may lag behind."""
-        async with trio.open_nursery() as nursery:
-            for address in self.addresses:
-                nursery.start_soon(self.ask, address)
+    def take_turns(self, now: float) -> list[str]:
+        """Return who is asked now; who has not answered yet is not."""
+        if not self.needs_others(now):
+            return []
+        wanted = [self.reader] if self.reader else []
+        wanted.extend(next(self.turns) for _ in self.addresses)
+        free = [one for one in dict.fromkeys(wanted) if one not in self.asked]
+        return free[: max(0, self.most_asked() - len(self.asked))]
+
+    def most_asked(self) -> int:
+        """Return how many are asked at once.
+
+        All are by a process that knows nothing: the first to tell may lag.
+        """
+        if not self.mirror.items:
+            return len(self.addresses)
+        return ASKED_BESIDE_READER if self.reader else ASKED_AT_ONCE
 
     async def ask(self, address: str) -> None:
         """Take what one process knows."""
+        self.asked.add(address)
         try:
             told = await self.pool.ask(
                 address,
-                wire.ReadKnownItems(),
+                wire.ReadKnownItems(after_revision=self.mirror.known_revision),
                 wire.KnownItems,
                 timeout_seconds=ASK_SECONDS,
             )
         except JasminewheelError as error:
+            self.note_reader(address, reads=False)
             _LOGGER.info('%s tells nothing of the store: %s', address, error)
-            return
+        else:
+            self.note_reader(address, reads=bool(told.reads))
+            self.take(address, told)
+        finally:
+            self.asked.discard(address)
+
+    def note_reader(self, address: str, *, reads: bool) -> None:
+        """Remember one process that reads the store."""
+        if reads:
+            self.reader = self.reader or address
+        elif self.reader == address:
+            self.reader = ''
+
+    def take(self, address: str, told: wire.KnownItems) -> None:
+        """Use what was told if it is newer, or says that all is settled."""
+        now = trio.current_time()
+        settled = bool(told.settled)
         found = [
             StoreItem(one.key, one.value, one.revision) for one in told.items
         ]
-        now = trio.current_time()
-        settled = bool(told.settled)
         if self.mirror.take_known(found, told.revision, now, settled=settled):
             events.KNOWN_TAKEN.log(
                 _LOGGER,
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1310,11 +1310,20 @@
 
 
 class ReadKnownItems(object):
+    """
+    Attributes:
+     - after_revision
+
+    """
 
     __slots__ = (
+        'after_revision',
     )
 
 
+    def __init__(self, after_revision=None,):
+        self.after_revision = after_revision
+
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -1324,6 +1333,11 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.after_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1334,6 +1348,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ReadKnownItems')
+        if self.after_revision is not None:
+            oprot.writeFieldBegin('after_revision', TType.I64, 1)
+            oprot.writeI64(self.after_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1457,6 +1475,7 @@
      - items
      - revision
      - settled
+     - reads
 
     """
 
@@ -1464,13 +1483,15 @@
         'items',
         'revision',
         'settled',
+        'reads',
     )
 
 
-    def __init__(self, items=None, revision=None, settled=None,):
+    def __init__(self, items=None, revision=None, settled=None, reads=None,):
         self.items = items
         self.revision = revision
         self.settled = settled
+        self.reads = reads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1502,6 +1523,11 @@
                     self.settled = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.reads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1527,6 +1553,10 @@
             oprot.writeFieldBegin('settled', TType.BOOL, 3)
             oprot.writeBool(self.settled)
             oprot.writeFieldEnd()
+        if self.reads is not None:
+            oprot.writeFieldBegin('reads', TType.BOOL, 4)
+            oprot.writeBool(self.reads)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1818,6 +1848,8 @@
 )
 all_structs.append(ReadKnownItems)
 ReadKnownItems.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'after_revision', None, None, ),  # 1
 )
 all_structs.append(KnownItem)
 KnownItem.thrift_spec = (
@@ -1832,6 +1864,7 @@
     (1, TType.LIST, 'items', (TType.STRUCT, [KnownItem, None], False), None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.BOOL, 'settled', None, None, ),  # 3
+    (4, TType.BOOL, 'reads', None, None, ),  # 4
 )
 all_structs.append(RelayQuestion)
 RelayQuestion.thrift_spec = (
