Use no runner whose entry is there and cannot be read

Cause: an entry that names no runner to use (another writer's, or bytes that cannot be read) was handled like a missing one, so after an absence of the store its runner was used on for two seconds and more. An entry that is there has not lapsed.

Change: only a missing entry may have lapsed.

--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -102,6 +102,8 @@
 
     def drop(self, runner_id: str) -> None:
         """Use a runner no more."""
+        if runner_id not in self.views:
+            return
         self.forget(runner_id)
         events.RUNNER_GONE.log(
             _LOGGER, runner=runner_id, revision=self.contact.revision
--- a/src/jasminewheel/platform/listener.py
+++ b/src/jasminewheel/platform/listener.py
@@ -52,12 +52,15 @@
 
     def take_runner(self, key: str, stored: StoreItem | None) -> None:
         """Add, update or remove one runner."""
+        runner_id = key.removeprefix(RUNNER_PREFIX)
         runner = decode_runner(stored) if stored else None
-        if runner is None:
-            runner_id = key.removeprefix(RUNNER_PREFIX)
-            self.directory.remove(runner_id, trio.current_time())
-        else:
+        if runner:
             self.directory.put(runner)
+        elif stored:
+            # An entry that is there has not lapsed.
+            self.directory.drop(runner_id)
+        else:
+            self.directory.remove(runner_id, trio.current_time())
 
     def store_settled(self) -> None:
         """Drop the runners that have not listed themselves again."""
--- a/tests/unit/test_leaving_runners.py
+++ b/tests/unit/test_leaving_runners.py
@@ -224,6 +224,8 @@
     """An entry that is there is no lapse, whatever became of the store."""
 
     async def scenario(world) -> None:
+        for other in world.others.values():
+            other.dead = True
         await trio.sleep_until(1)
         world.entry.way.refused = True
         world.entry.way.cut_watches()
