Let a test's histories learn the replica set before their store goes away

test_entry_starts_while_the_store_is_away failed twice beside other tests, with 503. Trace: the store began to refuse within the 0.15 s in which histories gather changes, so none of them knew the replica set that had just been written, and nobody could tell it. The test now waits 0.3 s before; what it checks is unchanged. That a set is not told by its writer before its watch tells it is noted in the postmortem.

--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -13,6 +13,8 @@
 DISKS_AWAY_SECONDS = 1.5
 # Three heartbeats of a runner without a store.
 LAPSE_SECONDS = 3.6
+# By then histories know what was written, also while they gather changes.
+GATHERED_SECONDS = 0.3
 
 
 @pytest.fixture
@@ -407,6 +409,7 @@
 
     async def scenario(fleet, entry) -> None:
         await _turn(fleet, entry, b'one.')
+        await trio.sleep(GATHERED_SECONDS)
         fleet.store.refuse_with = 503
         other = await fleet.start_entry('entry-2')
         answered = await _turn(fleet, other, b'two.', Previous_Turn='q1')
