--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -193,7 +193,10 @@
                 revision=told.revision,
                 settled=settled,
             )
-        elif settled:
+            return
+        if told.reads and told.revision == self.mirror.known_revision:
+            self.mirror.contact.note(told.revision, now)
+        if settled:
             self.mirror.take_settled(told.revision, now)
 
 
