Bound what frames a body in all, not only between two parts of it

Cause: of such an answer up to 8 MiB were read, since each chunk counts as a part of the body; the time goes by chunks, 0.5 s of processor on a quiet machine. Change: the framing of an answer may take 64 KiB beyond the bytes of its body. An answer of one-byte chunks may have some 16,000 of them.

--- a/src/jasminewheel/_internal/web/answer_limits.py
+++ b/src/jasminewheel/_internal/web/answer_limits.py
@@ -9,7 +9,8 @@
 HEAD_BYTES = 65536
 # All that comes before an answer: interim answers and other requests' ones.
 UNCLAIMED_BYTES = 1048576
-# What frames a body may take between two parts of it: chunk sizes, trailers.
+# What frames a body (chunk sizes, trailers) may take between two parts of it,
+# and in all beyond the bytes of the body.
 FRAMING_BYTES = 65536
 # One answer from its head to its end, with what frames it: 8 MiB.
 ANSWER_BYTES = 8388608
--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -150,7 +150,10 @@
     ) -> None:
         framed_from = self.received_bytes
         while not response.parts and not response.complete:
-            framing = self.received_bytes - framed_from
+            framing = max(
+                self.received_bytes - framed_from,
+                self.received_bytes - 2 * response.body_bytes,
+            )
             if framing > self.limits.framing_bytes:
                 raise self._too_long(framing)
             await self._receive(most_bytes)
--- a/src/jasminewheel/_internal/web/response_parser.py
+++ b/src/jasminewheel/_internal/web/response_parser.py
@@ -20,6 +20,8 @@
     headers: Headers
     parts: deque[bytes] = field(factory=deque)
     complete: bool = False
+    # Received of the body, without what frames it.
+    body_bytes: int = 0
 
     def declared_bytes(self) -> int:
         """Return how long the head says the body is, or 0."""
@@ -90,7 +92,9 @@
 
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
-        self.responses[-1].parts.append(part)
+        response = self.responses[-1]
+        response.parts.append(part)
+        response.body_bytes += len(part)
 
     def on_message_complete(self) -> None:
         """Note that a response is whole."""
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -23,6 +23,8 @@
 ANSWER_BYTES = 8388608
 # No more than this is read before an answer.
 UNCLAIMED_BYTES = 1048576
+# No more than this is read of an answer that is mostly chunk sizes.
+FRAMED_BYTES = 1048576
 STORE_REPLY_BYTES = 16777216
 # The callers of these tests would wait for longer.
 SOON_SECONDS = 2.5
@@ -284,6 +286,31 @@
     play(scenario, server)
 
 
+def test_small_chunks_without_end_are_cut_off_early(play):
+    """What frames a body costs time by its chunks, not by its bytes."""
+    server = EndlessServer(*BODIES['small chunks'])
+
+    async def scenario(fleet, entry) -> None:
+        answered = await _ask(fleet, entry, '/book/a')
+        assert answered.status == 502
+        await _check_cut_off(server, FRAMED_BYTES)
+
+    play(scenario, server)
+
+
+def test_whole_answer_in_small_chunks_is_handed_back(play):
+    """A thousand chunks of a byte are an unusual answer, and a sound one."""
+    chunks = b'1\r\nw\r\n' * 1000
+    whole = b'%b%b0\r\n\r\n' % (OWN_CHUNKED, chunks)
+    server = EndlessServer(whole, b'a', SOON_SECONDS)
+
+    async def scenario(fleet, entry) -> None:
+        answered = await _ask(fleet, entry, '/book/a')
+        assert (answered.status, answered.body) == (200, b'w' * 1000)
+
+    play(scenario, server)
+
+
 def test_many_bodies_without_end_share_bounded_memory(play):
     """Forty such servers at once leave room for the usual answers."""
     server = EndlessServer(OWN_CHUNKED, CHUNK)
