--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -331,6 +331,21 @@
     play(scenario)
 
 
+def test_draining_runner_gets_no_new_calls(play):
+    """A runner that says that it leaves is passed over from then on."""
+
+    async def scenario(fleet, entry) -> None:
+        runner = fleet.runners['desk-1']
+        address = stored_json(fleet, 'servers/desk-1')['Address']
+        fleet.list_runner('desk-1', 'desk', address, state='draining')
+        await trio.sleep(0.5)
+        before = len(runner.ran)
+        assert set(await _statuses(fleet, entry, 6)) == {200}
+        assert len(runner.ran) == before
+
+    play(scenario)
+
+
 def test_runners_unlisted_in_a_short_loss_are_gone(play):
     """Guards against DRAIN: one refused watch lets no entry lapse."""
 
