Tell a program's history only while its slot is certainly owned

Cause: the owner answered from its copy without asking whether it still owns the slot; one that was cut off or paused does not know that it does not. Confirmed already were refusals and the status 'not run', but not the history, the view, nor the answer that a request to resume did not run.

Change: all three are confirmed at a majority before they are told; the entry that asked tries the next owner.

Evidence: test_fenced_owner_tells_nothing_of_the_past, three cases, failed before and passes.

--- a/src/jasminewheel/_internal/program/operations.py
+++ b/src/jasminewheel/_internal/program/operations.py
@@ -114,6 +114,7 @@
         """Send the rest of an answer."""
         answer = hosted.recorded_answer(operation.request_id)
         if answer is None:
+            await hosted.confirm()
             raise NotFoundError(
                 f'request {operation.request_id} did not run',
                 remedy='send the request',
@@ -142,12 +143,14 @@
         self, hosted: HostedProgram, operation: Operation, sink: EventSink
     ) -> None:
         """Show the program."""
+        await hosted.confirm()
         await sink(done(_OK, program_body(hosted.program)))
 
     async def history(
         self, hosted: HostedProgram, operation: Operation, sink: EventSink
     ) -> None:
         """Show the conversation and the calls in their order."""
+        await hosted.confirm()
         await sink(done(_OK, history_body(hosted.program)))
 
     async def end(
--- a/tests/unit/test_call_take_over.py
+++ b/tests/unit/test_call_take_over.py
@@ -91,3 +91,28 @@
         assert targets.runs == []
 
     trio.run(check)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'request_id'),
+    [
+        (OperationKind.HISTORY, ''),
+        (OperationKind.VIEW, ''),
+        (OperationKind.RESUME, 'a'),
+    ],
+)
+def test_fenced_owner_tells_nothing_of_the_past(kind, request_id):
+    """Guards against a history without a call that ran at the next owner."""
+
+    async def check():
+        logs = MemoryLogs()
+        targets = MemoryTargets()
+        async with owning(logs, targets) as former:
+            await opened(former)
+            async with owning(logs, targets) as owner:
+                await perform(owner, OperationKind.CALL, 'a', SEND_TEXT)
+            with pytest.raises(MovedError):
+                await perform(former, kind, request_id)
+        assert targets.runs == ['text p:a']
+
+    trio.run(check)
