Let the soak's runners leave without a word, and check that they get no calls

The soak drained runners and never looked at what they got. Its own test shows what it notices and excuses.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,9 @@
 from tests.soak.world import World
 
 FAULT_SHARE = 0.5
+# Every second one of so many lengths a second is that of a runner that leaves
+# without a word.
+WORDLESS_STEPS = 100
 
 
 @define(eq=False)
@@ -65,8 +68,11 @@
             healed.fault_share = 0
 
     async def drain_runner(self, one: Planned) -> None:
-        """List a runner as draining for a while."""
+        """List a runner as draining, or not at all, for a while."""
         runner = one.pick(self.world.runners)
-        self.world.list_runner(runner, 'draining')
+        if int(one.seconds * WORDLESS_STEPS) % 2:
+            self.world.unlist_runner(runner)
+        else:
+            self.world.list_runner(runner, 'draining')
         await trio.sleep(one.seconds)
         self.world.list_runner(runner)
--- a/tests/soak/interval_log.py
+++ b/tests/soak/interval_log.py
@@ -9,6 +9,7 @@
 
 # A stall of the soak itself makes its measured times uncertain.
 SOAK = 'soak'
+STORE = 'store'
 
 
 @define
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -5,7 +5,7 @@
 from attrs import define, field, frozen
 
 from tests.platform_fleet import Answered
-from tests.soak.interval_log import SOAK, IntervalLog
+from tests.soak.interval_log import SOAK, STORE, IntervalLog
 
 NOT_RUN_STATUSES = frozenset((402, 408, 421, 429, 503))
 LOST_TURN_STATUSES = frozenset((404, 410))
@@ -20,6 +20,10 @@
 CANCEL_SECONDS = 0.5
 # Between the end of a request's time and the last byte of its answer.
 END_SLACK_SECONDS = 1.0
+# The stated bound on new work for a runner that leaves, for entries that were
+# in touch with the store for some time.
+DRAIN_SECONDS = 2.5
+CONTACT_SECONDS = 4.0
 # A fault's effect on what is under way may outlast it by this.
 AFTERMATH_SECONDS = 1.0
 
@@ -77,6 +81,8 @@
     tokens: Counter = field(factory=Counter)
     outcomes: Counter = field(factory=Counter)
     violations: list[Violation] = field(factory=list)
+    # Since when runners leave, by the store's word.
+    left: dict[str, float] = field(factory=dict)
 
     def violate(self, promise: str, call_id: str, seen: str) -> None:
         """Note a violation."""
@@ -106,6 +112,7 @@
                 'histories', call_id, f'{body!r} instead of {sent.prompt!r}'
             )
         self.check_cancelled(sent, run, now)
+        self.check_left(sent, run, now)
         return run
 
     def finished(self, call_id: str, run: Run, now: float) -> None:
@@ -128,6 +135,25 @@
                 f'at {run.runner}, {late} s after it was given up',
             )
 
+    def check_left(self, sent: Sent, run: Run, now: float) -> None:
+        """Check that a runner that leaves gets no new work."""
+        left = self.left.get(run.runner, now)
+        ways = {
+            SOAK,
+            STORE,
+            sent.entry,
+            f'{sent.entry}>{STORE}',
+            f'{sent.entry}>{run.runner}',
+        }
+        late = round(now - left, 2)
+        in_trouble = self.faults.touched(ways, left - CONTACT_SECONDS, now)
+        if late > DRAIN_SECONDS and not in_trouble:
+            self.violate(
+                'leaving runners',
+                sent.call_id,
+                f'at {run.runner}, {late} s after it left',
+            )
+
     def excused(self, sent: Sent, since: float, until: float) -> bool:
         """Tell whether the entry was in trouble about that time."""
         ways = {
--- a/tests/soak/link_faults.py
+++ b/tests/soak/link_faults.py
@@ -5,7 +5,7 @@
 import trio
 from attrs import define
 
-from tests.soak.interval_log import lasting
+from tests.soak.interval_log import STORE, lasting
 from tests.soak.links import Link, Trouble
 from tests.soak.plan import Planned
 from tests.soak.world import World
@@ -15,7 +15,6 @@
 # While the store loses answers it loses each of this many.
 LOSE_EACH = 3
 REFUSED = 503
-STORE = 'store'
 
 
 @define(eq=False)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -122,6 +122,15 @@
         """List a runner in a state."""
         target = RUNNERS[runner.runner_id]
         self.fleet.list_runner(runner.runner_id, target, runner.address, state)
+        if state == 'ready':
+            self.ledger.left.pop(runner.runner_id, None)
+        else:
+            self.ledger.left[runner.runner_id] = trio.current_time()
+
+    def unlist_runner(self, runner: SoakRunner) -> None:
+        """Remove the entry of a runner that goes on serving."""
+        self.fleet.store.remove(f'servers/{runner.runner_id}')
+        self.ledger.left[runner.runner_id] = trio.current_time()
 
     async def place(self, names: list[str]) -> None:
         """Give each process an address, a folder and its ways to others."""
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -136,3 +136,26 @@
     """A seed that failed can be played again."""
     assert plan(7, 30) == plan(7, 30)
     assert plan(7, 30) != plan(8, 30)
+
+
+@pytest.mark.parametrize(
+    ('subject', 'promises'),
+    [
+        ('', ['leaving runners']),
+        ('entry-2>store', ['leaving runners']),
+        ('entry-1>store', []),
+        ('store', []),
+    ],
+)
+def test_call_at_a_runner_that_left_is_noticed(ledger, subject, promises):
+    """Unless its entry, or the store, was in trouble not long before."""
+    ledger.left[RUNNER] = 10
+    row = ledger.faults.begin('silent', subject, 6)
+    row.ended = 7
+    _sent(ledger)
+    _run(ledger, 12.4)
+    assert not ledger.violations
+    late = Sent('c1-2', 'look', 'entry-1', 3, prompt=b'said')
+    ledger.open(late, 12.5)
+    ledger.began('c1-2', RUNNER, b'said', 12.6)
+    assert _promises(ledger) == promises
