--- a/tests/unit/test_disk_registration.py
+++ b/tests/unit/test_disk_registration.py
@@ -4,13 +4,23 @@
 from attrs import define, field
 from trio.testing import MockClock
 
-from jasminewheel._internal.conversation.replica_set import Replica
-from jasminewheel._internal.conversation.set_change import Candidate
+from jasminewheel._internal.conversation.replica_set import (
+    Replica,
+    ReplicaSet,
+)
+from jasminewheel._internal.conversation.set_change import Candidate, SetView
 from jasminewheel._internal.conversation.set_keeper import DiskRegistration
-from jasminewheel._internal.conversation.set_listener import DISK_PREFIX
+from jasminewheel._internal.conversation.set_listener import (
+    DISK_PREFIX,
+    SET_KEY,
+    SetListener,
+)
+from jasminewheel._internal.store.contact import RELIST_SECONDS
+from jasminewheel._internal.store.port import StoreItem
 from jasminewheel.errors import StoreConflictError, StoreUnavailableError
 
 REPLICA = Replica('d1', 'vm1', 'h:1', 'z')
+OTHER = Replica('d2', 'vm2', 'h:2', 'z')
 
 
 @define(eq=False)
@@ -71,3 +81,47 @@
     """A lease that ended is replaced, and the disk written anew."""
     store = _run(5, {'renew': [StoreConflictError('ended')]})
     assert store.keys == {f'{DISK_PREFIX}vm1': '2'}
+
+
+def _items(*replicas: Replica) -> dict[str, StoreItem]:
+    stored = {
+        DISK_PREFIX + one.vm: DiskRegistration(None, Candidate(one)).text()
+        for one in replicas
+    }
+    members = ReplicaSet(1, (REPLICA, OTHER)).to_text()
+    written = {**stored, SET_KEY: members.encode()}
+    return {key: StoreItem(key, one, 1) for key, one in written.items()}
+
+
+def test_disk_that_lapsed_with_the_store_is_not_replaced():
+    """Guards against copies to a free disk while a living one lists itself."""
+    listener = SetListener()
+
+    async def scenario() -> None:
+        items = _items(REPLICA, OTHER)
+        listener.items_changed(items, frozenset(items))
+        listener.store_lost()
+        await trio.sleep(5)
+        listener.store_back()
+        listener.items_changed(
+            _items(REPLICA), frozenset((DISK_PREFIX + OTHER.vm,))
+        )
+        await trio.sleep(RELIST_SECONDS - 0.1)
+        assert not _absent(listener)
+        await trio.sleep(RELIST_SECONDS)
+        assert _absent(listener)
+
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def _absent(listener: SetListener) -> bool:
+    view = SetView(
+        listener.holder.current,
+        listener.candidates,
+        listener.absent_since,
+        frozenset(),
+        3,
+        may_form=False,
+        started_at=0,
+    )
+    return view.is_absent(OTHER, trio.current_time())
