Let an unvouched word raise no doubt that a short loss leaves

Cause: StoreContact could not tell doubt of its own from doubt that another process's word had brought. Change: it remembers whether what was known was in doubt when the store was lost; only then, or after a loss of a heartbeat or more, does the doubt outlast the return.

Evidence: test_short_loss_keeps_no_runner_that_left plays it in virtual time; it failed before and passes now.

--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -30,6 +30,8 @@
     # When the store, or another process for it, last told something.
     told_at: float = 0
     lost_at: float | None = None
+    # What was known then had not settled.
+    lost_in_doubt: bool = False
     settled_at: float = -math.inf
     # When the store itself answered for the first time.
     first_read_at: float = math.inf
@@ -40,12 +42,13 @@
         A loss shorter than a heartbeat makes no key lapse.
         """
         away = 0 if self.lost_at is None else now - self.lost_at
-        in_doubt = self.settled_at == math.inf
-        if away >= self.heartbeat_seconds or (in_doubt and away):
+        if away >= self.heartbeat_seconds or self.lost_in_doubt:
             self.settled_at = now + RELIST_SECONDS
-        elif in_doubt:
+        elif self.settled_at == math.inf:
+            # Only what another process told was in doubt.
             self.settled_at = now
         self.lost_at = None
+        self.lost_in_doubt = False
         self.first_read_at = min(self.first_read_at, now)
         self.note(revision, now)
         return away
@@ -67,6 +70,7 @@
         """
         if self.lost_at is None:
             self.lost_at = -math.inf if silent else now
+            self.lost_in_doubt = not self.settled(now)
         if not self.settled(now):
             self.settled_at = math.inf
 
--- a/tests/unit/test_leaving_runners.py
+++ b/tests/unit/test_leaving_runners.py
@@ -238,6 +238,24 @@
     _play(scenario)
 
 
+def test_short_loss_keeps_no_runner_that_left():
+    """Guards against DRAIN: one that just started tells, and vouches not."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(0.5)
+        world.entry.way.refused = True
+        world.entry.way.cut_watches()
+        world.store.remove(LEFT)
+        await trio.sleep(0.5)
+        assert world.entry.mirror.known_revision == world.store.revision
+        assert world.entry.uses('left')
+        world.entry.way.refused = False
+        await trio.sleep(0.5)
+        assert not world.entry.uses('left')
+
+    _play(scenario)
+
+
 @define(eq=False)
 class SlowPort:
     """Open connections slowly, and answer; note who was sent the call."""
