--- a/src/jasminewheel/_internal/conversation/set_change.py
+++ b/src/jasminewheel/_internal/conversation/set_change.py
@@ -1,5 +1,6 @@
 """Decide the next change of the replica set from the disks listed."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
@@ -39,6 +40,9 @@
     wanted_size: int
     may_bootstrap: bool
     started_at: float
+    # From when on an unlisted disk has left; before that its listing may only
+    # have expired in an outage of the store.
+    absences_settled_at: float = -math.inf
 
     def free_replicas(self) -> list[Replica]:
         """Return the listed disks outside the set, preferred ones first.
@@ -62,8 +66,9 @@
 
     def is_absent(self, replica: Replica, now: float) -> bool:
         """Return whether the absence timeout of the disk has passed."""
-        since = self.absent_since.get(replica.disk_id, now)
-        return now - since >= ABSENCE_TIMEOUT_SECONDS
+        missing_since = self.absent_since.get(replica.disk_id, now)
+        absent_since = max(missing_since, self.absences_settled_at)
+        return now - absent_since >= ABSENCE_TIMEOUT_SECONDS
 
     def has_copied(self, replica: Replica) -> bool:
         """Return whether the disk has finished copying for this change."""
--- a/src/jasminewheel/_internal/conversation/set_controller.py
+++ b/src/jasminewheel/_internal/conversation/set_controller.py
@@ -32,6 +32,8 @@
 
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 1.0
+# A disk's lease does not expire in a shorter outage of the store.
+LEASE_MARGIN_SECONDS = LEASE_SECONDS - RENEW_SECONDS
 CHECK_INTERVAL_SECONDS = 0.25
 # Delay per rank before a disk proposes a change, so that usually only one does.
 PROPOSAL_STAGGER_SECONDS = 0.4
@@ -131,6 +133,7 @@
             replica_set=self.listener.holder.current,
             candidates=self.listener.candidates,
             absent_since=self.listener.absent_since,
+            absences_settled_at=self.listener.contact.absences_settled_at(),
             retiring=self.board.retiring(),
             wanted_size=self.wanted_size,
             may_bootstrap=self.may_bootstrap,
--- a/src/jasminewheel/_internal/conversation/set_listener.py
+++ b/src/jasminewheel/_internal/conversation/set_listener.py
@@ -13,6 +13,7 @@
 )
 from jasminewheel._internal.conversation.set_change import Candidate
 from jasminewheel._internal.conversation.set_holder import SetHolder
+from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import StoreItem
 
@@ -29,6 +30,8 @@
     holder: SetHolder = field(factory=SetHolder)
     candidates: dict[str, Candidate] = field(factory=dict)
     absent_since: dict[str, float] = field(factory=dict)
+    # How current the list of disks is.
+    contact: StoreContact = field(factory=StoreContact)
 
     def items_changed(
         self, items: Mapping[str, StoreItem], keys: frozenset[str]
--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -88,13 +88,19 @@
         """Return whether a missing key is known to have been removed."""
         return now >= self.settled_at
 
-    def can_confirm_settled(self, now: float) -> bool:
-        """Return whether this process may report its contents as settled.
+    def absences_settled_at(self) -> float:
+        """Return from when on a missing key was certainly removed.
 
-        A process that has just started may have missed the end of an outage.
+        A process that has just started may have missed the end of an outage,
+        so keys may still be written again for a while after its first read.
         """
-        long_read = now >= self.first_read_at + REREGISTRATION_SECONDS
-        return long_read and self.is_settled(now)
+        return max(
+            self.settled_at, self.first_read_at + REREGISTRATION_SECONDS
+        )
+
+    def can_confirm_settled(self, now: float) -> bool:
+        """Return whether this process may report its contents as settled."""
+        return now >= self.absences_settled_at()
 
     def report_age(self, now: float) -> float:
         """Return the seconds since the last report."""
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -8,7 +8,6 @@
 from jasminewheel._internal.conversation.cleaner import LogCleaner
 from jasminewheel._internal.events import frame
 from jasminewheel._internal.peer.pool import PeerPool
-from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.known_items import KnownItemsFile
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.web.early_sockets import EarlySockets
@@ -42,7 +41,7 @@
     mirror = StoreMirror(
         parts.store,
         [parts.listener, board, known],
-        contact=StoreContact(settings.heartbeat_seconds),
+        contact=parts.listener.contact,
     )
     mirror.apply_known_items(known.load(), 0, trio.current_time())
     async with trio.open_nursery() as nursery:
--- a/tests/unit/test_disk_registration.py
+++ b/tests/unit/test_disk_registration.py
@@ -8,7 +8,11 @@
     Replica,
     ReplicaSet,
 )
-from jasminewheel._internal.conversation.set_change import Candidate, SetView
+from jasminewheel._internal.conversation.set_change import (
+    ABSENCE_TIMEOUT_SECONDS,
+    Candidate,
+    SetView,
+)
 from jasminewheel._internal.conversation.set_controller import DiskRegistration
 from jasminewheel._internal.conversation.set_listener import (
     DISK_PREFIX,
@@ -16,6 +20,7 @@
     SetListener,
 )
 from jasminewheel._internal.store.contact import REREGISTRATION_SECONDS
+from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.store.port import StoreItem
 from jasminewheel.errors import StoreConflictError, StoreUnavailableError
 
@@ -95,6 +100,15 @@
     return {key: StoreItem(key, one, 1) for key, one in written.items()}
 
 
+def _mirror_of(listener: SetListener) -> StoreMirror:
+    return StoreMirror(None, [listener], contact=listener.contact)
+
+
+def _read(mirror: StoreMirror, *listed: Replica) -> None:
+    mirror.record_read(1)
+    mirror.apply_snapshot(_items(*listed).values(), 1)
+
+
 def test_disk_that_lapsed_with_the_store_is_not_replaced():
     """A live disk is not replaced while it lists itself again.
 
@@ -102,16 +116,27 @@
     right after the store's return would start a copy to a free disk.
     """
     listener = SetListener()
+    mirror = _mirror_of(listener)
 
     async def scenario() -> None:
-        items = _items(REPLICA, OTHER)
-        listener.items_changed(items, frozenset(items))
-        listener.store_unavailable()
+        _read(mirror, REPLICA, OTHER)
+        mirror.record_loss(StoreUnavailableError('away'))
         await trio.sleep(5)
-        listener.store_available()
-        listener.items_changed(
-            _items(REPLICA), frozenset((DISK_PREFIX + OTHER.vm,))
-        )
+        _read(mirror, REPLICA)
+        await trio.sleep(REREGISTRATION_SECONDS - 0.1)
+        assert not _absent(listener)
+        await trio.sleep(REREGISTRATION_SECONDS)
+        assert _absent(listener)
+
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def test_disk_that_lapsed_before_a_start_is_not_replaced():
+    """A process that starts right after an outage waits for listings too."""
+    listener = SetListener()
+
+    async def scenario() -> None:
+        _read(_mirror_of(listener), REPLICA)
         await trio.sleep(REREGISTRATION_SECONDS - 0.1)
         assert not _absent(listener)
         await trio.sleep(REREGISTRATION_SECONDS)
@@ -120,6 +145,23 @@
     trio.run(scenario, clock=MockClock(autojump_threshold=0))
 
 
+def test_disk_that_leaves_in_calm_is_soon_replaced():
+    """Without an outage only the absence timeout has to pass."""
+    listener = SetListener()
+
+    async def scenario() -> None:
+        mirror = _mirror_of(listener)
+        _read(mirror, REPLICA, OTHER)
+        await trio.sleep(5)
+        _read(mirror, REPLICA)
+        await trio.sleep(ABSENCE_TIMEOUT_SECONDS - 0.1)
+        assert not _absent(listener)
+        await trio.sleep(0.1)
+        assert _absent(listener)
+
+    trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
 def _absent(listener: SetListener) -> bool:
     view = SetView(
         listener.holder.current,
@@ -129,5 +171,6 @@
         3,
         may_bootstrap=False,
         started_at=0,
+        absences_settled_at=listener.contact.absences_settled_at(),
     )
     return view.is_absent(OTHER, trio.current_time())
