--- a/src/jasminewheel/_internal/conversation/relay.py
+++ b/src/jasminewheel/_internal/conversation/relay.py
@@ -5,8 +5,7 @@
 """
 
 import logging
-from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from contextlib import ExitStack
 from types import MappingProxyType
 from typing import Any
@@ -25,8 +24,11 @@
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import JasminewheelError, PeerError
 
-# Entries that one search probes for a route to a replica, one by one.
+# Entries that one search probes for a route to a replica.
 MAX_PROBED_ENTRIES = 3
+# An entry that is cut off from the replica too answers only after its own
+# attempt has timed out, so the next one is probed beside it after this delay.
+PROBE_HEDGE_SECONDS = 0.1
 # Pause after a search without result, before the next entries are probed.
 SEARCH_RETRY_SECONDS = 1.0
 # An entry that failed to reach a replica is not used for it for this long.
@@ -144,36 +146,32 @@
         with ExitStack() as stack:
             stack.callback(route.end_search)
             usable = self.usable(sent.replica, trio.current_time())
-            asked = len(usable)
-            while usable and route.entry is None:
-                await self.probe(usable.popleft(), sent, route)
+            await _RouteSearch(self, sent, route).run(usable)
             if route.entry is None:
                 route.next_search_at = (
                     trio.current_time() + SEARCH_RETRY_SECONDS
                 )
                 events.NO_ROUTE.log(
-                    _LOGGER, replica=sent.replica.vm, asked=asked
+                    _LOGGER, replica=sent.replica.vm, asked=len(usable)
                 )
 
-    async def probe(
-        self, entry: ListedEntry, sent: ReplicaMessage, route: RelayRoute
-    ) -> None:
-        """Use an entry as the route if a probe through it succeeds."""
+    async def reaches(self, entry: ListedEntry, sent: ReplicaMessage) -> bool:
+        """Return whether a probe through an entry reaches the replica."""
         try:
             await self.ask_through(entry, sent.probe())
         except JasminewheelError as error:
             self.note_failure(entry, sent.replica, error)
-        else:
-            route.entry = entry
+            return False
+        return True
 
-    def usable(self, replica: Replica, now: float) -> deque[ListedEntry]:
+    def usable(self, replica: Replica, now: float) -> list[ListedEntry]:
         """Return the nearest entries that have not failed recently."""
         candidates = [
             entry
             for entry in self.entries.nearest_first()
             if self.failed_until.get((entry.vm, replica.disk_id), 0) <= now
         ]
-        return deque(candidates[:MAX_PROBED_ENTRIES])
+        return candidates[:MAX_PROBED_ENTRIES]
 
     async def ask_through(
         self, entry: ListedEntry, sent: ReplicaMessage
@@ -203,3 +201,32 @@
         events.RELAY_FAILED.log(
             _LOGGER, entry=entry.vm, replica=replica.vm, problem=error
         )
+
+
+@frozen
+class _RouteSearch:
+    """Probe entries, nearest first, until one of them reaches a disk."""
+
+    relays: RelayClient
+    sent: ReplicaMessage
+    route: RelayRoute
+
+    async def run(self, entries: Iterable[ListedEntry]) -> None:
+        """Probe the entries; a probe without a reply delays the next."""
+        async with trio.open_nursery() as nursery:
+            for entry in entries:
+                probe_ended = trio.Event()
+                nursery.start_soon(
+                    self.probe, entry, nursery.cancel_scope, probe_ended
+                )
+                with trio.move_on_after(PROBE_HEDGE_SECONDS):
+                    await probe_ended.wait()
+
+    async def probe(
+        self, entry: ListedEntry, search: trio.CancelScope, ended: trio.Event
+    ) -> None:
+        """Use an entry as the route and end the search if it is one."""
+        if await self.relays.reaches(entry, self.sent):
+            self.route.entry = entry
+            search.cancel()
+        ended.set()
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -82,6 +82,19 @@
     trio.run(scenario)
 
 
+def test_two_more_entries_that_are_cut_cost_no_two_timeouts(tmp_path):
+    """The third entry is probed while the nearer two have not answered."""
+
+    async def scenario() -> None:
+        async with _entries(tmp_path, 4) as (_, known, (cut, *others)):
+            for entry in (cut, *others[:2]):
+                entry.partition_from(known)
+            assert await _commit_seconds(cut, 't1') < 2 * FIRST_SECONDS
+            assert await _commit_seconds(cut, 't2') < LATER_SECONDS
+
+    trio.run(scenario)
+
+
 def test_all_entries_cut_are_told_at_once(tmp_path):
     """Without any route a turn is refused, and later ones fail at once."""
 
