--- a/src/jasminewheel/_internal/conversation/relay.py
+++ b/src/jasminewheel/_internal/conversation/relay.py
@@ -5,7 +5,8 @@
 """
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections import deque
+from collections.abc import Mapping
 from contextlib import ExitStack
 from types import MappingProxyType
 from typing import Any
@@ -146,7 +147,7 @@
         with ExitStack() as stack:
             stack.callback(route.end_search)
             usable = self.usable(sent.replica, trio.current_time())
-            await _RouteSearch(self, sent, route).run(usable)
+            await _RouteSearch(self, sent, route).run(deque(usable))
             if route.entry is None:
                 route.next_search_at = (
                     trio.current_time() + SEARCH_RETRY_SECONDS
@@ -211,13 +212,16 @@
     sent: ReplicaMessage
     route: RelayRoute
 
-    async def run(self, entries: Iterable[ListedEntry]) -> None:
+    async def run(self, entries: deque[ListedEntry]) -> None:
         """Probe the entries; a probe without a reply delays the next."""
         async with trio.open_nursery() as nursery:
-            for entry in entries:
+            while entries:
                 probe_ended = trio.Event()
                 nursery.start_soon(
-                    self.probe, entry, nursery.cancel_scope, probe_ended
+                    self.probe,
+                    entries.popleft(),
+                    nursery.cancel_scope,
+                    probe_ended,
                 )
                 with trio.move_on_after(PROBE_HEDGE_SECONDS):
                     await probe_ended.wait()
--- a/src/jasminewheel/_internal/conversation/set_controller.py
+++ b/src/jasminewheel/_internal/conversation/set_controller.py
@@ -23,6 +23,7 @@
     SetListener,
 )
 from jasminewheel._internal.events import conversation as events
+from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.leased_key import LeasedKey
 from jasminewheel._internal.store.port import WatchedStore
 from jasminewheel.errors import (
@@ -32,14 +33,19 @@
 
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 1.0
-# A disk's lease does not expire in a shorter outage of the store.
-LEASE_MARGIN_SECONDS = LEASE_SECONDS - RENEW_SECONDS
 CHECK_INTERVAL_SECONDS = 0.25
 # Delay per rank before a disk proposes a change, so that usually only one does.
 PROPOSAL_STAGGER_SECONDS = 0.4
 _LOGGER = logging.getLogger(__name__)
 
 
+def new_listener(heartbeat_seconds: float) -> SetListener:
+    """Return a listener for which disks and runners may expire in an outage."""
+    # A disk's lease was renewed at most RENEW_SECONDS before an outage.
+    shortest_expiry = min(heartbeat_seconds, LEASE_SECONDS - RENEW_SECONDS)
+    return SetListener(contact=StoreContact(shortest_expiry))
+
+
 class RetireBoard(Protocol):
     """Provide the VMs to be retired, and accept reports on their progress."""
 
--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -94,9 +94,7 @@
         A process that has just started may have missed the end of an outage,
         so keys may still be written again for a while after its first read.
         """
-        return max(
-            self.settled_at, self.first_read_at + REREGISTRATION_SECONDS
-        )
+        return max(self.settled_at, self.first_read_at + REREGISTRATION_SECONDS)
 
     def can_confirm_settled(self, now: float) -> bool:
         """Return whether this process may report its contents as settled."""
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -11,17 +11,16 @@
 from jasminewheel._internal.conversation.service import ReplicaService
 from jasminewheel._internal.conversation.set_change import Candidate
 from jasminewheel._internal.conversation.set_controller import (
-    LEASE_MARGIN_SECONDS,
     DiskRegistration,
     ReplicaSetController,
     RetireBoard,
+    new_listener,
 )
 from jasminewheel._internal.conversation.set_listener import SetListener
 from jasminewheel._internal.conversation.state import ConversationState
 from jasminewheel._internal.history.folder import load_disk_id
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import PeerServer
-from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.known_items import KnownItemsService
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.wire.gen.conversation.ttypes import ReadKnownItems
@@ -47,9 +46,7 @@
         """Open the data folder and load the journal."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self.disk_id = load_disk_id(self.folder)
-        # Disks as well as runners may expire in an outage of the store.
-        expiry = min(self.settings.heartbeat_seconds, LEASE_MARGIN_SECONDS)
-        self.listener = SetListener(contact=StoreContact(expiry))
+        self.listener = new_listener(self.settings.heartbeat_seconds)
         self.store = PlatformStore(self.settings.store_address)
         self.journal = Journal(self.folder, self.state)
         self.journal.load(trio.current_time())
