--- a/src/jasminewheel/_internal/gateway/ports.py
+++ b/src/jasminewheel/_internal/gateway/ports.py
@@ -49,11 +49,14 @@
     # Whether the runner reports that it did not run the call.
     refused: bool
     load: LoadReport | None
+    # Whether the body has neither a length nor chunks.
+    ends_with_connection: bool
 
     def parts(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
-        Raise ConnectionLostError if the connection breaks before its end.
+        Raise ConnectionLostError if the connection breaks before its end. A
+        body that ends with the connection is whole if that end is clean.
         """
 
     async def whole_body(self) -> bytes:
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -24,7 +24,7 @@
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.headers import end_to_end
 from jasminewheel._internal.wire.gen.conversation.ttypes import TurnRecord
-from jasminewheel.errors import UnavailableError
+from jasminewheel.errors import ConnectionLostError, UnavailableError
 
 _OK = 200
 # Pause before the disks are asked again to store a turn.
@@ -175,7 +175,11 @@
         )
 
     async def relay_events(self, runner_answer: RunnerAnswer) -> None:
-        """Relay each event as soon as it is complete."""
+        """Relay each event as soon as it is complete.
+
+        Raise ConnectionLostError if the stream breaks off, which includes an
+        end within an event.
+        """
         await self.answer.start(
             runner_answer.status, end_to_end(runner_answer.headers)
         )
@@ -188,9 +192,30 @@
             )
             await self.answer.send(b''.join(one.raw for one in whole))
             splitter.check_limits()
-        if splitter.buffer:
-            events.STREAM_TRUNCATED.log(_LOGGER, rest=len(splitter.buffer))
-            await self.answer.send(bytes(splitter.buffer))
+        self.check_end(splitter, runner_answer)
+
+    def check_end(
+        self, splitter: EventSplitter, runner_answer: RunnerAnswer
+    ) -> None:
+        """Raise ConnectionLostError if a stream ended within an event.
+
+        An empty stream that ends with its connection broke off before its
+        first event.
+        """
+        no_event = runner_answer.ends_with_connection and not splitter.events
+        if not (splitter.buffer or no_event):
+            return
+        events.STREAM_TRUNCATED.log(
+            _LOGGER,
+            request=self.record.call.call_id,
+            runner=self.record.runner,
+            events=splitter.events,
+            rest=len(splitter.buffer),
+        )
+        raise ConnectionLostError(
+            f'stream broke off after {splitter.events} events and'
+            f' {len(splitter.buffer)} bytes'
+        )
 
     def max_events(self) -> int:
         """Return how many events the turn's maximum output takes."""
--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -66,6 +66,8 @@
     limits: AnswerLimits = field(factory=AnswerLimits)
     # Bytes received since the request; reset at the start of its answer.
     received_bytes: int = 0
+    # Whether an earlier request was answered on this connection.
+    reused: bool = False
 
     async def send(self, request: OutgoingRequest) -> None:
         """Send one request; raise ConnectionLostError if sending fails."""
@@ -136,13 +138,16 @@
         The idle timeout that the server announces is applied.
         """
         self.parser.responses.popleft()
+        self.reused = True
         self.idle_since = now
         keep_alive = field_text(response.headers, b'keep-alive')
         timeout = keep_alive.partition('timeout=')[2].partition(',')[0].strip()
         if timeout.isdigit():
             self.idle_seconds = int(timeout) - IDLE_MARGIN_SECONDS
-        nothing_follows = not self.parser.responses and not self.parser.broken
-        return nothing_follows and self.parser.keep_alive
+        following = self.parser.responses or self.parser.in_response
+        if following or self.parser.broken:
+            return False
+        return self.parser.keep_alive
 
     def is_usable(self, now: float) -> bool:
         """Return whether the connection is open, not stale and has no input."""
--- a/src/jasminewheel/_internal/web/response_parser.py
+++ b/src/jasminewheel/_internal/web/response_parser.py
@@ -50,6 +50,8 @@
     broken: bool = False
     ended: bool = False
     keep_alive: bool = True
+    # Whether the first bytes of a response have arrived, but not all of it.
+    in_response: bool = False
     parser: httptools.HttpResponseParser = field(init=False)
     headers: Headers = field(factory=list)
 
@@ -75,6 +77,7 @@
     def on_message_begin(self) -> None:
         """Start a response."""
         self.headers = []
+        self.in_response = True
 
     def on_header(self, name: bytes, found: bytes) -> None:
         """Add a header field; trailer fields are ignored."""
@@ -99,6 +102,7 @@
     def on_message_complete(self) -> None:
         """Mark a response as complete."""
         self.in_head = True
+        self.in_response = False
         if self.parser.get_status_code() >= _FIRST_FINAL_STATUS:
             self.responses[-1].complete = True
 
--- a/src/jasminewheel/platform/runner_protocol.py
+++ b/src/jasminewheel/platform/runner_protocol.py
@@ -17,6 +17,7 @@
 )
 from jasminewheel._internal.web.pool import ConnectionPool
 from jasminewheel._internal.web.response_parser import HttpResponse
+from jasminewheel.errors import ConnectionLostError
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 MS_PER_SECOND = 1000
@@ -45,8 +46,12 @@
     @property
     def refused(self) -> bool:
         """Return whether the runner declares that it did not run the call."""
-        declared = field_value(self.headers, b'not-executed') is not None
-        return declared or self.status == WRONG_RUNNER_STATUS
+        return _is_refusal(self.response)
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        return self.response.ends_with_connection()
 
     @property
     def load(self) -> LoadReport | None:
@@ -122,7 +127,8 @@
     attempt.observer.on_connected()
     await connection.send(_request(attempt))
     attempt.observer.on_sent()
-    return await connection.response(_call_matcher(attempt))
+    matcher = _CallMatcher(attempt.call.call_id, connection.reused)
+    return await connection.response(matcher)
 
 
 def _request(attempt: Attempt) -> OutgoingRequest:
@@ -143,19 +149,29 @@
 @frozen
 class _CallMatcher:
     call_id: str
+    # Whether an earlier call was answered on the connection.
+    reused: bool
 
     def __call__(self, response: HttpResponse) -> bool:
         """Return whether a response answers the call.
 
         A response without a Request-Id is accepted only as a refusal: the
-        runner refused before it read the call.
+        runner refused before it read the call. On a reused connection it may
+        repeat an earlier refusal, so the outcome of the call is unknown; then
+        raise ConnectionLostError.
         """
         named = field_text(response.headers, b'request-id')
         if named:
             return named == self.call_id
-        refused = field_value(response.headers, b'not-executed') is not None
-        return refused or response.status == WRONG_RUNNER_STATUS
-
-
-def _call_matcher(attempt: Attempt) -> _CallMatcher:
-    return _CallMatcher(attempt.call.call_id)
+        if not _is_refusal(response):
+            return False
+        if self.reused:
+            raise ConnectionLostError(
+                'refusal without an identifier on a reused connection'
+            )
+        return True
+
+
+def _is_refusal(response: HttpResponse) -> bool:
+    declared = field_value(response.headers, b'not-executed') is not None
+    return declared or response.status == WRONG_RUNNER_STATUS
