--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -85,3 +85,9 @@
     'runner no longer listed; used until its entry can be listed again',
     state_change=True,
 )
+CALLS_ENDED = Event(
+    1891,
+    logging.WARNING,
+    'calls ended unanswered because the grace period of the stop is over',
+    remedy='see which runners took longer than the grace period',
+)
--- a/src/jasminewheel/_internal/gateway/gateway.py
+++ b/src/jasminewheel/_internal/gateway/gateway.py
@@ -1,6 +1,8 @@
 """Route each caller's request, and answer it exactly once."""
 
 import logging
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from zlib import crc32
 
 import trio
@@ -65,6 +67,12 @@
     route: Route
     table: RoutingTable
 
+    @property
+    def deadline_at(self) -> float:
+        """Return when the call has to be answered at the latest."""
+        timeout_at = self.call.arrived_at + self.route.timeout_seconds
+        return min(self.call.deadline_at, timeout_at)
+
 
 @frozen
 class Gateway:
@@ -73,6 +81,16 @@
     routes: RoutesHolder
     plain: PlainFlow
     turns: TurnFlow
+    # Scopes of the calls in progress.
+    open_calls: set[trio.CancelScope] = field(factory=set)
+
+    def end_calls(self) -> None:
+        """End the calls in progress, because this process has to stop.
+
+        Each is answered with an error that says whether it may have run.
+        """
+        for scope in self.open_calls:
+            scope.cancel()
 
     def route(self, call: Call) -> RoutedCall:
         """Return the call with its route; raise CallError if there is none."""
@@ -87,7 +105,7 @@
             call,
             route,
             route.target_for(share / _HASH_RANGE),
-            min(call.deadline_at, call.arrived_at + route.timeout_seconds),
+            routed.deadline_at,
         )
         try:
             await self.serve_until_deadline(record, answer, table)
@@ -102,25 +120,36 @@
     async def serve_until_deadline(
         self, record: CallRecord, answer: AnswerWriter, table: RoutingTable
     ) -> None:
-        """Answer the call; raise if its deadline is exceeded.
+        """Answer the call; raise if its deadline or this process ends first.
 
         Raise UnavailableError if the call has not run by then, or else
-        DeadlineError.
+        DeadlineError or TargetFailedError.
         """
         scope = trio.CancelScope(deadline=record.deadline_at)
-        with scope:
-            try:
-                await self.dispatch(record, answer, table)
-            except ConnectionLostError as error:
-                raise TargetFailedError(
-                    error.message, verdict=Verdict.may_have_run
-                ) from error
+        with self.tracked(scope):
+            await self.dispatch_once(record, answer, table)
         if scope.cancelled_caught:
-            if record.verdict is Verdict.not_run:
-                raise unanswered_error(
-                    record, 'deadline exceeded before the call ran'
-                )
-            raise DeadlineError('deadline exceeded', verdict=record.verdict)
+            raise ended_error(record, trio.current_time())
+
+    @contextmanager
+    def tracked(self, scope: trio.CancelScope) -> Iterator[None]:
+        """Run a call in a scope that the end of this process cancels."""
+        with ExitStack() as stack:
+            stack.callback(self.open_calls.discard, scope)
+            self.open_calls.add(scope)
+            stack.enter_context(scope)
+            yield
+
+    async def dispatch_once(
+        self, record: CallRecord, answer: AnswerWriter, table: RoutingTable
+    ) -> None:
+        """Answer the call; a connection lost midway is the target's failure."""
+        try:
+            await self.dispatch(record, answer, table)
+        except ConnectionLostError as error:
+            raise TargetFailedError(
+                error.message, verdict=Verdict.may_have_run
+            ) from error
 
     async def dispatch(
         self, record: CallRecord, answer: AnswerWriter, table: RoutingTable
@@ -159,6 +188,15 @@
         )
 
 
+def ended_error(record: CallRecord, now: float) -> Exception:
+    """Return the error of a call that was ended before its answer."""
+    overdue = now >= record.deadline_at
+    if overdue and record.verdict is not Verdict.not_run:
+        return DeadlineError('deadline exceeded', verdict=record.verdict)
+    problem = 'deadline exceeded' if overdue else 'this entry has to stop'
+    return unanswered_error(record, f'{problem} before the call was answered')
+
+
 def _fields(record: CallRecord, table: RoutingTable) -> dict[str, object]:
     now = trio.current_time()
     return {
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -19,11 +19,15 @@
 from jasminewheel.platform.roles import periodic_task
 from jasminewheel.platform.settings import NodeSettings
 
-# Share of the grace period in which new requests are still accepted. The
-# balancer stops sending clients after two failed readiness checks, 1 s apart.
+# Shares of the grace period in which new requests are still accepted: any
+# request, and one whose time is up before the calls have to end. The balancer
+# stops sending clients after two failed readiness checks, 1 s apart.
+LONG_ADMISSION_GRACE_SHARE = 0.3
 ADMISSION_GRACE_SHARE = 0.45
-# Streams that still run this long before the end of the grace period are cut.
-STREAM_CUT_MARGIN_SECONDS = 0.7
+# Calls that still run this long before the end of the grace period are ended.
+CALL_END_MARGIN_SECONDS = 0.7
+# How long the last answers may take to be sent.
+LAST_ANSWERS_SECONDS = 0.4
 IDLE_CHECK_INTERVAL_SECONDS = 0.1
 # Callers are accepted after this time even if routes or replicas are not known
 # yet: they give up a connection that is not read for 1 s.
@@ -109,16 +113,34 @@
 
 
 async def drain(web: WebServer, ingress: Ingress, grace_seconds: float) -> None:
-    """Finish the open calls; accept new ones until the balancer reacts."""
+    """Finish the open calls; accept new ones until the balancer reacts.
+
+    Calls that are still open near the end of the grace period are answered
+    with an error, as the process is killed soon after.
+    """
     started_at = trio.current_time()
+    calls_end_at = started_at + grace_seconds - CALL_END_MARGIN_SECONDS
     web.draining = True
     events.DRAINING.log(_LOGGER, busy=web.busy_connections())
-    with trio.move_on_at(
-        started_at + grace_seconds - STREAM_CUT_MARGIN_SECONDS
-    ):
-        await trio.sleep(grace_seconds * ADMISSION_GRACE_SHARE)
-        # A call accepted later might be cut; another entry can still serve it.
+    with trio.move_on_at(calls_end_at):
+        await trio.sleep(grace_seconds * LONG_ADMISSION_GRACE_SHARE)
+        # Another entry can serve a call that might be ended here.
+        ingress.ends_at = calls_end_at
+        await trio.sleep_until(
+            started_at + grace_seconds * ADMISSION_GRACE_SHARE
+        )
         ingress.closed = True
-        while web.connections:
-            web.close_idle()
-            await trio.sleep(IDLE_CHECK_INTERVAL_SECONDS)
+        await close_connections(web)
+    busy = web.busy_connections()
+    if busy:
+        events.CALLS_ENDED.log(_LOGGER, busy=busy)
+        ingress.gateway.end_calls()
+    with trio.move_on_after(LAST_ANSWERS_SECONDS):
+        await close_connections(web)
+
+
+async def close_connections(web: WebServer) -> None:
+    """Close each client connection as soon as it is idle."""
+    while web.connections:
+        web.close_idle()
+        await trio.sleep(IDLE_CHECK_INTERVAL_SECONDS)
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -1,6 +1,7 @@
 """Decode requests of the platform's clients, and encode errors for them."""
 
 import logging
+import math
 
 from attrs import define
 
@@ -48,6 +49,8 @@
     """Pass HTTP requests to the gateway; refuse them once closed."""
 
     gateway: Gateway
+    # No request is accepted that may last longer.
+    ends_at: float = math.inf
     closed: bool = False
 
     async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
@@ -71,11 +74,11 @@
     def admit(self, request: HttpRequest) -> RoutedCall:
         """Return the call with its route; raise CallError if refused."""
         if self.closed:
-            raise UnavailableError(
-                'this entry is shutting down',
-                retry_after_seconds=STOPPING_RETRY_SECONDS,
-            )
-        return self.gateway.route(decode_call(request))
+            raise stopping_error()
+        routed = self.gateway.route(decode_call(request))
+        if routed.deadline_at > self.ends_at:
+            raise stopping_error()
+        return routed
 
     def log_rejected(self, request: HttpRequest, error: CallError) -> None:
         """Log a request that was refused before it was routed."""
@@ -90,6 +93,14 @@
         )
 
 
+def stopping_error() -> UnavailableError:
+    """Return the error of a request that another entry has to serve."""
+    return UnavailableError(
+        'this entry is shutting down',
+        retry_after_seconds=STOPPING_RETRY_SECONDS,
+    )
+
+
 async def send_error(
     request: HttpRequest, answer: AnswerWriter, error: CallError
 ) -> None:
