--- a/src/jasminewheel/_internal/conversation/entry_list.py
+++ b/src/jasminewheel/_internal/conversation/entry_list.py
@@ -6,12 +6,15 @@
 
 from attrs import asdict, define, field, frozen
 
-from jasminewheel._internal.conversation.set_listener import STORE_PREFIX
 from jasminewheel._internal.events import conversation as events
 from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.store.leased_key import LeasedKey
 from jasminewheel._internal.store.mirror import MirrorListener
-from jasminewheel._internal.store.port import StoreItem, WatchedStore
+from jasminewheel._internal.store.port import (
+    STORE_PREFIX,
+    StoreItem,
+    WatchedStore,
+)
 
 ENTRY_PREFIX = f'{STORE_PREFIX}entries/'
 # Long, because a stopped entry that is still listed costs each peer that asks
--- a/src/jasminewheel/_internal/conversation/set_listener.py
+++ b/src/jasminewheel/_internal/conversation/set_listener.py
@@ -15,9 +15,8 @@
 from jasminewheel._internal.conversation.set_holder import SetHolder
 from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.mirror import MirrorListener
-from jasminewheel._internal.store.port import StoreItem
+from jasminewheel._internal.store.port import STORE_PREFIX, StoreItem
 
-STORE_PREFIX = 'jasminewheel/'
 SET_KEY = f'{STORE_PREFIX}replicas'
 DISK_PREFIX = f'{STORE_PREFIX}disks/'
 _LOGGER = logging.getLogger(__name__)
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -26,6 +26,8 @@
 WRITE_DELAY_SECONDS = 0.5
 FETCH_TIMEOUT_SECONDS = 1.0
 FETCH_INTERVAL_SECONDS = 0.3
+# Shorter without any items, as the process cannot serve before it has some.
+FIRST_FETCH_INTERVAL_SECONDS = 0.1
 # Some of the queried processes may not answer, or may not reach the store
 # either.
 PARALLEL_FETCHES = 3
@@ -132,7 +134,7 @@
             while self.addresses:
                 for address in self.next_addresses(trio.current_time()):
                     nursery.start_soon(self.fetch, address)
-                await trio.sleep(FETCH_INTERVAL_SECONDS)
+                await trio.sleep(self.interval_seconds())
 
     def needs_peers(self, now: float) -> bool:
         """Return whether peers may have newer or settled items."""
@@ -151,14 +153,20 @@
         free = [one for one in dict.fromkeys(wanted) if one not in self.pending]
         return free[: max(0, self.max_pending() - len(self.pending))]
 
+    def interval_seconds(self) -> float:
+        """Return the pause before the next queries."""
+        if self.mirror.items:
+            return FETCH_INTERVAL_SECONDS
+        return FIRST_FETCH_INTERVAL_SECONDS
+
     def max_pending(self) -> int:
         """Return how many queries may be pending at once.
 
-        A process without items queries all peers, since the first one to
-        reply may lag behind.
+        A process without items is sent all of them by each peer that it
+        queries, so it queries one more at each interval.
         """
         if not self.mirror.items:
-            return len(self.addresses)
+            return len(self.pending) + 1
         return PARALLEL_FETCHES_WITH_READER if self.reader else PARALLEL_FETCHES
 
     async def fetch(self, address: str) -> None:
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -10,6 +10,7 @@
 from jasminewheel._internal.events import store as events
 from jasminewheel._internal.store.contact import StoreContact, rounded_seconds
 from jasminewheel._internal.store.port import (
+    STORE_PREFIX,
     StoreChanges,
     StoreHistoryLostError,
     StoreItem,
@@ -19,15 +20,27 @@
 
 # Pause after a change, so that changes in quick succession cost one call.
 BATCH_SECONDS = 0.15
+# In larger fleets the pause is longer, since each change ends the watches of
+# all processes; the time by which a change is known grows with it.
+MAX_BATCH_SECONDS = 0.5
+# Calls a second that all processes together make while changes keep coming.
+FLEET_WATCHES_PER_SECOND = 400
 RETRY_SECONDS = 0.4
 # The longest wait of one watch call.
 WATCH_SECONDS = 4.0
-# The wait of a watch call while the store is unavailable. It is short because
-# a call sent while the store is unresponsive is never answered.
+# The wait of a watch call before the first reply, and while the store is
+# unavailable. It is short because a call sent while the store is unresponsive
+# is never answered.
 UNAVAILABLE_WATCH_SECONDS = 0.1
 _LOGGER = logging.getLogger(__name__)
 
 
+def batch_seconds(processes: int) -> float:
+    """Return the pause after a change in a fleet of this many processes."""
+    fair_share = processes / FLEET_WATCHES_PER_SECOND
+    return min(MAX_BATCH_SECONDS, max(BATCH_SECONDS, fair_share))
+
+
 class MirrorListener(Protocol):
     """Receive changes of the store; by default keep state in an outage."""
 
@@ -52,12 +65,17 @@
 
     store: WatchedStore
     listeners: list[MirrorListener] = field(factory=list)
+    # How long to wait at the start for items of another process, from which
+    # the watch can go on; without them the whole contents are read.
+    peers_wait_seconds: float = 0
     items: dict[str, StoreItem] = field(factory=dict)
     # Changes after this revision are requested; zero requests a snapshot.
     revision: int = 0
     available: bool = True
     contact: StoreContact = field(factory=StoreContact)
     loaded: trio.Event = field(factory=trio.Event)
+    # Set once items of another process were applied.
+    informed: trio.Event = field(factory=trio.Event)
 
     @property
     def known_revision(self) -> int:
@@ -66,6 +84,8 @@
 
     async def run(self) -> None:
         """Mirror the store until cancelled."""
+        with trio.move_on_after(self.peers_wait_seconds):
+            await self.informed.wait()
         while True:
             try:
                 await self.sync_once()
@@ -79,19 +99,37 @@
     async def sync_once(self) -> None:
         """Apply a snapshot if no revision is known, else the next changes."""
         if self.revision:
-            wait = (
-                WATCH_SECONDS if self.available else UNAVAILABLE_WATCH_SECONDS
-            )
-            changes = await self.store.changes(self.revision, wait)
-            self.record_read(changes.revision)
-            self.apply_changes(changes)
-            if changes.written or changes.removed:
-                await trio.sleep(BATCH_SECONDS)
+            await self.watch_once()
             return
         snapshot = await self.store.snapshot()
         self.record_read(snapshot.revision)
-        self.apply_snapshot(snapshot.items, snapshot.revision)
+        if snapshot.revision >= self.revision:
+            self.apply_snapshot(snapshot.items, snapshot.revision)
+        self.loaded.set()
+
+    async def watch_once(self) -> None:
+        """Apply the next changes, then pause while more may follow.
+
+        Another process may have reported a newer revision meanwhile; what
+        the store replied is outdated then.
+        """
+        changes = await self.store.changes(self.revision, self.watch_seconds())
+        self.record_read(changes.revision)
         self.loaded.set()
+        if changes.revision < self.revision:
+            return
+        self.apply_changes(changes)
+        if changes.written or changes.removed:
+            await trio.sleep(batch_seconds(self.process_count()))
+
+    def watch_seconds(self) -> float:
+        """Return how long the next watch call may wait for a change."""
+        readable = self.available and self.loaded.is_set()
+        return WATCH_SECONDS if readable else UNAVAILABLE_WATCH_SECONDS
+
+    def process_count(self) -> int:
+        """Return how many processes of the fleet are listed."""
+        return sum(key.startswith(STORE_PREFIX) for key in self.items)
 
     def apply_known_items(
         self,
@@ -113,7 +151,8 @@
             return False
         self.contact.record_report(revision, now, settled=settled)
         self.notify_settled(now)
-        self.apply_snapshot(items, revision if self.revision else 0)
+        self.apply_snapshot(items, revision)
+        self.informed.set()
         return True
 
     def confirm_settled(self, revision: int, now: float) -> None:
--- a/src/jasminewheel/_internal/store/port.py
+++ b/src/jasminewheel/_internal/store/port.py
@@ -6,6 +6,10 @@
 
 from jasminewheel.errors import StoreError
 
+# Begins the keys that this product writes: one for each of its processes, and
+# the replica set.
+STORE_PREFIX = 'jasminewheel/'
+
 
 class StoreHistoryLostError(StoreError):
     """Report that the store no longer has the changes since a revision."""
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -21,6 +21,10 @@
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
 
+# How long a start waits for the store's items from a history before it reads
+# all of them from the store.
+PEERS_WAIT_SECONDS = 0.2
+
 
 @define(eq=False)
 class EntryParts:
@@ -62,6 +66,7 @@
         return StoreMirror(
             self.store,
             [*self.peers.listeners(), listener],
+            peers_wait_seconds=PEERS_WAIT_SECONDS if self.settings.seeds else 0,
             contact=self.directory.contact,
         )
 
@@ -72,6 +77,7 @@
         usable = sum(self.directory.is_usable(view, now) for view in views)
         return {
             **self.peers.gauges(),
+            **self.store.call_counts(),
             'configuration_version': self.routes.current.version,
             'store_away': float(self.directory.contact.lost_at is not None),
             'runners_listed': len(self.directory.views),
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -95,4 +95,5 @@
             'programs_kept': len(self.state.programs),
             'log_bytes': self.journal.log.stored_bytes,
             'log_files': len(self.journal.log.closed) + 1,
+            **self.store.call_counts(),
         }
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -6,6 +6,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
@@ -47,6 +48,7 @@
 # Memory that a stored value takes beside its own bytes.
 ITEM_OVERHEAD_BYTES = 256
 _LIMITS = AnswerLimits(answer_bytes=MAX_REPLY_BYTES)
+_CALL_KINDS = ('watch', 'range', 'txn', 'lease', 'keep', 'lease_end')
 _OK = 200
 _NOT_FOUND = 404
 _HISTORY_GONE = 410
@@ -83,6 +85,15 @@
     address: str
     pool: ConnectionPool = field(factory=ConnectionPool)
     lock: trio.Lock = field(factory=trio.Lock)
+    # Calls made, by kind.
+    calls: Counter[str] = field(factory=Counter)
+
+    def call_counts(self) -> dict[str, float]:
+        """Return the number of calls made, by the name of their gauge."""
+        return {
+            f'store_calls_{kind}': float(self.calls[kind])
+            for kind in _CALL_KINDS
+        }
 
     async def snapshot(self) -> StoreSnapshot:
         """Return all values, with the revision of the first page."""
@@ -173,6 +184,7 @@
 
         Raise StoreUnavailableError if no readable reply arrives in time.
         """
+        self.calls[_call_kind(request.target)] += 1
         connection: HttpConnection | None = None
         try:
             with trio.fail_after(timeout_seconds):
@@ -201,6 +213,11 @@
         return reply
 
 
+def _call_kind(target: bytes) -> str:
+    name = target.decode().removeprefix('/kv-')
+    return name.partition('?')[0].partition('/')[0].replace('-', '_')
+
+
 def _close(connection: HttpConnection | None) -> None:
     if connection:
         connection.close()
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -473,6 +473,8 @@
         assert 'jasminewheel_events_total{event="1870",outcome="look"}' in page
         assert 'jasminewheel_configuration_version 7.0' in page
         assert 'jasminewheel_event_seconds_bucket' in page
+        assert 'jasminewheel_store_calls_txn 1.0' in page
+        assert 'jasminewheel_store_calls_lease 1.0' in page
 
     run_scenario(scenario)
 
