--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -105,6 +105,24 @@
   4: bool reads,               // the store answers who tells this
 }
 
+// What a process that follows a reader of the store asks of it. The reply comes
+// with the next change, after the wait, or once the reader loses the store.
+struct AwaitChanges {
+  1: i64 after_revision,       // up to which the asker knows changes
+  2: double wait_seconds,
+}
+
+struct KnownChanges {
+  1: list<KnownItem> written,
+  2: list<string> removed,
+  3: i64 revision,             // up to which changes are told
+  4: bool settled,             // a missing key was removed, and has not lapsed
+  5: bool reads,               // the store answers who tells this
+  6: bool complete,            // all items are told; any other key was removed
+  7: bool confirms,            // settled also for who missed the store before
+  8: bool silent,              // without `reads`: since when is not known
+}
+
 // Asked of another entry by one that does not reach a replica itself.
 struct RelayQuestion {
   1: string replica,           // the disk that is asked
--- a/src/jasminewheel/_internal/events/store.py
+++ b/src/jasminewheel/_internal/events/store.py
@@ -49,3 +49,23 @@
     'the copy of the store could not be written to this disk',
     'check that the disk has free space',
 )
+FOLLOWING = Event(
+    1859,
+    logging.INFO,
+    'changes of the store are received from another process',
+    state_change=True,
+)
+READER_FAILED = Event(
+    1860,
+    logging.WARNING,
+    'process that reads the store for this one failed; another one is asked',
+    'check the process at this address, and that it can reach the store',
+    state_change=True,
+)
+READING_ALONE = Event(
+    1861,
+    logging.WARNING,
+    'no other process reads the store for this one; it is read directly',
+    'check the processes on the VMs with a disk',
+    state_change=True,
+)
--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -77,6 +77,10 @@
         if not self.is_settled(now):
             self.settled_at = math.inf
 
+    def lost_silently(self) -> bool:
+        """Return whether the start of the present outage is unknown."""
+        return self.lost_at == -math.inf
+
     def confirm_settled(self, revision: int, now: float) -> bool:
         """Mark a revision as settled; return whether it was unsettled."""
         if revision < self.revision or self.is_settled(now):
@@ -84,6 +88,10 @@
         self.settled_at = now
         return True
 
+    def record_unsettled(self) -> None:
+        """Record that whoever read the store cannot call it settled."""
+        self.settled_at = math.inf
+
     def is_settled(self, now: float) -> bool:
         """Return whether a missing key is known to have been removed."""
         return now >= self.settled_at
--- /dev/null
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -0,0 +1,265 @@
+"""Read the store through another process that watches it."""
+
+import logging
+import math
+
+import trio
+from attrs import define, evolve, field
+
+from jasminewheel._internal.events import store as events
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.port import (
+    ReadableStore,
+    StoreChanges,
+    StoreItem,
+    StoreSnapshot,
+)
+from jasminewheel._internal.store.reader_choice import (
+    AWAY_SECONDS,
+    FAILED_SECONDS,
+    Reader,
+    ReaderChoice,
+)
+from jasminewheel._internal.wire.gen.conversation import ttypes as wire
+from jasminewheel.errors import (
+    JasminewheelError,
+    PeerError,
+    StoreError,
+    StoreUnavailableError,
+)
+
+# The longest wait for a change at a reader. A reader that falls silent is
+# noticed after this time and the one for its reply.
+FOLLOW_SECONDS = 1.5
+REPLY_SECONDS = 0.6
+# The longest wait of a reader's own watch. All its followers wait for it if
+# the store falls silent for the reader alone.
+READER_WATCH_SECONDS = 3.0
+# How many readers are asked in one round, and how many rounds have to fail
+# before the store itself is watched: readers that start again fail for a
+# moment, and the store would be called by all their followers at once.
+READERS_TRIED = 2
+ROUNDS_TRIED = 2
+# How long the store is watched directly before readers are asked again.
+DIRECT_SECONDS = 2.0
+DIRECT_WATCH_SECONDS = 1.0
+# A reader that failed within this time is asked again soon.
+QUICK_FAILURE_SECONDS = 0.3
+# A start without any items waits this long for those of a reader.
+FIRST_REPLY_SECONDS = 0.1
+_LOGGER = logging.getLogger(__name__)
+
+
+class ReaderAwayError(PeerError):
+    """Report that the store does not answer a reader."""
+
+    code = 'reader-away'
+
+    def __init__(self, message: str, *, silent: bool) -> None:
+        """Store whether it is unknown since when the store does not answer."""
+        super().__init__(message)
+        self.silent = silent
+
+
+@define(eq=False)
+class FollowedStore:
+    """Follow a reader; read the store itself if this process is one.
+
+    The store is also read directly for a while if no reader can be used, so
+    that a process that reaches the store needs no other one.
+    """
+
+    store: ReadableStore
+    pool: PeerPool
+    readers: ReaderChoice
+    contact: StoreContact
+    # The address of the reader that is followed; empty without one.
+    followed: str = ''
+    # Until when the store is read directly.
+    direct_until: float = -math.inf
+    # Rounds of questions to readers that failed since one replied.
+    failed_rounds: int = 0
+    # Whether an outage of the store may have passed unnoticed.
+    missed_store: bool = False
+    # The readers that failed when they were last asked.
+    failing: set[str] = field(factory=set)
+
+    async def snapshot(self) -> StoreSnapshot:
+        """Return all values; read the store itself if no reader has them."""
+        found: StoreChanges | None = None
+        waiting = self.candidates()
+        while waiting and found is None:
+            with trio.move_on_after(FIRST_REPLY_SECONDS):
+                found = await self.try_reader(waiting.pop(0), 0, 0)
+        if found is None:
+            return await self.store.snapshot()
+        return StoreSnapshot(found.written, found.revision)
+
+    async def changes(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Wait for changes after a revision.
+
+        Raise StoreUnavailableError if each reader that was asked failed, as
+        the store may have been away since the last reply. If that happens
+        again, the store itself is watched next.
+        """
+        waiting = self.candidates()
+        if not waiting:
+            return await self.watch(after_revision, wait_seconds)
+        wait_seconds = min(wait_seconds, FOLLOW_SECONDS)
+        while waiting:
+            found = await self.try_reader(
+                waiting.pop(0), after_revision, wait_seconds
+            )
+            if found:
+                return found
+            # The next one replies at once: news may have been missed.
+            wait_seconds = 0
+        self.record_failed_round(trio.current_time())
+        raise StoreUnavailableError(
+            'no process that reads the store replied',
+            no_response=self.missed_store,
+        )
+
+    def record_failed_round(self, now: float) -> None:
+        """Turn to the store itself if readers failed repeatedly."""
+        self.failed_rounds += 1
+        if self.failed_rounds >= ROUNDS_TRIED:
+            self.failed_rounds = 0
+            self.direct_until = now + DIRECT_SECONDS
+
+    def candidates(self) -> list[Reader]:
+        """Return the readers to ask now; none if the store is to be read."""
+        now = trio.current_time()
+        if now < self.direct_until or self.readers.is_own():
+            return []
+        return self.readers.usable(now)[:READERS_TRIED]
+
+    async def watch(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Watch the store itself."""
+        watchers = None
+        longest_seconds = DIRECT_WATCH_SECONDS
+        if self.readers.is_own():
+            longest_seconds = READER_WATCH_SECONDS
+            watchers = self.readers.count()
+        elif self.followed:
+            events.READING_ALONE.log(_LOGGER, followed=self.followed)
+            self.followed = ''
+        try:
+            changes = await self.store.changes(
+                after_revision, min(wait_seconds, longest_seconds)
+            )
+        except StoreError:
+            # Whether the store is back, a reader may notice first.
+            self.direct_until = -math.inf
+            raise
+        self.missed_store = False
+        return evolve(changes, watchers=watchers)
+
+    async def try_reader(
+        self, reader: Reader, after_revision: int, wait_seconds: float
+    ) -> StoreChanges | None:
+        """Return the changes that a reader knows; None if it failed."""
+        asked_at = trio.current_time()
+        self.check_age(asked_at)
+        try:
+            reply = await self.ask(reader, after_revision, wait_seconds)
+        except JasminewheelError as error:
+            self.record_failure(reader, error, asked_at, trio.current_time())
+            return None
+        self.failed_rounds = 0
+        self.failing.discard(reader.address)
+        if self.followed != reader.address:
+            events.FOLLOWING.log(_LOGGER, reader=reader.address)
+            self.followed = reader.address
+        changes = _changes(reply, missed_store=self.missed_store)
+        self.missed_store = False
+        return changes
+
+    def check_age(self, now: float) -> None:
+        """Note if the last reply is old enough for keys to have lapsed since.
+
+        No key lapses in an outage shorter than a heartbeat interval.
+        """
+        if now >= self.contact.first_read_at:
+            age = self.contact.report_age(now)
+            self.missed_store |= age >= self.contact.heartbeat_seconds
+
+    async def ask(
+        self, reader: Reader, after_revision: int, wait_seconds: float
+    ) -> wire.KnownChanges:
+        """Return a reader's reply.
+
+        Raise PeerError if it does not reply, has lost the store or knows less
+        than this process.
+        """
+        reply = await self.pool.ask(
+            reader.address,
+            wire.AwaitChanges(
+                after_revision=after_revision, wait_seconds=wait_seconds
+            ),
+            wire.KnownChanges,
+            timeout_seconds=wait_seconds + REPLY_SECONDS,
+        )
+        if not reply.reads:
+            raise ReaderAwayError(
+                f'{reader.address} does not reach the store',
+                silent=bool(reply.silent),
+            )
+        if reply.revision < after_revision:
+            raise PeerError(
+                f'{reader.address} knows revision {reply.revision} only, '
+                f'{after_revision} is known here'
+            )
+        return reply
+
+    def record_failure(
+        self,
+        reader: Reader,
+        error: JasminewheelError,
+        asked_at: float,
+        now: float,
+    ) -> None:
+        """Pass over a reader for a while, longer if it took long to fail."""
+        failed_quickly = now - asked_at < QUICK_FAILURE_SECONDS
+        seconds = AWAY_SECONDS if failed_quickly else FAILED_SECONDS
+        self.readers.avoid(reader, now + seconds)
+        if isinstance(error, ReaderAwayError):
+            self.missed_store |= error.silent
+        else:
+            self.check_age(now)
+        if reader.address not in self.failing:
+            self.failing.add(reader.address)
+            events.READER_FAILED.log(
+                _LOGGER, reader=reader.address, problem=error
+            )
+
+
+def _changes(reply: wire.KnownChanges, *, missed_store: bool) -> StoreChanges:
+    written = [
+        StoreItem(one.key, one.value, one.revision) for one in reply.written
+    ]
+    return StoreChanges(
+        tuple(written),
+        tuple(reply.removed),
+        reply.revision,
+        complete=bool(reply.complete),
+        settled=_settled(reply, missed_store=missed_store),
+        watchers=0,
+    )
+
+
+def _settled(reply: wire.KnownChanges, *, missed_store: bool) -> bool | None:
+    """Return whether missing keys were removed; None if this process knows.
+
+    A reader that has just started may have missed an outage as well.
+    """
+    if not reply.settled:
+        return False
+    if reply.confirms:
+        return True
+    return False if missed_store else None
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -11,10 +11,10 @@
 from jasminewheel._internal.store.contact import StoreContact, rounded_seconds
 from jasminewheel._internal.store.port import (
     STORE_PREFIX,
+    ReadableStore,
     StoreChanges,
     StoreHistoryLostError,
     StoreItem,
-    WatchedStore,
 )
 from jasminewheel.errors import StoreError
 
@@ -41,6 +41,18 @@
     return min(MAX_BATCH_SECONDS, max(BATCH_SECONDS, fair_share))
 
 
+def pause_seconds(
+    changes: StoreChanges, items: Mapping[str, StoreItem]
+) -> float:
+    """Return the pause after changes; none if another process read them."""
+    watchers = changes.watchers
+    if watchers is None:
+        watchers = sum(key.startswith(STORE_PREFIX) for key in items)
+    elif not watchers:
+        return 0
+    return batch_seconds(watchers)
+
+
 class MirrorListener(Protocol):
     """Receive changes of the store; by default keep state in an outage."""
 
@@ -63,19 +75,14 @@
 class StoreMirror:
     """Mirror the newest known items and notify listeners of changes."""
 
-    store: WatchedStore
+    store: ReadableStore
     listeners: list[MirrorListener] = field(factory=list)
-    # How long to wait at the start for items of another process, from which
-    # the watch can go on; without them the whole contents are read.
-    peers_wait_seconds: float = 0
     items: dict[str, StoreItem] = field(factory=dict)
     # Changes after this revision are requested; zero requests a snapshot.
     revision: int = 0
     available: bool = True
     contact: StoreContact = field(factory=StoreContact)
     loaded: trio.Event = field(factory=trio.Event)
-    # Set once items of another process were applied.
-    informed: trio.Event = field(factory=trio.Event)
 
     @property
     def known_revision(self) -> int:
@@ -84,8 +91,6 @@
 
     async def run(self) -> None:
         """Mirror the store until cancelled."""
-        with trio.move_on_after(self.peers_wait_seconds):
-            await self.informed.wait()
         while True:
             try:
                 await self.sync_once()
@@ -118,19 +123,23 @@
         self.loaded.set()
         if changes.revision < self.revision:
             return
+        self.record_settled(changes)
         self.apply_changes(changes)
         if changes.written or changes.removed:
-            await trio.sleep(batch_seconds(self.process_count()))
+            await trio.sleep(pause_seconds(changes, self.items))
+
+    def record_settled(self, changes: StoreChanges) -> None:
+        """Record what another process says of missing keys, if it read them."""
+        if changes.settled:
+            self.confirm_settled(changes.revision, trio.current_time())
+        elif changes.settled is not None:
+            self.contact.record_unsettled()
 
     def watch_seconds(self) -> float:
         """Return how long the next watch call may wait for a change."""
         readable = self.available and self.loaded.is_set()
         return WATCH_SECONDS if readable else UNAVAILABLE_WATCH_SECONDS
 
-    def process_count(self) -> int:
-        """Return how many processes of the fleet are listed."""
-        return sum(key.startswith(STORE_PREFIX) for key in self.items)
-
     def apply_known_items(
         self,
         found: Iterable[StoreItem],
@@ -152,7 +161,6 @@
         self.contact.record_report(revision, now, settled=settled)
         self.notify_settled(now)
         self.apply_snapshot(items, revision)
-        self.informed.set()
         return True
 
     def confirm_settled(self, revision: int, now: float) -> None:
@@ -181,6 +189,9 @@
 
     def apply_changes(self, changes: StoreChanges) -> None:
         """Apply written and removed keys and notify the listeners."""
+        if changes.complete:
+            self.apply_snapshot(changes.written, changes.revision)
+            return
         for written in changes.written:
             self.items[written.key] = written
         for key in changes.removed:
--- a/src/jasminewheel/_internal/store/port.py
+++ b/src/jasminewheel/_internal/store/port.py
@@ -41,13 +41,20 @@
     written: tuple[StoreItem, ...]
     removed: tuple[str, ...]
     revision: int
+    # Whether all items were written here; any other key was removed then.
+    complete: bool = False
+    # Whether the process that read these says that missing keys were removed;
+    # None if it does not say, or this process read them itself.
+    settled: bool | None = None
+    # How many processes watch the store as this one does, and so share the
+    # rate of its calls; None if all listed processes do.
+    watchers: int | None = None
 
 
-class WatchedStore(Protocol):
-    """Read, write and watch keys.
+class ReadableStore(Protocol):
+    """Read and watch keys.
 
-    Each method raises StoreUnavailableError if no answer came; a change may
-    then have taken effect, or may still do so.
+    Each method raises StoreUnavailableError if no answer came.
     """
 
     async def snapshot(self) -> StoreSnapshot:
@@ -61,6 +68,14 @@
         Raise StoreHistoryLostError if the store no longer has them.
         """
 
+
+class WatchedStore(ReadableStore, Protocol):
+    """Read, write and watch keys.
+
+    Each method raises StoreUnavailableError if no answer came; a change may
+    then have taken effect, or may still do so.
+    """
+
     async def put(
         self,
         key: str,
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1582,6 +1582,255 @@
         return not (self == other)
 
 
+class AwaitChanges(object):
+    """
+    Attributes:
+     - after_revision
+     - wait_seconds
+
+    """
+
+    __slots__ = (
+        'after_revision',
+        'wait_seconds',
+    )
+
+
+    def __init__(self, after_revision=None, wait_seconds=None,):
+        self.after_revision = after_revision
+        self.wait_seconds = wait_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.after_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.wait_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AwaitChanges')
+        if self.after_revision is not None:
+            oprot.writeFieldBegin('after_revision', TType.I64, 1)
+            oprot.writeI64(self.after_revision)
+            oprot.writeFieldEnd()
+        if self.wait_seconds is not None:
+            oprot.writeFieldBegin('wait_seconds', TType.DOUBLE, 2)
+            oprot.writeDouble(self.wait_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownChanges(object):
+    """
+    Attributes:
+     - written
+     - removed
+     - revision
+     - settled
+     - reads
+     - complete
+     - confirms
+     - silent
+
+    """
+
+    __slots__ = (
+        'written',
+        'removed',
+        'revision',
+        'settled',
+        'reads',
+        'complete',
+        'confirms',
+        'silent',
+    )
+
+
+    def __init__(self, written=None, removed=None, revision=None, settled=None, reads=None, complete=None, confirms=None, silent=None,):
+        self.written = written
+        self.removed = removed
+        self.revision = revision
+        self.settled = settled
+        self.reads = reads
+        self.complete = complete
+        self.confirms = confirms
+        self.silent = silent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.written = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = KnownItem()
+                        _elem54.read(iprot)
+                        self.written.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.removed = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.reads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.confirms = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.silent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownChanges')
+        if self.written is not None:
+            oprot.writeFieldBegin('written', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.written))
+            for iter61 in self.written:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.removed))
+            for iter62 in self.removed:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 4)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
+        if self.reads is not None:
+            oprot.writeFieldBegin('reads', TType.BOOL, 5)
+            oprot.writeBool(self.reads)
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 6)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.confirms is not None:
+            oprot.writeFieldBegin('confirms', TType.BOOL, 7)
+            oprot.writeBool(self.confirms)
+            oprot.writeFieldEnd()
+        if self.silent is not None:
+            oprot.writeFieldBegin('silent', TType.BOOL, 8)
+            oprot.writeBool(self.silent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayQuestion(object):
     """
     Attributes:
@@ -1866,6 +2115,24 @@
     (3, TType.BOOL, 'settled', None, None, ),  # 3
     (4, TType.BOOL, 'reads', None, None, ),  # 4
 )
+all_structs.append(AwaitChanges)
+AwaitChanges.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'after_revision', None, None, ),  # 1
+    (2, TType.DOUBLE, 'wait_seconds', None, None, ),  # 2
+)
+all_structs.append(KnownChanges)
+KnownChanges.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'written', (TType.STRUCT, [KnownItem, None], False), None, ),  # 1
+    (2, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.BOOL, 'settled', None, None, ),  # 4
+    (5, TType.BOOL, 'reads', None, None, ),  # 5
+    (6, TType.BOOL, 'complete', None, None, ),  # 6
+    (7, TType.BOOL, 'confirms', None, None, ),  # 7
+    (8, TType.BOOL, 'silent', None, None, ),  # 8
+)
 all_structs.append(RelayQuestion)
 RelayQuestion.thrift_spec = (
     None,  # 0
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -12,6 +12,7 @@
 from jasminewheel._internal.gateway.turn_flow import TurnFlow
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.followed_store import FollowedStore
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.web.pool import ConnectionPool
 from jasminewheel._internal.web.server import WebServer
@@ -21,10 +22,6 @@
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
 
-# How long a start waits for the store's items from a history before it reads
-# all of them from the store.
-PEERS_WAIT_SECONDS = 0.2
-
 
 @define(eq=False)
 class EntryParts:
@@ -36,6 +33,7 @@
     connections: ConnectionPool = field(factory=ConnectionPool)
     directory: RunnerDirectory = field(init=False)
     store: PlatformStore = field(init=False)
+    followed: FollowedStore = field(init=False)
     peers: EntryPeers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -46,6 +44,7 @@
             self.settings.store_address, self.connections
         )
         self.peers = EntryPeers(self.settings, self.pool, self.store)
+        self.followed = self.peers.followed_store(contact)
 
     def gateway(self, nursery: trio.Nursery) -> Gateway:
         """Return the gateway that answers calls."""
@@ -64,9 +63,8 @@
         """Return the task that mirrors the store's keys."""
         listener = PlatformListener(self.routes, self.directory, web)
         return StoreMirror(
-            self.store,
+            self.followed,
             [*self.peers.listeners(), listener],
-            peers_wait_seconds=PEERS_WAIT_SECONDS if self.settings.seeds else 0,
             contact=self.directory.contact,
         )
 
@@ -79,6 +77,7 @@
             **self.peers.gauges(),
             **self.store.call_counts(),
             'configuration_version': self.routes.current.version,
+            'store_followed': float(bool(self.followed.followed)),
             'store_away': float(self.directory.contact.lost_at is not None),
             'runners_listed': len(self.directory.views),
             'runners_usable': usable,
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -21,12 +21,11 @@
 from jasminewheel._internal.history.folder import load_disk_id
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import PeerServer
-from jasminewheel._internal.store.known_items import KnownItemsService
-from jasminewheel._internal.store.mirror import StoreMirror
-from jasminewheel._internal.wire.gen.conversation.ttypes import ReadKnownItems
+from jasminewheel._internal.store.mirror import MirrorListener, StoreMirror
 from jasminewheel.platform.roles import peer_server
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
+from jasminewheel.platform.store_reading import followed_store, reader_handlers
 
 
 @define(eq=False)
@@ -59,13 +58,22 @@
         node = self.settings
         return Replica(self.disk_id, node.vm, node.peer_address, node.zone)
 
+    def mirror(self, pool: PeerPool, *listeners: MirrorListener) -> StoreMirror:
+        """Return the task that mirrors the store's keys.
+
+        A process of the replica set watches the store; others follow one.
+        """
+        contact = self.listener.contact
+        store = followed_store(
+            self.settings, self.store, pool, self.listener.holder, contact
+        )
+        return StoreMirror(store, [self.listener, *listeners], contact=contact)
+
     def server(self, mirror: StoreMirror) -> PeerServer:
         """Return the server that answers entries and other replicas."""
         service = ReplicaService(self.disk_id, self.journal)
-        known = KnownItemsService(mirror)
         return peer_server(
-            self.settings,
-            {**service.handlers(), ReadKnownItems: known.read},
+            self.settings, {**service.handlers(), **reader_handlers(mirror)}
         )
 
     def set_controller(
--- /dev/null
+++ b/src/jasminewheel/platform/store_reading.py
@@ -0,0 +1,49 @@
+"""Build how a process reads the store, and lets others follow it."""
+
+from collections.abc import Mapping
+
+from jasminewheel._internal.conversation.set_holder import SetHolder
+from jasminewheel._internal.conversation.set_readers import SetReaders
+from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.peer.server import Handler
+from jasminewheel._internal.store.change_log import ChangeLog
+from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.followed_store import FollowedStore
+from jasminewheel._internal.store.known_items import KnownItemsService
+from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.store.port import ReadableStore
+from jasminewheel._internal.store.reader_choice import ReaderChoice
+from jasminewheel._internal.store.reader_service import ReaderService
+from jasminewheel._internal.wire.gen.conversation.ttypes import (
+    AwaitChanges,
+    ReadKnownItems,
+)
+from jasminewheel.platform.settings import NodeSettings
+
+
+def followed_store(
+    settings: NodeSettings,
+    store: ReadableStore,
+    pool: PeerPool,
+    sets: SetHolder,
+    contact: StoreContact,
+    *,
+    seeds: tuple[str, ...] = (),
+) -> FollowedStore:
+    """Return the store as this process reads it, mostly through a reader.
+
+    Until there is a replica set, the seeds are the readers.
+    """
+    listed = SetReaders(sets, seeds)
+    readers = ReaderChoice(settings.peer_address, settings.distance, listed)
+    return FollowedStore(store, pool, readers, contact)
+
+
+def reader_handlers(mirror: StoreMirror) -> Mapping[type, Handler]:
+    """Return the handlers by which other processes read the mirror's items."""
+    log = ChangeLog(mirror)
+    mirror.listeners.append(log)
+    return {
+        ReadKnownItems: KnownItemsService(mirror).read,
+        AwaitChanges: ReaderService(log).await_changes,
+    }
--- a/tests/watched_store.py
+++ b/tests/watched_store.py
@@ -66,6 +66,8 @@
     store: SharedStore
     silent: bool = False
     refused: bool = False
+    # Calls made so far.
+    calls: int = 0
     # Watches wait but receive no changes.
     watch_stalled: bool = False
     # Set when waiting watches are broken off.
@@ -78,6 +80,7 @@
 
     async def snapshot(self) -> StoreSnapshot:
         """Return all values."""
+        self.calls += 1
         await self.reach_store(0)
         return StoreSnapshot(
             tuple(self.store.items.values()), self.store.revision
@@ -87,6 +90,7 @@
         self, after_revision: int, wait_seconds: float
     ) -> StoreChanges:
         """Wait for changes as a watch does."""
+        self.calls += 1
         await self.reach_store(wait_seconds)
         if after_revision < self.store.forgotten:
             raise StoreHistoryLostError('forgotten')
