--- a/src/jasminewheel/platform/__main__.py
+++ b/src/jasminewheel/platform/__main__.py
@@ -3,6 +3,7 @@
 import sys
 from importlib import import_module
 
+from jasminewheel._internal.garbage import exempt_from_collection
 from jasminewheel._internal.web.early_sockets import EarlySockets
 from jasminewheel.errors import SettingsError
 from jasminewheel.platform.settings import NodeSettings, load_process_settings
@@ -31,8 +32,9 @@
 
 def run(role: str, settings: NodeSettings, early: EarlySockets) -> None:
     """Import only the modules that the role needs, and run it."""
-    module = import_module(f'jasminewheel.platform.{role}')
-    roles = import_module('jasminewheel.platform.roles')
+    with exempt_from_collection():
+        module = import_module(f'jasminewheel.platform.{role}')
+        roles = import_module('jasminewheel.platform.roles')
     roles.run_role(getattr(module, f'serve_{role}'), settings, early)
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Configure pytest: the flag for long tests and the known red tests."""
 
+import gc
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -36,6 +38,24 @@
             test.add_marker(pytest.mark.xfail(reason='KNOWN-RED.txt'))
 
 
+def pytest_collection_finish() -> None:
+    """Exempt what was imported from garbage collection.
+
+    A full collection would go through all test modules, and stop the loop in
+    which a test measures seconds for longer than a product's process does.
+    """
+    gc.collect()
+    gc.freeze()
+
+
+@pytest.fixture(autouse=True)
+def _collect_between_tests() -> Iterator[None]:
+    """Collect what a test left before the next one measures anything."""
+    yield
+    gc.collect()
+    gc.freeze()
+
+
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
