--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -141,24 +141,40 @@
         self, after_revision: int, wait_seconds: float
     ) -> StoreChanges:
         """Watch the store itself."""
-        watchers = None
-        longest_seconds = DIRECT_WATCH_SECONDS
         if self.readers.is_own():
-            longest_seconds = READER_WATCH_SECONDS
-            watchers = self.readers.count()
-        elif self.followed:
+            return await self.watch_for_followers(
+                after_revision, min(wait_seconds, READER_WATCH_SECONDS)
+            )
+        if self.followed:
             events.READING_ALONE.log(_LOGGER, followed=self.followed)
             self.followed = ''
         try:
             changes = await self.store.changes(
-                after_revision, min(wait_seconds, longest_seconds)
+                after_revision, min(wait_seconds, DIRECT_WATCH_SECONDS)
             )
         except StoreError:
             # Whether the store is back, a reader may notice first.
             self.direct_until = -math.inf
             raise
         self.missed_store = False
-        return evolve(changes, watchers=watchers)
+        return changes
+
+    async def watch_for_followers(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Watch the store, once more if it ended the watch without a reply.
+
+        It may do so at any time; only a second failure is a loss, of which
+        all followers are told.
+        """
+        try:
+            changes = await self.store.changes(after_revision, wait_seconds)
+        except StoreUnavailableError as error:
+            if error.no_response:
+                raise
+            changes = await self.store.changes(after_revision, 0)
+        self.missed_store = False
+        return evolve(changes, watchers=self.readers.count())
 
     async def try_reader(
         self, reader: Reader, after_revision: int, wait_seconds: float
@@ -225,13 +241,14 @@
         now: float,
     ) -> None:
         """Pass over a reader for a while, longer if it took long to fail."""
-        failed_quickly = now - asked_at < QUICK_FAILURE_SECONDS
-        seconds = AWAY_SECONDS if failed_quickly else FAILED_SECONDS
-        self.readers.avoid(reader, now + seconds)
+        seconds = AWAY_SECONDS
         if isinstance(error, ReaderAwayError):
             self.missed_store |= error.silent
         else:
             self.check_age(now)
+            if now - asked_at >= QUICK_FAILURE_SECONDS:
+                seconds = FAILED_SECONDS
+        self.readers.avoid(reader, now + seconds)
         if reader.address not in self.failing:
             self.failing.add(reader.address)
             events.READER_FAILED.log(
--- a/tests/unit/test_followed_store.py
+++ b/tests/unit/test_followed_store.py
@@ -323,3 +323,19 @@
         assert world.follower_calls() == calls
 
     _run_scenario(scenario, followers=10)
+
+
+def test_cut_watch_of_a_reader_is_no_loss():
+    """The store may cut a watch that waits; the reader asks again at once."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(START_SECONDS)
+        for address in world.readers:
+            world.reader(address).connection.cut_watches()
+        await trio.sleep(0.1)
+        for process in world.pool.processes.values():
+            assert process.mirror.contact.lost_at is None
+            assert process.mirror.available
+        assert not world.first().mirror.store.failing
+
+    _run_scenario(scenario)
--- a/tests/unit/test_reader_replies.py
+++ b/tests/unit/test_reader_replies.py
@@ -161,21 +161,30 @@
 
 
 @pytest.mark.parametrize(
-    ('reply_seconds', 'passed_over_seconds'),
-    [(0.6, FAILED_SECONDS), (0.1, AWAY_SECONDS)],
+    ('reply', 'reply_seconds', 'passed_over_seconds'),
+    [
+        (None, 0.6, FAILED_SECONDS),
+        (None, 0.1, AWAY_SECONDS),
+        (_reply(reads=False), 0.4, AWAY_SECONDS),
+    ],
 )
 def test_failed_reader_is_passed_over_for_a_while(
-    reply_seconds, passed_over_seconds
+    reply, reply_seconds, passed_over_seconds
 ):
-    """One that failed at once is asked again soon, if it is the nearest."""
+    """One that failed at once is asked again soon, if it is the nearest.
+
+    So is one that says that it lost the store, however long it was waited for.
+    """
     store = _following(ScriptedPool())
     store.pool.replies['b'] = _reply()
     store.pool.reply_seconds = reply_seconds
+    if reply:
+        store.pool.replies['a'] = reply
 
     async def scenario() -> None:
         await store.changes(7, 0)
         store.pool.asked.clear()
-        await trio.sleep(passed_over_seconds - 3 * reply_seconds)
+        await trio.sleep(passed_over_seconds - 1.1 * reply_seconds)
         await store.changes(7, 0)
         assert store.pool.asked == [('b', 0)]
         await trio.sleep(3 * reply_seconds)
