--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -91,3 +91,8 @@
     'calls ended unanswered because the grace period of the stop is over',
     remedy='see which runners took longer than the grace period',
 )
+HEDGED = Event(
+    1892,
+    logging.INFO,
+    'runner is slow to answer; the call is sent to another one as well',
+)
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -176,10 +176,11 @@
     choice: RunnerChoice
     started_at: float
     outcome: str = ''
+    log_fields: dict[str, object] = field(factory=dict)
 
     async def __aenter__(self) -> None:
         """Count the call at its runner; record why the runner was chosen."""
-        self.record.log_fields.update(self.selection_fields())
+        self.add_log_fields(**self.selection_fields())
         self.record.runner = self.view.runner.runner_id
         self.record.attempts += 1
         self.view.load.started(self.started_at)
@@ -196,13 +197,19 @@
             'list_revision': contact.revision,
             'list_age': round(contact.report_age(self.started_at), 2),
             'unlisted': self.view.unlisted,
+            'pace': round(self.view.pace.estimate(self.started_at), 1),
         }
 
+    def add_log_fields(self, **fields: object) -> None:
+        """Add fields to the log lines of the call."""
+        self.log_fields.update(fields)
+        self.record.log_fields.update(fields)
+
     def on_connected(self) -> None:
         """Record the connection time; check that the runner is still usable."""
         now = trio.current_time()
         waited = round(now - self.started_at, 4)
-        self.record.log_fields['connected_in'] = waited
+        self.add_log_fields(connected_in=waited)
         if not self.choice.directory.is_still_usable(self.view, now):
             raise RunnerLeftError(
                 f'runner became unusable within {waited} s of being chosen',
@@ -213,13 +220,17 @@
         """Record when the whole call was sent."""
         now = trio.current_time()
         arrived_at = self.record.call.arrived_at
-        self.record.log_fields['sent_in'] = round(now - self.started_at, 4)
-        self.record.log_fields['sent_after'] = round(now - arrived_at, 4)
+        self.add_log_fields(
+            sent_in=round(now - self.started_at, 4),
+            sent_after=round(now - arrived_at, 4),
+        )
 
     async def __aexit__(self, *_exception: object) -> None:
         """Count the end of the call."""
         now = trio.current_time()
         self.view.load.ended(now)
+        if not self.outcome:
+            self.learn_pace(now, ended=False)
         # A refusal is no evidence of the runner's health either way; a probe
         # that ends without a result must not keep the breaker waiting.
         self.view.breaker.abandoned(now)
@@ -243,6 +254,9 @@
             self.exclude_runner('failed', answer.status)
             return False
         self.outcome = _ANSWERED
+        # Another attempt may have been started beside this one.
+        self.record.runner = self.view.runner.runner_id
+        self.record.log_fields.update(self.log_fields)
         self.record.status = answer.status
         self.record_result(now, failing=failing)
         return True
@@ -255,6 +269,24 @@
         self.view.breaker.succeeded()
         rates = self.choice.directory.rates_of(self.record.target)
         rates.learn_service(now - self.started_at)
+        self.learn_pace(now, ended=True)
+
+    def learn_pace(self, now: float, *, ended: bool) -> None:
+        """Compare the time at this runner with the usual time of the route.
+
+        The time to the start of a stream depends on its prompt, and tells
+        nothing of the runner.
+        """
+        if self.record.route.kind is CallKind.streaming:
+            return
+        usual = self.choice.directory.route_rates_of(self.record.route.name)
+        seconds = now - self.started_at
+        ratio = seconds / usual.service_seconds
+        if ended:
+            self.view.pace.learn(ratio, now)
+            usual.learn_service(seconds)
+        else:
+            self.view.pace.learn_at_least(ratio, now)
 
     def handle_runner_left(self, error: RunnerLeftError) -> None:
         """Exclude a runner that left; its breaker is not affected."""
--- a/src/jasminewheel/_internal/gateway/choice.py
+++ b/src/jasminewheel/_internal/gateway/choice.py
@@ -31,6 +31,8 @@
     target: str
     kind: CallKind
     prompt_tokens: int = 0
+    # How long such a call takes as a rule; zero if that is not followed.
+    usual_seconds: float = 0
     # The runner that answered the previous turn.
     previous_runner: str = ''
     # Runners that refused or failed this call.
@@ -74,6 +76,7 @@
         slots = max(1, view.runner.slots)
         service = self.directory.rates_of(requirements.target).service_seconds
         cost += max(0, busy + 1 - slots) * service / slots
+        cost += view.pace.delay_seconds(requirements.usual_seconds, now)
         if requirements.kind is not CallKind.streaming:
             return cost + busy * TIE_BREAK_SECONDS
         missing = requirements.prompt_tokens
--- a/src/jasminewheel/_internal/gateway/routes.py
+++ b/src/jasminewheel/_internal/gateway/routes.py
@@ -41,6 +41,8 @@
     max_attempts: int
     retains_history: bool = False
     retention_seconds: float = 0
+    # Within which a call should be answered; zero if the operators name none.
+    latency_seconds: float = 0
 
     def target_for(self, point: float) -> str:
         """Return the target whose share covers a point from 0 to 1."""
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -8,6 +8,7 @@
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
 from jasminewheel._internal.scheduling.load import RunnerLoad
+from jasminewheel._internal.scheduling.pace import RunnerPace
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
 from jasminewheel._internal.store.contact import StoreContact, rounded_seconds
 
@@ -34,6 +35,7 @@
     runner: Runner
     load: RunnerLoad = field(factory=lambda: RunnerLoad(lag_seconds=0))
     breaker: CircuitBreaker = field(factory=CircuitBreaker)
+    pace: RunnerPace = field(factory=RunnerPace)
     # Set while the runner's entry is missing from the store, but may only have
     # lapsed during an outage of the store; the list is not settled yet.
     unlisted: bool = False
@@ -46,6 +48,7 @@
     views: dict[str, RunnerView] = field(factory=dict)
     by_target: dict[str, dict[str, RunnerView]] = field(factory=dict)
     rates: dict[str, TargetRates] = field(factory=dict)
+    route_rates: dict[str, TargetRates] = field(factory=dict)
     # How current the list of runners is.
     contact: StoreContact = field(factory=StoreContact)
 
@@ -139,3 +142,7 @@
     def rates_of(self, target: str) -> TargetRates:
         """Return the measured rates of a target."""
         return self.rates.setdefault(target, new_rates())
+
+    def route_rates_of(self, route: str) -> TargetRates:
+        """Return the measured rates of a route's calls."""
+        return self.route_rates.setdefault(route, new_rates())
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -18,7 +18,7 @@
     EventSplitter,
     StreamEvent,
 )
-from jasminewheel._internal.gateway.plain_flow import relay_answer
+from jasminewheel._internal.gateway.plain_flow import FirstAnswerRelay
 from jasminewheel._internal.gateway.ports import RunnerAnswer
 from jasminewheel._internal.web.answer_limits import MAX_STREAM_EVENTS
 from jasminewheel._internal.web.answer_writer import AnswerWriter
@@ -112,7 +112,7 @@
     async def read(self, runner_answer: RunnerAnswer) -> None:
         """Relay the runner's answer, except for the end of a stream."""
         if runner_answer.status != _OK:
-            await relay_answer(self.answer, runner_answer)
+            await FirstAnswerRelay(self.answer).read(runner_answer)
             return
         await self.relay_events(runner_answer)
         self.relayed = True
--- a/src/jasminewheel/platform/configuration.py
+++ b/src/jasminewheel/platform/configuration.py
@@ -74,6 +74,7 @@
         max_attempts=int(fields.get('MaxAttempts', 1)),
         retains_history=bool(fields.get('RetainHistory')),
         retention_seconds=float(fields.get('RetentionS') or 0),
+        latency_seconds=(fields.get('TargetLatencyMs') or 0) / _MS_PER_SECOND,
     )
 
 
