--- a/src/jasminewheel/_internal/gateway/plain_flow.py
+++ b/src/jasminewheel/_internal/gateway/plain_flow.py
@@ -1,5 +1,6 @@
 """Answer calls whose answer is forwarded whole, not as a stream."""
 
+import trio
 from attrs import define, field, frozen
 
 from jasminewheel._internal.gateway.attempts import CallRecord, RetryingSender
@@ -38,14 +39,21 @@
     """Send the first whole answer to the caller; ignore a later one."""
 
     answer: AnswerWriter
-    relayed: bool = False
+    relaying: bool = False
+    relayed: trio.Event = field(factory=trio.Event)
 
     async def read(self, runner_answer: RunnerAnswer) -> None:
-        """Read a runner's whole answer, then send it if it is the first."""
+        """Read a runner's whole answer, then send it if it is the first.
+
+        A later one waits until the first is sent, as whoever reads it may end
+        the other once this returns.
+        """
         whole = await runner_answer.whole_body()
-        if self.relayed:
+        if self.relaying:
+            await self.relayed.wait()
             return
-        self.relayed = True
+        self.relaying = True
         await self.answer.send_whole(
             runner_answer.status, end_to_end(runner_answer.headers), whole
         )
+        self.relayed.set()
--- a/tests/unit/test_hedging.py
+++ b/tests/unit/test_hedging.py
@@ -1,6 +1,7 @@
 """Check what callers get when some runners of a target turn slow."""
 
 import math
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -13,6 +14,7 @@
 from jasminewheel._internal.gateway.call import Call
 from jasminewheel._internal.gateway.choice import CallRequirements, RunnerChoice
 from jasminewheel._internal.gateway.hedging import HedgeBudget, HedgingSender
+from jasminewheel._internal.gateway.plain_flow import FirstAnswerRelay
 from jasminewheel._internal.gateway.routes import CallKind, Route, TargetShare
 from jasminewheel._internal.gateway.runners import Runner, RunnerDirectory
 from jasminewheel.errors import ConnectionLostError, TargetFailedError
@@ -31,6 +33,11 @@
     status: int = 200
     refused: bool = False
     load: None = None
+    headers: tuple = ()
+
+    async def whole_body(self) -> bytes:
+        """Return the body."""
+        return b'whole'
 
 
 @define(eq=False)
@@ -71,6 +78,8 @@
     directory: RunnerDirectory = field(factory=RunnerDirectory)
     budget: HedgeBudget = field(factory=HedgeBudget)
     answered_by: list[str] = field(factory=list)
+    # Reads answers in place of `read`, which records them.
+    reader: Callable | None = None
 
     def __attrs_post_init__(self) -> None:
         """List the runners; the zone of each is the start of its name."""
@@ -96,7 +105,8 @@
             excluded_runners=record.excluded_runners,
         )
         started_at = trio.current_time()
-        await self.sender().run(record, b'', requirements, self.read)
+        read = self.reader or self.read
+        await self.sender().run(record, b'', requirements, read)
         return trio.current_time() - started_at
 
     def sender(self):
@@ -262,3 +272,33 @@
 
     _run(play)
     return sum(one > LATENCY_SECONDS for one in took) / len(took)
+
+
+@define(eq=False)
+class SlowCaller:
+    """Receive an answer slowly, as a caller behind a narrow link does."""
+
+    receive_seconds: float = 0.5
+    started: int = 0
+    received: int = 0
+
+    async def send_whole(self, status, headers, body) -> None:
+        """Take the answer's time."""
+        self.started += 1
+        await trio.sleep(self.receive_seconds)
+        self.received += 1
+
+
+def test_second_answer_does_not_cut_the_first():
+    """Both runners answer while the caller still receives one answer."""
+
+    async def scenario() -> None:
+        port = PlayedRunners({'a1': 0.2, 'b1': 0.2})
+        caller = SlowCaller()
+        entry = PlayedEntry(port)
+        entry.reader = FirstAnswerRelay(caller).read
+        await entry.call()
+        assert len(port.sent) == 2
+        assert (caller.started, caller.received) == (1, 1)
+
+    _run(scenario)
