--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -12,7 +12,6 @@
 from jasminewheel._internal.store.port import (
     ReadableStore,
     StoreChanges,
-    StoreItem,
     StoreSnapshot,
 )
 from jasminewheel._internal.store.reader_choice import (
@@ -21,6 +20,7 @@
     Reader,
     ReaderChoice,
 )
+from jasminewheel._internal.store.wire_items import items_from_wire
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import (
     JasminewheelError,
@@ -257,11 +257,8 @@
 
 
 def _changes(reply: wire.KnownChanges, *, missed_store: bool) -> StoreChanges:
-    written = [
-        StoreItem(one.key, one.value, one.revision) for one in reply.written
-    ]
     return StoreChanges(
-        tuple(written),
+        items_from_wire(reply.written),
         tuple(reply.removed),
         reply.revision,
         complete=bool(reply.complete),
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -19,6 +19,10 @@
     StoreMirror,
 )
 from jasminewheel._internal.store.port import StoreItem
+from jasminewheel._internal.store.wire_items import (
+    items_from_wire,
+    items_to_wire,
+)
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import JasminewheelError
 
@@ -91,18 +95,13 @@
         """Return all known items, or none if the requester is up to date."""
         known = self.mirror.known_revision
         newer = known > (request.after_revision or 0)
-        found = [
-            wire.KnownItem(key=one.key, value=one.value, revision=one.revision)
-            for one in self.mirror.items.values()
-            if newer
-        ]
         return wire.KnownItems(
-            items=found,
+            items=items_to_wire(self.mirror.items.values()) if newer else [],
             revision=known,
             settled=self.mirror.contact.can_confirm_settled(
                 trio.current_time()
             ),
-            reads=self.mirror.available and self.mirror.loaded.is_set(),
+            reads=self.mirror.is_readable,
         )
 
 
@@ -201,9 +200,7 @@
         """Apply a reply with a newer revision or a settled confirmation."""
         now = trio.current_time()
         settled = bool(reply.settled)
-        found = [
-            StoreItem(one.key, one.value, one.revision) for one in reply.items
-        ]
+        found = items_from_wire(reply.items)
         if self.mirror.apply_known_items(
             found, reply.revision, now, settled=settled
         ):
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -89,6 +89,11 @@
         """Return the newest revision that the items include."""
         return self.contact.revision
 
+    @property
+    def is_readable(self) -> bool:
+        """Return whether the store was read, and answered last."""
+        return self.available and self.loaded.is_set()
+
     async def run(self) -> None:
         """Mirror the store until cancelled."""
         while True:
@@ -118,7 +123,10 @@
         Another process may have reported a newer revision meanwhile; what
         the store replied is outdated then.
         """
-        changes = await self.store.changes(self.revision, self.watch_seconds())
+        wait_seconds = (
+            WATCH_SECONDS if self.is_readable else UNAVAILABLE_WATCH_SECONDS
+        )
+        changes = await self.store.changes(self.revision, wait_seconds)
         self.record_read(changes.revision)
         self.loaded.set()
         if changes.revision < self.revision:
@@ -135,11 +143,6 @@
         elif changes.settled is not None:
             self.contact.record_unsettled()
 
-    def watch_seconds(self) -> float:
-        """Return how long the next watch call may wait for a change."""
-        readable = self.available and self.loaded.is_set()
-        return WATCH_SECONDS if readable else UNAVAILABLE_WATCH_SECONDS
-
     def apply_known_items(
         self,
         found: Iterable[StoreItem],
@@ -155,8 +158,7 @@
         items = tuple(found)
         newest = max((one.revision for one in items), default=0)
         revision = max(revision, newest)
-        readable = self.available and self.loaded.is_set()
-        if readable or revision <= self.known_revision:
+        if self.is_readable or revision <= self.known_revision:
             return False
         self.contact.record_report(revision, now, settled=settled)
         self.notify_settled(now)
--- a/src/jasminewheel/_internal/store/reader_service.py
+++ b/src/jasminewheel/_internal/store/reader_service.py
@@ -5,6 +5,7 @@
 
 from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.store.change_log import ChangeLog
+from jasminewheel._internal.store.wire_items import items_to_wire
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 
 # The longest that a follower's question is held.
@@ -26,42 +27,28 @@
         """
         after = request.after_revision or 0
         wait_seconds = min(request.wait_seconds or 0, MAX_WAIT_SECONDS)
+        mirror = self.log.mirror
         with trio.move_on_after(wait_seconds):
-            while self.reads() and self.log.mirror.known_revision <= after:
+            while mirror.is_readable and mirror.known_revision <= after:
                 await self.log.changed.wait()
         return self.reply(after, trio.current_time())
 
-    def reads(self) -> bool:
-        """Return whether the store answers this process."""
-        mirror = self.log.mirror
-        return mirror.available and mirror.loaded.is_set()
-
     def reply(self, after_revision: int, now: float) -> wire.KnownChanges:
         """Return the changes after a revision, none if the store is away."""
-        if not self.reads():
+        mirror = self.log.mirror
+        if not mirror.is_readable:
             return wire.KnownChanges(
-                written=[],
-                removed=[],
-                revision=self.log.mirror.known_revision,
-                settled=False,
+                revision=mirror.known_revision,
                 reads=False,
-                complete=False,
-                confirms=False,
-                silent=self.log.mirror.contact.lost_silently(),
+                silent=mirror.contact.lost_silently(),
             )
         changes = self.log.changes(after_revision, now)
         return wire.KnownChanges(
-            written=[
-                wire.KnownItem(
-                    key=one.key, value=one.value, revision=one.revision
-                )
-                for one in changes.written
-            ],
+            written=items_to_wire(changes.written),
             removed=list(changes.removed),
             revision=changes.revision,
             settled=bool(changes.settled),
             reads=True,
             complete=changes.complete,
-            confirms=self.log.mirror.contact.can_confirm_settled(now),
-            silent=False,
+            confirms=mirror.contact.can_confirm_settled(now),
         )
