Tell how long ago the store answered whoever read a list of runners

Change: the reply carries the age; list_age counts from the read of the store, and a new metric, store_read_seconds_ago, stands beside the one of the reply. No decision uses it yet.

Measured: a test of the age; tests of readers, followers and mirrors pass.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -121,6 +121,7 @@
   6: bool complete,            // all items are told; any other key was removed
   7: bool confirms,            // settled also for who missed the store before
   8: bool silent,              // without `reads`: since when is not known
+  9: double age_seconds,       // since the store last answered who tells this
 }
 
 // Asked of another entry by one that does not reach a replica itself.
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -195,7 +195,7 @@
             'own_load': load.own_running,
             'report_age': round(self.started_at - load.reported_at, 2),
             'list_revision': contact.revision,
-            'list_age': round(contact.report_age(self.started_at), 2),
+            'list_age': round(contact.read_age(self.started_at), 2),
             'unlisted': self.view.unlisted,
             'pace': round(self.view.pace.estimate(self.started_at), 1),
         }
--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -30,6 +30,8 @@
     revision: int = 0
     # When the store, or another process on its behalf, last reported.
     reported_at: float = 0
+    # When the store answered whoever read it for that report.
+    read_at: float = 0
     lost_at: float | None = None
     # Whether the known contents were unsettled at lost_at.
     unsettled_at_loss: bool = False
@@ -37,7 +39,9 @@
     # When this process first read the store itself.
     first_read_at: float = math.inf
 
-    def record_read(self, revision: int, now: float) -> float:
+    def record_read(
+        self, revision: int, now: float, *, age_seconds: float = 0
+    ) -> float:
         """Record a read; return the seconds of the outage that it ended, or 0.
 
         No key expires in an outage shorter than a heartbeat interval.
@@ -51,7 +55,7 @@
         self.lost_at = None
         self.unsettled_at_loss = False
         self.first_read_at = min(self.first_read_at, now)
-        self.record_revision(revision, now)
+        self.record_revision(revision, now, age_seconds)
         return outage_seconds
 
     def record_report(
@@ -61,10 +65,13 @@
         self.settled_at = now if settled else math.inf
         self.record_revision(revision, now)
 
-    def record_revision(self, revision: int, now: float) -> None:
+    def record_revision(
+        self, revision: int, now: float, age_seconds: float = 0
+    ) -> None:
         """Record that the contents as of a revision were reported."""
         self.revision = max(self.revision, revision)
         self.reported_at = now
+        self.read_at = max(self.read_at, now - age_seconds)
 
     def record_loss(self, now: float, *, no_response: bool) -> None:
         """Record that the store does not answer.
@@ -111,3 +118,7 @@
     def report_age(self, now: float) -> float:
         """Return the seconds since the last report."""
         return now - self.reported_at
+
+    def read_age(self, now: float) -> float:
+        """Return the seconds since the store answered who last reported."""
+        return now - self.read_at
--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -264,6 +264,7 @@
         complete=bool(reply.complete),
         settled=_settled(reply, missed_store=missed_store),
         watchers=0,
+        age_seconds=reply.age_seconds or 0,
     )
 
 
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -127,7 +127,7 @@
             WATCH_SECONDS if self.is_readable else UNAVAILABLE_WATCH_SECONDS
         )
         changes = await self.store.changes(self.revision, wait_seconds)
-        self.record_read(changes.revision)
+        self.record_read(changes.revision, changes.age_seconds)
         self.loaded.set()
         if changes.revision < self.revision:
             return
@@ -221,11 +221,13 @@
         for listener in self.listeners:
             listener.store_unavailable()
 
-    def record_read(self, revision: int) -> None:
+    def record_read(self, revision: int, age_seconds: float = 0) -> None:
         """Record a successful read; notify the listeners after an outage."""
         now = trio.current_time()
         self.notify_settled(now)
-        outage_seconds = self.contact.record_read(revision, now)
+        outage_seconds = self.contact.record_read(
+            revision, now, age_seconds=age_seconds
+        )
         if self.available:
             return
         events.BACK.log(
--- a/src/jasminewheel/_internal/store/port.py
+++ b/src/jasminewheel/_internal/store/port.py
@@ -49,6 +49,8 @@
     # How many processes watch the store as this one does, and so share the
     # rate of its calls; None if all listed processes do.
     watchers: int | None = None
+    # How long ago the store answered the process that read these.
+    age_seconds: float = 0
 
 
 class ReadableStore(Protocol):
--- a/src/jasminewheel/_internal/store/reader_service.py
+++ b/src/jasminewheel/_internal/store/reader_service.py
@@ -51,4 +51,5 @@
             reads=True,
             complete=changes.complete,
             confirms=mirror.contact.can_confirm_settled(now),
+            age_seconds=mirror.contact.read_age(now),
         )
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1673,6 +1673,7 @@
      - complete
      - confirms
      - silent
+     - age_seconds
 
     """
 
@@ -1685,10 +1686,11 @@
         'complete',
         'confirms',
         'silent',
+        'age_seconds',
     )
 
 
-    def __init__(self, written=None, removed=None, revision=None, settled=None, reads=None, complete=None, confirms=None, silent=None,):
+    def __init__(self, written=None, removed=None, revision=None, settled=None, reads=None, complete=None, confirms=None, silent=None, age_seconds=None,):
         self.written = written
         self.removed = removed
         self.revision = revision
@@ -1697,6 +1699,7 @@
         self.complete = complete
         self.confirms = confirms
         self.silent = silent
+        self.age_seconds = age_seconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1758,6 +1761,11 @@
                     self.silent = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.age_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1806,6 +1814,10 @@
             oprot.writeFieldBegin('silent', TType.BOOL, 8)
             oprot.writeBool(self.silent)
             oprot.writeFieldEnd()
+        if self.age_seconds is not None:
+            oprot.writeFieldBegin('age_seconds', TType.DOUBLE, 9)
+            oprot.writeDouble(self.age_seconds)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2132,6 +2144,7 @@
     (6, TType.BOOL, 'complete', None, None, ),  # 6
     (7, TType.BOOL, 'confirms', None, None, ),  # 7
     (8, TType.BOOL, 'silent', None, None, ),  # 8
+    (9, TType.DOUBLE, 'age_seconds', None, None, ),  # 9
 )
 all_structs.append(RelayQuestion)
 RelayQuestion.thrift_spec = (
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -82,6 +82,7 @@
             'runners_listed': len(self.directory.views),
             'runners_usable': usable,
             'store_told_seconds_ago': self.directory.contact.report_age(now),
+            'store_read_seconds_ago': self.directory.contact.read_age(now),
             'calls_at_runners': sum(view.load.own_running for view in views),
             'connections_opened': self.connections.opened,
         }
--- a/tests/unit/test_reader_replies.py
+++ b/tests/unit/test_reader_replies.py
@@ -134,6 +134,21 @@
     assert listener.settled == [settled is not False]
 
 
+def test_age_of_a_list_counts_from_the_read_of_the_store():
+    """A reader may have waited for the store while it replied."""
+    store = _following(ScriptedPool())
+    store.pool.replies['a'] = _reply(age_seconds=2)
+    mirror = StoreMirror(store, contact=store.contact, revision=7)
+
+    async def scenario() -> None:
+        await trio.sleep_until(5)
+        await mirror.watch_once()
+        assert store.contact.report_age(5) == 0
+        assert store.contact.read_age(5) == 2
+
+    _run(scenario)
+
+
 def test_reader_that_knows_less_is_not_followed():
     """Its reply would hide what is known here for as long as it lags."""
     store = _following(ScriptedPool())
