Show that news of the store is late when a reader's watch falls silent

A reader notices after up to 4.2 s that its watch fell silent, and answers its followers as current meanwhile.

The fake store takes the slack of a watch from the product.

--- a/tests/store_readers.py
+++ b/tests/store_readers.py
@@ -1,5 +1,7 @@
 """Processes that read one store, and processes that follow them."""
 
+import math
+
 import trio
 from attrs import define, field
 
@@ -88,9 +90,16 @@
 
     processes: dict[str, ReadingProcess] = field(factory=dict)
     asked: list[str] = field(factory=list)
+    # Questions asked until then get no reply.
+    lost_until: float = -math.inf
+
+    def lose_open_questions(self) -> None:
+        """Let the questions that wait get no reply; later ones get theirs."""
+        self.lost_until = trio.current_time()
 
     async def ask(self, address, message, reply_kind, *, timeout_seconds):
         """Return the reply of a process; raise PeerError if there is none."""
+        asked_at = trio.current_time()
         self.asked.append(address)
         process = self.processes[address]
         await trio.sleep(TRIP_SECONDS)
@@ -99,7 +108,9 @@
         replied = None
         with trio.move_on_after(timeout_seconds):
             replied = await self.answer(process, message)
-        if replied is None:
+            if asked_at <= self.lost_until:
+                await trio.sleep_forever()
+        if replied is None or asked_at <= self.lost_until:
             raise PeerError(f'{address} did not answer')
         return replied
 
@@ -169,6 +180,11 @@
         """Return the followers."""
         return [self.reader(one) for one in self.follower_addresses()]
 
+    def lose_open_calls(self) -> None:
+        """Let the calls of the store that wait get no answer."""
+        for process in self.pool.processes.values():
+            process.connection.lose_open_calls()
+
     def set_store_silent(self, *, silent: bool) -> None:
         """Make the store silent, or not, for all processes."""
         for process in self.pool.processes.values():
--- a/tests/watched_store.py
+++ b/tests/watched_store.py
@@ -1,6 +1,7 @@
 """A fake store to which each process has its own connection."""
 
 import json
+import math
 
 import trio
 from attrs import define, field
@@ -12,10 +13,9 @@
     StoreSnapshot,
 )
 from jasminewheel.errors import StoreUnavailableError
+from jasminewheel.platform.store_client import WATCH_SLACK_SECONDS
 
 ANSWER_SECONDS = 0.004
-# A call on a silent connection ends this long after its wait.
-SLACK_SECONDS = 1.2
 
 
 @define(eq=False)
@@ -72,6 +72,12 @@
     watch_stalled: bool = False
     # Set when waiting watches are broken off.
     cut: trio.Event = field(factory=trio.Event)
+    # Calls made until then get no answer.
+    lost_until: float = -math.inf
+
+    def lose_open_calls(self) -> None:
+        """Let the calls that wait get no answer; later ones are answered."""
+        self.lost_until = trio.current_time()
 
     def cut_watches(self) -> None:
         """Break off the watches that wait."""
@@ -97,19 +103,25 @@
         asked_at = trio.current_time()
         cut = self.cut
         with trio.move_on_at(asked_at + wait_seconds):
-            await self.wait_for_change(after_revision, cut)
+            await self.wait_for_change(after_revision, cut, asked_at)
         if cut.is_set():
             raise StoreUnavailableError('the watch was cut')
+        if asked_at <= self.lost_until:
+            await trio.sleep_until(
+                asked_at + wait_seconds + WATCH_SLACK_SECONDS
+            )
+            raise StoreUnavailableError('silent', no_response=True)
         left = asked_at + wait_seconds - trio.current_time()
         await self.reach_store(max(0, left))
         return self.found(after_revision)
 
     async def wait_for_change(
-        self, after_revision: int, cut: trio.Event
+        self, after_revision: int, cut: trio.Event, asked_at: float
     ) -> None:
         """Wait until there is a change, or the watch is cut."""
         while not cut.is_set():
             receives = not (self.watch_stalled or self.silent)
+            receives &= asked_at > self.lost_until
             if receives and self.store.revision > after_revision:
                 return
             with trio.move_on_after(0.01):
@@ -134,5 +146,5 @@
         if self.refused:
             raise StoreUnavailableError('refused')
         if self.silent:
-            await trio.sleep(wait_seconds + SLACK_SECONDS)
+            await trio.sleep(wait_seconds + WATCH_SLACK_SECONDS)
             raise StoreUnavailableError('silent', no_response=True)
