Ask again with a wait after the store cut a watch

Cause: a reader whose watch is cut asks again with a wait of zero. The users' store gives such a watch no answer in time, so the reader lost 1.2 s, took the store for silent and paused, at each compaction.

Change: the repeated watch waits 0.1 s. The fake store no longer answers a watch without a wait.

--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -36,6 +36,9 @@
 REPLY_SECONDS = 0.5
 # The longest wait of a reader's own watch.
 READER_WATCH_SECONDS = 1.0
+# The wait of a watch that is made again. A store may hold one without a wait
+# for longer than its reply is waited for.
+REPEATED_WATCH_SECONDS = 0.1
 # How many readers are asked in one round, and how many rounds have to fail
 # before the store itself is watched: readers that start again fail for a
 # moment, and the store would be called by all their followers at once.
@@ -175,7 +178,9 @@
         try:
             changes = await self.store.changes(after_revision, wait_seconds)
         except StoreUnavailableError:
-            changes = await self.store.changes(after_revision, 0)
+            changes = await self.store.changes(
+                after_revision, REPEATED_WATCH_SECONDS
+            )
         self.missed_store = False
         return evolve(changes, watchers=self.readers.count())
 
--- a/tests/unit/test_followed_store.py
+++ b/tests/unit/test_followed_store.py
@@ -327,6 +327,25 @@
     _run_scenario(scenario, followers=10)
 
 
+def test_news_of_a_compaction_comes_at_once():
+    """Guard against CONFIG: watches are cut as the history is dropped."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(START_SECONDS)
+        for address in world.readers:
+            world.reader(address).connection.watch_stalled = True
+        world.store.write('op/config', b'1')
+        await trio.sleep(0.05)
+        world.store.forgotten = world.store.revision
+        for address in world.readers:
+            world.reader(address).connection.watch_stalled = False
+            world.reader(address).connection.cut_watches()
+        await trio.sleep(CALM_SECONDS)
+        assert all(_knows(world, one) for one in world.all_followers())
+
+    _run_scenario(scenario, followers=10)
+
+
 def test_cut_watch_of_a_reader_is_no_loss():
     """The store may cut a watch that waits; the reader asks again at once."""
 
--- a/tests/watched_store.py
+++ b/tests/watched_store.py
@@ -95,9 +95,14 @@
     async def changes(
         self, after_revision: int, wait_seconds: float
     ) -> StoreChanges:
-        """Wait for changes as a watch does."""
+        """Wait for changes as a watch does; one without a wait is not answered.
+
+        The users' store holds such a watch for longer than it is waited for.
+        """
         self.calls += 1
         await self.reach_store(wait_seconds)
+        if not wait_seconds:
+            await self.fail_silently(WATCH_SLACK_SECONDS)
         if after_revision < self.store.forgotten:
             raise StoreHistoryLostError('forgotten')
         asked_at = trio.current_time()
@@ -107,14 +112,19 @@
         if cut.is_set():
             raise StoreUnavailableError('the watch was cut')
         if asked_at <= self.lost_until:
-            await trio.sleep_until(
-                asked_at + wait_seconds + WATCH_SLACK_SECONDS
-            )
-            raise StoreUnavailableError('silent', no_response=True)
+            timeout_at = asked_at + wait_seconds + WATCH_SLACK_SECONDS
+            await self.fail_silently(timeout_at - trio.current_time())
         left = asked_at + wait_seconds - trio.current_time()
         await self.reach_store(max(0, left))
+        if self.watch_stalled:
+            return StoreChanges((), (), after_revision)
         return self.found(after_revision)
 
+    async def fail_silently(self, seconds: float) -> None:
+        """Raise after a time as a call without any answer does."""
+        await trio.sleep(seconds)
+        raise StoreUnavailableError('silent', no_response=True)
+
     async def wait_for_change(
         self, after_revision: int, cut: trio.Event, asked_at: float
     ) -> None:
@@ -146,5 +156,4 @@
         if self.refused:
             raise StoreUnavailableError('refused')
         if self.silent:
-            await trio.sleep(wait_seconds + WATCH_SLACK_SECONDS)
-            raise StoreUnavailableError('silent', no_response=True)
+            await self.fail_silently(wait_seconds + WATCH_SLACK_SECONDS)
