Send nothing more to a runner that says in an answer that it leaves

A runner that leaves says so in all its answers (Server-Leaving), and a VM that passed on such an answer has to stop sending to it within DrainMs, in touch or not.

Cause: nothing read the header; the list of the store was the only source.

Change: an answer that says so, also a refusal or a failure, takes that incarnation out of use at once, whatever the list says, and again if it is listed anew (RunnerDirectory.record_leaving). is_usable stays the one place where both sources meet, at the choice and before sending. The answer of another runner at the address (421) tells nothing. Event JW1893.

Evidence: without the call of record_leaving five of the new cases of test_leaving_runners.py fail; they pass with it, and so do all unit tests and the functional ones of the platform.

--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -91,6 +91,12 @@
     'calls ended unanswered because the grace period of the stop is over',
     remedy='see which runners took longer than the grace period',
 )
+RUNNER_LEAVING = Event(
+    1893,
+    logging.INFO,
+    'runner said in an answer that it leaves; it gets no new calls',
+    state_change=True,
+)
 HEDGED = Event(
     1892,
     logging.INFO,
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -244,6 +244,8 @@
         load = answer.load
         if load:
             self.view.load.reported(load, now)
+        if answer.leaving:
+            self.choice.directory.record_leaving(self.view)
         if answer.refused:
             self.record.attempts -= 1
             self.exclude_runner('refused', answer.status)
--- a/src/jasminewheel/_internal/gateway/ports.py
+++ b/src/jasminewheel/_internal/gateway/ports.py
@@ -49,6 +49,8 @@
     # Whether the runner reports that it did not run the call.
     refused: bool
     load: LoadReport | None
+    # Whether the runner says that it leaves.
+    leaving: bool
     # Whether the body has neither a length nor chunks.
     ends_with_connection: bool
 
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -12,6 +12,8 @@
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
 from jasminewheel._internal.store.contact import StoreContact, rounded_seconds
 
+# How many runners are remembered that said that they leave.
+MAX_LEFT = 4096
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -39,6 +41,8 @@
     # Set while the runner's entry is missing from the store, but may only have
     # lapsed during an outage of the store; the list is not settled yet.
     unlisted: bool = False
+    # Whether the runner said in an answer that it leaves.
+    leaving: bool = False
 
 
 @define(eq=False)
@@ -51,6 +55,8 @@
     route_rates: dict[str, TargetRates] = field(factory=dict)
     # How current the list of runners is.
     contact: StoreContact = field(factory=StoreContact)
+    # The start of each runner that said that it leaves, the latest one last.
+    left_ms: dict[str, int] = field(factory=dict)
 
     def put(self, runner: Runner) -> None:
         """Add or update one runner; a new incarnation replaces the old one."""
@@ -68,7 +74,8 @@
                 view.runner = runner
                 return
         self.discard(runner.runner_id)
-        view = RunnerView(runner)
+        left_ms = self.left_ms.get(runner.runner_id)
+        view = RunnerView(runner, leaving=left_ms == runner.started_ms)
         self.views[runner.runner_id] = view
         self.by_target.setdefault(runner.target, {})[runner.runner_id] = view
         events.RUNNER_LISTED.log(
@@ -123,6 +130,27 @@
         if view:
             self.by_target[view.runner.target].pop(runner_id, None)
 
+    def record_leaving(self, view: RunnerView) -> None:
+        """Take a runner out of use that says that it leaves.
+
+        It stays so if the same incarnation is listed again as ready.
+        """
+        if view.leaving:
+            return
+        view.leaving = True
+        runner = view.runner
+        self.left_ms.pop(runner.runner_id, None)
+        self.left_ms[runner.runner_id] = runner.started_ms
+        if len(self.left_ms) > MAX_LEFT:
+            self.left_ms.pop(next(iter(self.left_ms)))
+        events.RUNNER_LEAVING.log(
+            _LOGGER,
+            runner=runner.runner_id,
+            target=runner.target,
+            draining=runner.draining,
+            revision=self.contact.revision,
+        )
+
     def usable_runners(self, target: str, now: float) -> Iterator[RunnerView]:
         """Yield the target's runners that accept new calls."""
         for view in self.by_target.get(target, {}).values():
@@ -132,7 +160,7 @@
     def is_usable(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner may be sent new calls."""
         removed = view.unlisted and self.contact.is_settled(now)
-        return not (removed or view.runner.draining)
+        return not (removed or view.leaving or view.runner.draining)
 
     def is_still_usable(self, view: RunnerView, now: float) -> bool:
         """Return whether a runner chosen earlier may still be sent its call."""
--- a/src/jasminewheel/platform/runner_protocol.py
+++ b/src/jasminewheel/platform/runner_protocol.py
@@ -67,6 +67,16 @@
             return None
         return LoadReport(int(counts[0]), int(counts[1]))
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the runner says that it leaves.
+
+        The answer of a runner that was not meant tells nothing of the other.
+        """
+        if self.status == WRONG_RUNNER_STATUS:
+            return False
+        return field_text(self.headers, b'server-leaving') == '1'
+
     def parts(self) -> AsyncIterator[bytes]:
         """Return the parts of the body as they arrive."""
         return self.connection.parts(self.response)
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -38,8 +38,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 2.0
-# Time that a watch's reply may take beyond its wait before it times out. It is
-# part of the time after which a change may still be unknown, see followed_store.
+# Time that a watch's reply may take beyond its wait before it times out; a
+# change may be unknown for as long, see followed_store.
 WATCH_SLACK_SECONDS = 0.7
 MS_PER_SECOND = 1000
 # A page of values has about 1 MB, the changes of a long period may have more.
--- a/tests/unit/test_answer_limits.py
+++ b/tests/unit/test_answer_limits.py
@@ -95,6 +95,7 @@
     refused: bool
     headers: list = field(factory=list)
     load: None = None
+    leaving: bool = False
 
     async def whole_body(self) -> bytes:
         """Fail as an endless body does."""
--- a/tests/unit/test_hedging.py
+++ b/tests/unit/test_hedging.py
@@ -34,6 +34,7 @@
     status: int = 200
     refused: bool = False
     load: None = None
+    leaving: bool = False
     headers: tuple = ()
 
     async def whole_body(self) -> bytes:
--- a/tests/unit/test_leaving_runners.py
+++ b/tests/unit/test_leaving_runners.py
@@ -1,7 +1,7 @@
 """Check that runners that left get no calls, but lapsed ones do for a while."""
 
 import math
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from functools import partial
 
 import pytest
@@ -13,7 +13,9 @@
 from jasminewheel._internal.gateway.call import Call
 from jasminewheel._internal.gateway.choice import CallRequirements, RunnerChoice
 from jasminewheel._internal.gateway.routes import CallKind, Route, TargetShare
+from jasminewheel._internal.gateway.runners import Runner, RunnerDirectory
 from jasminewheel._internal.store.known_items import KnownItemsFetcher
+from jasminewheel.errors import CallError
 from tests.entry_and_peers import Processes
 
 # Limits that the users set for their first deployments.
@@ -230,6 +232,7 @@
     refused: bool = False
     headers: list = field(factory=list)
     load: None = None
+    leaving: bool = False
 
     @asynccontextmanager
     async def attempt(self, attempt):
@@ -241,6 +244,9 @@
         attempt.observer.on_sent()
         yield self
 
+    async def drop_rest(self) -> None:
+        """Discard the rest of the answer."""
+
 
 async def _call(world, port) -> None:
     choice = RunnerChoice(world.entry.directory, {'a': 0}.__getitem__)
@@ -273,3 +279,66 @@
         assert len(port.sent) == 1
 
     run_scenario(scenario)
+
+
+async def _call_once(world, port) -> str:
+    """Send a call; return the runner that got it."""
+    await _call(world, port)
+    return port.sent[-1]
+
+
+def test_runner_that_says_that_it_leaves_gets_no_more_calls(run_scenario):
+    """Guard against DRAIN: its answer is believed, whatever the list says."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(1)
+        leaving = await _call_once(world, SlowPort(leaving=True))
+        assert not world.entry.uses(leaving)
+        world.store.list_runner(leaving)
+        await trio.sleep(1)
+        assert not world.entry.uses(leaving)
+        world.store.remove(f'servers/{leaving}')
+        await trio.sleep(1)
+        world.store.list_runner(leaving)
+        await trio.sleep(1)
+        assert not world.entry.uses(leaving)
+        assert await _call_once(world, SlowPort()) != leaving
+
+    run_scenario(scenario)
+
+
+def test_new_incarnation_of_a_runner_that_left_is_used(run_scenario):
+    """What a runner said holds until it starts again under its name."""
+
+    async def scenario(world) -> None:
+        await trio.sleep_until(1)
+        leaving = await _call_once(world, SlowPort(leaving=True))
+        world.store.list_runner(leaving, started_ms=2)
+        await trio.sleep(1)
+        assert world.entry.uses(leaving)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('status', [200, 500, 503])
+def test_refusals_and_failures_say_that_a_runner_leaves(status):
+    """Guard against DRAIN: each answer counts, also one that is not used."""
+    answer = SlowPort(status=status, refused=status == 503, leaving=True)
+    directory = RunnerDirectory()
+    directory.put(Runner('a', 'desk', '127.0.0.1:1', 'a', False, 6, 1))
+    choice = RunnerChoice(directory, {'a': 0}.__getitem__)
+    route = Route(
+        'r', 'h', '/', CallKind.safe, (TargetShare('desk', 1),), 4, 1, 2
+    )
+    call = Call('q1', 'h', '/', b'GET', b'/', [], b'', 0, math.inf)
+    record = CallRecord(call, route, 'desk', 1e9)
+    requirements = CallRequirements('desk', CallKind.safe)
+
+    async def send() -> None:
+        with suppress(CallError):
+            await RetryingSender(choice, answer).run(
+                record, b'', requirements, lambda _: trio.sleep(0)
+            )
+
+    trio.run(send, clock=MockClock(autojump_threshold=0))
+    assert not list(directory.usable_runners('desk', 0))
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -26,6 +26,7 @@
     refused: bool = True
     headers: list = field(factory=list)
     load: None = None
+    leaving: bool = False
 
     async def drop_rest(self) -> None:
         """Return at once, as the refusal has no body."""
--- a/tests/watched_store.py
+++ b/tests/watched_store.py
@@ -29,7 +29,9 @@
     forgotten: int = 0
     changed: trio.Event = field(factory=trio.Event)
 
-    def list_runner(self, runner_id: str, target: str = 'desk') -> None:
+    def list_runner(
+        self, runner_id: str, target: str = 'desk', started_ms: int = 1
+    ) -> None:
         """Write the entry of a runner that is ready."""
         fields = {
             'Service': target,
@@ -37,7 +39,7 @@
             'Zone': 'a',
             'Slots': 6,
             'State': 'ready',
-            'born': 1,
+            'born': started_ms,
         }
         self.write(f'servers/{runner_id}', json.dumps(fields).encode())
 
