Skip an odd entry of the store alone, whatever it holds

What callers saw: reported by other operators of such systems: another writer left an odd entry among the runners, and processes that read the list ended again and again, or followed it no more.

Cause: shown here too. 5,000 nested lists raise RecursionError and 1e999 as born OverflowError, which no decoder expected, so the task that mirrors the store ended with its process. Ports out of range, hosts with control characters, slots below 1, numbers of thousands of digits and texts that cannot be encoded were taken, and would fail later; a key may hold a line end, and goes into a header field. Entries of VMs and disks, the replica set and configurations were read in the same way.

Change: store.documents parses a value with bounded numbers and depth, and names a problem in a bounded line; all five decoders use it.

The class is input that was trusted to fail only in listed ways.

--- a/src/jasminewheel/_internal/conversation/entry_list.py
+++ b/src/jasminewheel/_internal/conversation/entry_list.py
@@ -8,6 +8,13 @@
 
 from jasminewheel._internal.events import conversation as events
 from jasminewheel._internal.peer.distance import Distance
+from jasminewheel._internal.store.documents import (
+    DECODE_ERRORS,
+    decode_document,
+    problem_text,
+    shortened,
+    text_field,
+)
 from jasminewheel._internal.store.leased_key import LeasedKey
 from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import (
@@ -66,9 +73,11 @@
         if stored is None:
             return
         try:
-            self.entries[vm] = ListedEntry(**json.loads(stored.value))
-        except (ValueError, TypeError) as error:
-            events.ENTRY_SKIPPED.log(_LOGGER, vm=vm, problem=repr(error))
+            self.entries[vm] = _decode_entry(stored.value)
+        except DECODE_ERRORS as error:
+            events.ENTRY_SKIPPED.log(
+                _LOGGER, vm=shortened(vm), problem=problem_text(error)
+            )
 
     def nearest_first(self) -> list[ListedEntry]:
         """Return the entries sorted by network distance."""
@@ -76,3 +85,12 @@
             self.entries.values(),
             key=lambda one: (self.distance(one.zone), one.vm),
         )
+
+
+def _decode_entry(stored: bytes) -> ListedEntry:
+    fields = decode_document(stored)
+    return ListedEntry(
+        text_field(fields, 'vm'),
+        text_field(fields, 'address'),
+        text_field(fields, 'zone'),
+    )
--- a/src/jasminewheel/_internal/conversation/replica_set.py
+++ b/src/jasminewheel/_internal/conversation/replica_set.py
@@ -1,10 +1,17 @@
 """Define the replica set of turns and budgets, and its quorums."""
 
 import json
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
+from typing import Any
 
 from attrs import asdict, evolve, frozen
 
+from jasminewheel._internal.store.documents import (
+    decode_document,
+    problem_text,
+    text_field,
+)
+
 
 @frozen
 class Replica:
@@ -15,6 +22,16 @@
     address: str
     zone: str
 
+    @classmethod
+    def from_fields(cls, fields: Mapping[str, Any]) -> 'Replica':
+        """Return a stored replica; raise KeyError, TypeError or ValueError."""
+        return cls(
+            text_field(fields, 'disk_id'),
+            text_field(fields, 'vm'),
+            text_field(fields, 'address'),
+            text_field(fields, 'zone'),
+        )
+
 
 @frozen
 class ReplicaSet:
@@ -99,15 +116,16 @@
     @classmethod
     def from_text(cls, text: str, revision: int) -> 'ReplicaSet':
         """Parse a stored set; raise ValueError if the text is not one."""
-        fields = json.loads(text)
+        fields = decode_document(text)
         try:
             return cls(
                 revision,
-                tuple(Replica(**one) for one in fields['members']),
-                tuple(Replica(**one) for one in fields['joining']),
+                tuple(map(Replica.from_fields, fields['members'])),
+                tuple(map(Replica.from_fields, fields['joining'])),
             )
         except (KeyError, TypeError) as error:
-            raise ValueError(f'not a replica set: {error!r}') from error
+            problem = problem_text(error)
+            raise ValueError(f'not a replica set: {problem}') from error
 
 
 NO_SET = ReplicaSet(0, ())
--- a/src/jasminewheel/_internal/conversation/set_listener.py
+++ b/src/jasminewheel/_internal/conversation/set_listener.py
@@ -1,6 +1,5 @@
 """Track the replica set and the listed disks from the store's items."""
 
-import json
 import logging
 from collections.abc import Mapping
 
@@ -14,6 +13,13 @@
 from jasminewheel._internal.conversation.set_change import Candidate
 from jasminewheel._internal.conversation.set_holder import SetHolder
 from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.documents import (
+    DECODE_ERRORS,
+    decode_document,
+    problem_text,
+    shortened,
+    typed_field,
+)
 from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import STORE_PREFIX, StoreItem
 
@@ -47,8 +53,10 @@
         """Decode and adopt a stored replica set; skip an invalid one."""
         try:
             found = ReplicaSet.from_text(stored.value.decode(), stored.revision)
-        except ValueError as error:
-            _LOGGER.warning('skipped an invalid replica set: %s', error)
+        except DECODE_ERRORS as error:
+            _LOGGER.warning(
+                'skipped an invalid replica set: %s', problem_text(error)
+            )
             return
         self.holder.adopt(found)
 
@@ -59,8 +67,12 @@
             return
         try:
             self.candidates[vm] = _decode_candidate(stored.value)
-        except (ValueError, KeyError, TypeError) as error:
-            _LOGGER.warning('skipped the invalid disk of %s: %r', vm, error)
+        except DECODE_ERRORS as error:
+            _LOGGER.warning(
+                'skipped the invalid disk of %s: %s',
+                shortened(vm),
+                problem_text(error),
+            )
 
     def update_absences(self, now: float) -> None:
         """Record since when replicas have not been listed."""
@@ -81,7 +93,8 @@
 
 
 def _decode_candidate(stored: bytes) -> Candidate:
-    fields = json.loads(stored)
+    fields = decode_document(stored)
     return Candidate(
-        Replica(**fields['replica']), int(fields['copied_revision'])
+        Replica.from_fields(fields['replica']),
+        typed_field(fields, 'copied_revision', int),
     )
--- a/src/jasminewheel/platform/configuration.py
+++ b/src/jasminewheel/platform/configuration.py
@@ -3,7 +3,6 @@
 What the platform calls a service is a target here.
 """
 
-import json
 import logging
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -17,6 +16,12 @@
     TargetProfile,
     TargetShare,
 )
+from jasminewheel._internal.store.documents import (
+    DECODE_ERRORS,
+    decode_document,
+    problem_text,
+    shortened,
+)
 from jasminewheel._internal.web.request_parser import RequestLimits
 from jasminewheel.errors import ConfigurationError
 
@@ -24,9 +29,6 @@
 # A route of another kind is treated as unsafe: its calls are never retried.
 _KINDS = MappingProxyType({kind.value: kind for kind in CallKind})
 _MS_PER_SECOND = 1000
-# Raised by reading fields that have another type or are missing.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
-
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -36,11 +38,11 @@
     A route that cannot be decoded is logged and left out.
     """
     try:
-        fields = json.loads(stored)
+        fields = decode_document(stored)
         return _table(fields)
     except DECODE_ERRORS as error:
         raise ConfigurationError(
-            f'cannot decode the configuration: {error!r}'
+            f'cannot decode the configuration: {problem_text(error)}'
         ) from error
 
 
@@ -58,7 +60,9 @@
     try:
         return _route(fields)
     except DECODE_ERRORS as error:
-        events.ROUTE_SKIPPED.log(_LOGGER, problem=repr(error), route=fields)
+        events.ROUTE_SKIPPED.log(
+            _LOGGER, problem=problem_text(error), route=shortened(fields)
+        )
         return None
 
 
