Share the limit that a runner names among the entries that may send to it

Cause: nothing read Server-Limit. Kept by each entry alone it would break as well: a bound over the fleet needs shares.

Change: scheduling.limit orders the entries for each runner by a hash of both names; a few share four fifths of the rate at equal spacings, the others the rest. The choice of a runner passes over one at its limit; if all are, the call is refused at once as not run, with a Retry-After that spreads returns. An answer to a later request without the header ends the limit.

--- a/src/jasminewheel/_internal/conversation/entry_list.py
+++ b/src/jasminewheel/_internal/conversation/entry_list.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from attrs import asdict, define, field, frozen
 
@@ -79,6 +79,10 @@
                 _LOGGER, vm=shortened(vm), problem=problem_text(error)
             )
 
+    def names(self) -> Collection[str]:
+        """Return the names of the other entries."""
+        return self.entries.keys()
+
     def nearest_first(self) -> list[ListedEntry]:
         """Return the entries sorted by network distance."""
         return sorted(
--- a/src/jasminewheel/_internal/events/gateway.py
+++ b/src/jasminewheel/_internal/events/gateway.py
@@ -97,6 +97,15 @@
     'runner said in an answer that it leaves; it gets no new calls',
     state_change=True,
 )
+LIMITED = Event(
+    1894,
+    logging.INFO,
+    'runner names the rate of requests that it takes from all entries',
+    state_change=True,
+)
+LIMIT_ENDED = Event(
+    1895, logging.INFO, 'runner names no limit any more', state_change=True
+)
 HEDGED = Event(
     1892,
     logging.INFO,
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -140,10 +140,27 @@
         if record.can_attempt():
             view = self.choice.choose(requirements, now)
         if view is None:
-            raise unanswered_error(
+            raise self.no_runner_error(record, requirements, now)
+        return view
+
+    def no_runner_error(
+        self, record: CallRecord, requirements: CallRequirements, now: float
+    ) -> Exception:
+        """Return the error of a call that no runner may be sent.
+
+        Callers are told to return once a limit allows it, at spread times.
+        """
+        seconds = self.choice.limited_seconds(requirements, now)
+        if not seconds:
+            return unanswered_error(
                 record, f'no runner of target {record.target} accepted the call'
             )
-        return view
+        return unanswered_error(
+            record,
+            f'the runners of target {record.target} are at their limits for'
+            f' {seconds:.2f} s',
+            retry_after_seconds=seconds * (1 + self.choice.random.random()),
+        )
 
     def build_attempt(
         self, record: CallRecord, tracked: '_TrackedAttempt', body: bytes
@@ -160,11 +177,16 @@
         )
 
 
-def unanswered_error(record: CallRecord, problem: str) -> Exception:
+def unanswered_error(
+    record: CallRecord,
+    problem: str,
+    *,
+    retry_after_seconds: float = RETRY_AFTER_SECONDS,
+) -> Exception:
     """Return the error of a call that no runner answered."""
     if record.verdict is Verdict.not_run:
         return UnavailableError(
-            problem, retry_after_seconds=RETRY_AFTER_SECONDS
+            problem, retry_after_seconds=retry_after_seconds
         )
     return TargetFailedError(problem, verdict=Verdict.may_have_run)
 
@@ -185,6 +207,8 @@
         self.record.attempts += 1
         self.view.load.started(self.started_at)
         self.view.breaker.sent(self.started_at)
+        if self.view.limit:
+            self.view.limit.sent_at = self.started_at
 
     def selection_fields(self) -> dict[str, object]:
         """Return the estimates behind the choice, and their age in seconds."""
@@ -198,6 +222,7 @@
             'list_age': round(contact.read_age(self.started_at), 2),
             'unlisted': self.view.unlisted,
             'pace': round(self.view.pace.estimate(self.started_at), 1),
+            **self.choice.limits.log_fields(self.view, self.started_at),
         }
 
     def add_log_fields(self, **fields: object) -> None:
@@ -246,6 +271,11 @@
             self.view.load.reported(load, now)
         if answer.leaving:
             self.choice.directory.record_leaving(self.view)
+        # A refusal may come from before the part that knows of a limit.
+        if answer.limit_rate is not None or not answer.refused:
+            self.choice.limits.record_answer(
+                self.view, answer.limit_rate, self.started_at, now
+            )
         if answer.refused:
             self.record.attempts -= 1
             self.exclude_runner('refused', answer.status)
--- a/src/jasminewheel/_internal/gateway/choice.py
+++ b/src/jasminewheel/_internal/gateway/choice.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field, frozen
 
+from jasminewheel._internal.gateway.limits import RunnerLimits
 from jasminewheel._internal.gateway.routes import CallKind
 from jasminewheel._internal.gateway.runners import (
     RunnerDirectory,
@@ -46,18 +47,20 @@
     directory: RunnerDirectory
     distance: Distance
     random: Random = field(factory=Random)
+    limits: RunnerLimits = field(factory=RunnerLimits)
 
     def choose(
         self, requirements: CallRequirements, now: float
     ) -> RunnerView | None:
         """Return the best usable runner, or None if there is none.
 
-        Runners whose breaker is open are chosen only if no other is left.
+        Runners whose breaker is open are chosen only if no other is left, and
+        those at their limits never.
         """
         usable = [
             view
-            for view in self.directory.usable_runners(requirements.target, now)
-            if view.runner.runner_id not in requirements.excluded_runners
+            for view in self.candidates(requirements, now)
+            if self.limits.ready_at(view) <= now
         ]
         allowed = [view for view in usable if view.breaker.allows(now)]
         return min(
@@ -66,6 +69,23 @@
             default=None,
         )
 
+    def candidates(
+        self, requirements: CallRequirements, now: float
+    ) -> list[RunnerView]:
+        """Return the usable runners that have not failed the call."""
+        return [
+            view
+            for view in self.directory.usable_runners(requirements.target, now)
+            if view.runner.runner_id not in requirements.excluded_runners
+        ]
+
+    def limited_seconds(
+        self, requirements: CallRequirements, now: float
+    ) -> float:
+        """Return after how long a runner at its limit takes the call, or 0."""
+        views = self.candidates(requirements, now)
+        return self.limits.wait_seconds(views, now)
+
     def cost_seconds(
         self, view: RunnerView, requirements: CallRequirements, now: float
     ) -> float:
--- a/src/jasminewheel/_internal/gateway/ports.py
+++ b/src/jasminewheel/_internal/gateway/ports.py
@@ -51,6 +51,8 @@
     load: LoadReport | None
     # Whether the runner says that it leaves.
     leaving: bool
+    # Requests a second that the runner takes from all entries, if it says so.
+    limit_rate: float | None
     # Whether the body has neither a length nor chunks.
     ends_with_connection: bool
 
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -7,6 +7,7 @@
 
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.scheduling.breaker import CircuitBreaker
+from jasminewheel._internal.scheduling.limit import RunnerLimit
 from jasminewheel._internal.scheduling.load import RunnerLoad
 from jasminewheel._internal.scheduling.pace import RunnerPace
 from jasminewheel._internal.scheduling.rates import TargetRates, new_rates
@@ -43,6 +44,8 @@
     unlisted: bool = False
     # Whether the runner said in an answer that it leaves.
     leaving: bool = False
+    # What the runner takes from all entries together, if it names that.
+    limit: RunnerLimit | None = None
 
 
 @define(eq=False)
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -49,7 +49,11 @@
     def gateway(self, nursery: trio.Nursery) -> Gateway:
         """Return the gateway that answers calls."""
         sender = RetryingSender(
-            RunnerChoice(self.directory, self.peers.distance),
+            RunnerChoice(
+                self.directory,
+                self.peers.distance,
+                limits=self.peers.limits(),
+            ),
             PlatformRunners(self.connections),
         )
         conversations = ConversationClient(self.peers.quorum, nursery)
--- a/src/jasminewheel/platform/entry_peers.py
+++ b/src/jasminewheel/platform/entry_peers.py
@@ -13,6 +13,7 @@
 from jasminewheel._internal.conversation.relay_service import RelayService
 from jasminewheel._internal.conversation.set_holder import SetHolder
 from jasminewheel._internal.conversation.set_listener import SetListener
+from jasminewheel._internal.gateway.limits import RunnerLimits
 from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
@@ -71,6 +72,10 @@
             seeds=self.settings.seeds,
         )
 
+    def limits(self) -> RunnerLimits:
+        """Return the limits of runners, shared among the listed entries."""
+        return RunnerLimits(self.entries)
+
     def listeners(self) -> list[MirrorListener]:
         """Return the listeners for changes of replicas and entries."""
         return [SetListener(self.sets), self.entries]
--- a/src/jasminewheel/platform/runner_protocol.py
+++ b/src/jasminewheel/platform/runner_protocol.py
@@ -1,5 +1,6 @@
 """Send calls to runners by the platform's protocol."""
 
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -23,6 +24,7 @@
 MS_PER_SECOND = 1000
 WRONG_RUNNER_STATUS = 421
 _MAX_PRIORITY = 9
+_DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{0,12})?')
 
 
 @define(eq=False)
@@ -77,6 +79,16 @@
             return False
         return field_text(self.headers, b'server-leaving') == '1'
 
+    @property
+    def limit_rate(self) -> float | None:
+        """Return the requests a second that the runner takes from all VMs."""
+        if self.status == WRONG_RUNNER_STATUS:
+            return None
+        named = field_text(self.headers, b'server-limit')
+        if not _DECIMAL.fullmatch(named):
+            return None
+        return float(named)
+
     def parts(self) -> AsyncIterator[bytes]:
         """Return the parts of the body as they arrive."""
         return self.connection.parts(self.response)
--- a/tests/functional/test_replica_change.py
+++ b/tests/functional/test_replica_change.py
@@ -38,6 +38,7 @@
     zone: str
     peer_address: str
     leaving: bool = False
+    limit_rate: float | None = None
 
 
 @define
--- a/tests/unit/test_answer_limits.py
+++ b/tests/unit/test_answer_limits.py
@@ -96,6 +96,7 @@
     headers: list = field(factory=list)
     load: None = None
     leaving: bool = False
+    limit_rate: float | None = None
 
     async def whole_body(self) -> bytes:
         """Fail as an endless body does."""
--- a/tests/unit/test_hedging.py
+++ b/tests/unit/test_hedging.py
@@ -35,6 +35,7 @@
     refused: bool = False
     load: None = None
     leaving: bool = False
+    limit_rate: float | None = None
     headers: tuple = ()
 
     async def whole_body(self) -> bytes:
--- a/tests/unit/test_leaving_runners.py
+++ b/tests/unit/test_leaving_runners.py
@@ -233,6 +233,7 @@
     headers: list = field(factory=list)
     load: None = None
     leaving: bool = False
+    limit_rate: float | None = None
 
     @asynccontextmanager
     async def attempt(self, attempt):
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -27,6 +27,7 @@
     headers: list = field(factory=list)
     load: None = None
     leaving: bool = False
+    limit_rate: float | None = None
 
     async def drop_rest(self) -> None:
         """Return at once, as the refusal has no body."""
--- a/tests/unit/test_runner_answers.py
+++ b/tests/unit/test_runner_answers.py
@@ -27,3 +27,22 @@
 def test_runner_says_that_it_leaves(status, field, leaving):
     """Any answer may say so, but not that of a runner that was not meant."""
     assert _answer(status, field).leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ('status', 'field', 'rate'),
+    [
+        (200, b'Server-Limit: 2.25', 2.25),
+        (503, b'server-limit: 3', 3),
+        (200, b'Server-Limit: 0', 0),
+        (200, b'Server-Load: 1,0,6', None),
+        (200, b'Server-Limit: -1', None),
+        (200, b'Server-Limit: nan', None),
+        (200, b'Server-Limit: 1e9', None),
+        (200, b'Server-Limit: ', None),
+        (421, b'Server-Limit: 2', None),
+    ],
+)
+def test_runner_names_its_limit(status, field, rate):
+    """A rate is a decimal number."""
+    assert _answer(status, field).limit_rate == rate
