Repeat a failed renewal of a lease before the lease runs out

What callers saw: nothing by itself.

Cause: after a failed renewal the loop slept one interval, and then the usual interval of the next renewal: 22 s of a lease of 30 s, from the one before 32.

Change: a failed renewal is repeated after half of the usual interval.

Evidence: test_lease_outlasts_a_loss_shorter_than_itself fails without the change and passes with it.

--- a/src/jasminewheel/_internal/store/leased_key.py
+++ b/src/jasminewheel/_internal/store/leased_key.py
@@ -9,6 +9,8 @@
 from jasminewheel._internal.store.port import WatchedStore
 from jasminewheel.errors import StoreConflictError, StoreError
 
+# A failed renewal is repeated after this share of the usual interval.
+RETRY_SHARE = 0.5
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -23,6 +25,8 @@
     renew_seconds: float
     lease: str = ''
     is_written: bool = False
+    # Whether the last renewal failed.
+    overdue: bool = False
 
     async def run(self) -> None:
         """Renew the lease until cancelled."""
@@ -34,7 +38,8 @@
                 self.is_written = False
             except StoreError as error:
                 events.LEASE_LOST.log(_LOGGER, problem=error)
-                await trio.sleep(self.renew_seconds)
+                self.overdue = True
+                await trio.sleep(self.renew_seconds * RETRY_SHARE)
 
     async def renew(self) -> None:
         """Acquire a lease and write the key if needed, then renew the lease."""
@@ -43,8 +48,10 @@
             events.LEASE_GRANTED.log(_LOGGER, lease=self.lease)
         if not self.is_written:
             await self.write()
-        await trio.sleep(self.renew_seconds)
+        if not self.overdue:
+            await trio.sleep(self.renew_seconds)
         await self.store.renew_lease(self.lease)
+        self.overdue = False
 
     async def write(self) -> None:
         """Write the key under the lease."""
