Let no late write of the store undo a newer one

Cause: the keys by which a process registers (disks, entries, members of our own interface) and the progress of a retirement were written without a condition. The store may execute a call without an answer up to 6 s late, after newer ones of the same process or of the one that follows it, and nobody read the key again. The disk's late first registration undid that it had copied, so the change of the replica set waited for the copy for ever. Looked for and found on the related paths: an entry's key bound to the lease of its former process (gone with that lease, unnoticed), a former disk listed in place of the new one, `running` after `completed`, the key of a member of our own interface. The proposal of a replica set always had a condition.

Change: the store's interfaces write nothing without a condition. KeyWriter keeps the condition until one attempt is decided, so at most one of the attempts takes effect; idempotent_put is built on it. A conflict (412) and an ended lease (404) are two errors now. OwnKey compares what the mirror has of the key with what was written and writes it again where it is gone or an older one of its own; a later process of the same VM keeps the key. Calls that an outage swallowed are repeated at its end. A status of a retirement is written under the revision of the one before, and none follows `completed`.

--- a/src/jasminewheel/_internal/events/store.py
+++ b/src/jasminewheel/_internal/events/store.py
@@ -62,6 +62,12 @@
     'check the process at this address, and that it can reach the store',
     state_change=True,
 )
+KEY_DIFFERED = Event(
+    1862,
+    logging.INFO,
+    'the key of this process was seen to differ from what it wrote',
+    state_change=True,
+)
 READING_ALONE = Event(
     1861,
     logging.WARNING,
--- a/src/jasminewheel/_internal/membership/lease.py
+++ b/src/jasminewheel/_internal/membership/lease.py
@@ -11,6 +11,7 @@
 from jasminewheel._internal.membership.member import Member, MemberState
 from jasminewheel._internal.membership.membership import Membership
 from jasminewheel._internal.store.client import Store
+from jasminewheel._internal.store.key_writer import KeyWriter
 from jasminewheel.errors import ConfigurationError, StoreError
 
 MEMBER_PREFIX = 'members/'
@@ -51,6 +52,12 @@
     membership: Membership
     random: Random = field(factory=Random)
     lease: str = ''
+    writer: KeyWriter = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the writer of the member's key."""
+        member = self.membership.local_member.member
+        self.writer = KeyWriter(self.store, f'{MEMBER_PREFIX}{member}')
 
     @property
     def is_held(self) -> bool:
@@ -76,8 +83,7 @@
             return
         own = self.membership.local_member
         lease = await self.store.grant_lease(TTL_SECONDS)
-        key = f'{MEMBER_PREFIX}{own.member}'
-        await self.store.put(key, member_text(own), None, lease)
+        await self.writer.replace(member_text(own), lease)
         self.lease = lease
         events.LEASED.log(_LOGGER, member=own.member)
 
--- a/src/jasminewheel/_internal/store/client.py
+++ b/src/jasminewheel/_internal/store/client.py
@@ -10,6 +10,7 @@
 
 from jasminewheel._internal.http.bounded_response import read_response
 from jasminewheel.errors import (
+    LeaseEndedError,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
@@ -56,10 +57,15 @@
         self,
         key: str,
         value: str,
-        expected_revision: int | None,
-        lease: str | None = None,
+        expected_revision: int,
+        lease: str = '',
     ) -> int:
-        """Write value and return its revision; 0 expects no such key."""
+        """Write value and return its revision; 0 expects no such key.
+
+        Raise StoreConflictError if the key is at another revision,
+        LeaseEndedError if the lease has ended. No value is written without
+        a condition: executed late, such a write would undo a newer one.
+        """
 
     async def delete(self, key: str, expected_revision: int | None) -> None:
         """Delete key if it has the expected revision."""
@@ -74,7 +80,7 @@
         """Return a new lease."""
 
     async def renew_lease(self, lease: str) -> None:
-        """Extend a lease; raise StoreConflictError if it expired."""
+        """Extend a lease; raise LeaseEndedError if it expired."""
 
     async def revoke_lease(self, lease: str) -> None:
         """End a lease and delete its keys."""
@@ -112,17 +118,17 @@
         self,
         key: str,
         value: str,
-        expected_revision: int | None,
-        lease: str | None = None,
+        expected_revision: int,
+        lease: str = '',
     ) -> int:
         """Write value and return its revision; 0 expects no such key."""
         fields = {
             'value': value,
             'expected_revision': expected_revision,
-            'lease': lease,
+            'lease': lease or None,
         }
         answer = await self.request('PUT', _key_path(key), json=fields)
-        _refuse_missing(answer, 'the lease has expired')
+        _check_lease(answer)
         with _readable_answer():
             return int(answer.json()['revision'])
 
@@ -164,9 +170,9 @@
             return str(answer.json()['lease'])
 
     async def renew_lease(self, lease: str) -> None:
-        """Extend a lease; raise StoreConflictError if it expired."""
+        """Extend a lease; raise LeaseEndedError if it expired."""
         answer = await self.request('POST', f'/v1/leases/{lease}/renew')
-        _refuse_missing(answer, 'the lease has expired')
+        _check_lease(answer)
 
     async def revoke_lease(self, lease: str) -> None:
         """End a lease and delete its keys."""
@@ -208,9 +214,9 @@
     return StoreError(f'the store rejected the request: {problem}')
 
 
-def _refuse_missing(answer: httpx.Response, problem: str) -> None:
+def _check_lease(answer: httpx.Response) -> None:
     if answer.status_code == _NOT_FOUND:
-        raise StoreConflictError(problem)
+        raise LeaseEndedError('the lease has expired')
 
 
 @contextmanager
--- a/src/jasminewheel/_internal/store/idempotent_put.py
+++ b/src/jasminewheel/_internal/store/idempotent_put.py
@@ -3,6 +3,7 @@
 from uuid import uuid4
 
 from jasminewheel._internal.store.client import Store, StoredValue
+from jasminewheel._internal.store.key_writer import KeyWriter
 from jasminewheel.errors import StoreConflictError, StoreUnavailableError
 
 _ATTEMPTS = 3
@@ -14,11 +15,7 @@
 
 
 async def idempotent_put(
-    store: Store,
-    key: str,
-    marked_value: str,
-    expected_revision: int,
-    lease: str | None = None,
+    store: Store, key: str, marked_value: str, expected_revision: int
 ) -> int:
     """Write a value that contains a writer mark; return its revision.
 
@@ -27,30 +24,25 @@
     whose value it has. Raise StoreConflictError if the write certainly had no
     effect, StoreUnavailableError if that stays unknown.
     """
+    writer = KeyWriter(store, key, expected_revision)
     try:
-        return await store.put(key, marked_value, expected_revision, lease)
+        return await writer.put(marked_value)
     except StoreUnavailableError:
-        return await _put_again(
-            store,
-            StoredValue(key, marked_value, expected_revision),
-            lease,
-            _ATTEMPTS - 1,
-        )
+        return await _put_again(writer, marked_value, _ATTEMPTS - 1)
 
 
 async def _put_again(
-    store: Store, wanted: StoredValue, lease: str | None, attempts: int
+    writer: KeyWriter, marked_value: str, attempts: int
 ) -> int:
     """Retry after a lost answer; a conflict may be with the first attempt."""
-    key = wanted.key
     try:
-        return await store.put(key, wanted.value, wanted.revision, lease)
+        return await writer.put(marked_value)
     except StoreConflictError:
-        return _resolve_conflict(await store.get(key), wanted.value)
+        return _resolve_conflict(await writer.read(), marked_value)
     except StoreUnavailableError:
         if attempts == 1:
             raise
-    return await _put_again(store, wanted, lease, attempts - 1)
+    return await _put_again(writer, marked_value, attempts - 1)
 
 
 def _resolve_conflict(found: StoredValue | None, marked_value: str) -> int:
--- a/src/jasminewheel/_internal/store/port.py
+++ b/src/jasminewheel/_internal/store/port.py
@@ -26,6 +26,16 @@
     revision: int
 
 
+@frozen
+class LeasedItem:
+    """Represent one value, its revision and the lease that it is bound to."""
+
+    value: bytes
+    revision: int
+    # Empty for a value that is not bound to a lease.
+    lease: str
+
+
 @frozen
 class StoreSnapshot:
     """Represent all values as of a revision."""
@@ -75,28 +85,32 @@
     """Read, write and watch keys.
 
     Each method raises StoreUnavailableError if no answer came; a change may
-    then have taken effect, or may still do so.
+    then have taken effect, or may still do so while its condition holds. No
+    value is written without a condition: executed late, such a write would
+    undo a newer one.
     """
 
+    async def get(self, key: str) -> LeasedItem | None:
+        """Return what is stored under a key now, or None."""
+
     async def put(
         self,
         key: str,
-        written: bytes,
-        *,
-        expected_revision: int | None = None,
+        value: bytes,
+        expected_revision: int,
         lease: str = '',
     ) -> int:
         """Write a value and return its revision.
 
         Raise StoreConflictError if the key is at another revision (0 stands
-        for no value) or if the lease has ended.
+        for no value), LeaseEndedError if the lease has ended.
         """
 
     async def grant_lease(self, ttl_seconds: float) -> str:
         """Return a new lease."""
 
     async def renew_lease(self, lease: str) -> None:
-        """Extend a lease; raise StoreConflictError if it has ended."""
+        """Extend a lease; raise LeaseEndedError if it has ended."""
 
     async def end_lease(self, lease: str) -> None:
         """End a lease and delete its keys."""
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -169,6 +169,12 @@
     code = 'store-conflict'
 
 
+class LeaseEndedError(StoreConflictError):
+    """Report that a lease has ended, and its keys were removed."""
+
+    code = 'lease-ended'
+
+
 class StoreUnavailableError(StoreError):
     """Report a request without a reply; a change may have taken effect."""
 
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -66,11 +66,13 @@
     def mirror(self, web: WebServer) -> StoreMirror:
         """Return the task that mirrors the store's keys."""
         listener = PlatformListener(self.routes, self.directory, web)
-        return StoreMirror(
+        mirror = StoreMirror(
             self.followed,
             [*self.peers.listeners(), listener],
             contact=self.directory.contact,
         )
+        self.peers.listing.follow(mirror)
+        return mirror
 
     def gauges(self) -> dict[str, float]:
         """Return the current values of this entry's gauges."""
--- a/src/jasminewheel/platform/entry_peers.py
+++ b/src/jasminewheel/platform/entry_peers.py
@@ -18,6 +18,7 @@
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.followed_store import FollowedStore
+from jasminewheel._internal.store.leased_key import LeasedKey
 from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel.platform.roles import peer_server
 from jasminewheel.platform.settings import NodeSettings
@@ -36,12 +37,16 @@
     distance: Distance = field(init=False)
     entries: EntryList = field(init=False)
     quorum: QuorumClient = field(init=False)
+    # Keeps this entry listed.
+    listing: LeasedKey = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the quorum client; replicas are added as they are listed."""
         node = self.settings
         self.distance = node.distance
         self.entries = EntryList(node.vm, self.distance)
+        listed = ListedEntry(node.vm, node.peer_address, node.zone)
+        self.listing = listed.listing(self.store)
         self.quorum = QuorumClient(
             self.pool,
             self.sets,
@@ -55,8 +60,7 @@
         handlers = RelayService(self.quorum).handlers()
         server = peer_server(node, handlers)
         await nursery.start(server.serve, node.ip, node.peer_port)
-        listed = ListedEntry(node.vm, node.peer_address, node.zone)
-        nursery.start_soon(listed.listing(self.store).run)
+        nursery.start_soon(self.listing.run)
         watch = QuorumWatch(self.quorum)
         nursery.start_soon(watch.run)
         return watch
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -67,7 +67,11 @@
         store = followed_store(
             self.settings, self.store, pool, self.listener.holder, contact
         )
-        return StoreMirror(store, [self.listener, *listeners], contact=contact)
+        mirror = StoreMirror(
+            store, [self.listener, *listeners], contact=contact
+        )
+        self.registration.leased_key.follow(mirror)
+        return mirror
 
     def server(self, mirror: StoreMirror) -> PeerServer:
         """Return the server that answers entries and other replicas."""
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -1,25 +1,24 @@
 """Call the platform's key-value store.
 
-Names that mislead: kv-keep renews a lease, AsOf is a revision, and watches
-answer with events, of which those with Deleted set are removals.
+A name that misleads: kv-keep renews a lease.
 """
 
 import json
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from functools import partial
 from typing import Any
 from urllib.parse import quote
 
 import trio
-from attrs import define, field, frozen
+from attrs import define, field
 
 from jasminewheel._internal.peer.sockets import is_no_response
 from jasminewheel._internal.store.port import (
+    LeasedItem,
     StoreChanges,
     StoreHistoryLostError,
-    StoreItem,
     StoreSnapshot,
 )
 from jasminewheel._internal.web.answer_limits import (
@@ -29,11 +28,15 @@
 )
 from jasminewheel._internal.web.client import HttpConnection, OutgoingRequest
 from jasminewheel._internal.web.pool import ConnectionPool
-from jasminewheel.errors import (
-    ConnectionLostError,
-    StoreConflictError,
-    StoreError,
-    StoreUnavailableError,
+from jasminewheel.errors import ConnectionLostError, StoreUnavailableError
+from jasminewheel.platform.store_replies import (
+    StorePages,
+    StoreReply,
+    check_status,
+    parse_reply,
+    read_changes,
+    read_leased_item,
+    read_page,
 )
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -44,39 +47,10 @@
 MS_PER_SECOND = 1000
 # A page of values has about 1 MB, the changes of a long period may have more.
 MAX_REPLY_BYTES = 16777216
-# For all values together; a configuration and its runners take some 100 KB.
-MAX_SNAPSHOT_BYTES = 33554432
-# Memory that a stored value takes beside its own bytes.
-ITEM_OVERHEAD_BYTES = 256
 _LIMITS = AnswerLimits(answer_bytes=MAX_REPLY_BYTES)
-_CALL_KINDS = ('watch', 'range', 'txn', 'lease', 'keep', 'lease_end')
-_OK = 200
-_NOT_FOUND = 404
+_CALL_KINDS = ('watch', 'range', 'key', 'txn', 'lease', 'keep', 'lease_end')
 _HISTORY_GONE = 410
-_CONDITION_FAILED = 412
-_REFUSED_STATUSES = (429, 503)
-
-
-@frozen
-class StoreReply:
-    """Represent the status and the decoded body of a reply."""
-
-    status: int
-    fields: Mapping[str, Any]
-
-
-@frozen
-class StorePage:
-    """Represent one page of values in the order of their keys."""
-
-    items: tuple[StoreItem, ...]
-    revision: int
-    has_more: bool
-
-    @property
-    def last_key(self) -> str:
-        """Return the key after which the next page starts."""
-        return self.items[-1].key if self.items else ''
+_NOT_FOUND = 404
 
 
 @define(eq=False)
@@ -98,11 +72,11 @@
 
     async def snapshot(self) -> StoreSnapshot:
         """Return all values, with the revision of the first page."""
-        pages = _Pages()
+        pages = StorePages()
         while pages.has_more:
             after = quote(pages.after, safe='')
             reply = await self.call('GET', f'/kv-range?Prefix=&after={after}')
-            pages.add(_parse(reply, partial(_page, pages.after)))
+            pages.add(parse_reply(reply, partial(read_page, pages.after)))
         return StoreSnapshot(tuple(pages.items), pages.revision)
 
     async def changes(
@@ -122,45 +96,51 @@
             raise StoreHistoryLostError(
                 'the store no longer has the changes after this revision'
             )
-        _check(reply)
-        return _parse(reply, _changes)
+        check_status(reply)
+        return parse_reply(reply, read_changes)
+
+    async def get(self, key: str) -> LeasedItem | None:
+        """Return what is stored under a key now, or None."""
+        path = f'/kv-key?Key={quote(key, safe="")}'
+        reply = await self.exchange_alone(_request('GET', path))
+        if reply.status == _NOT_FOUND:
+            return None
+        check_status(reply)
+        return parse_reply(reply, read_leased_item)
 
     async def put(
         self,
         key: str,
-        written: bytes,
-        *,
-        expected_revision: int | None = None,
+        value: bytes,
+        expected_revision: int,
         lease: str = '',
     ) -> int:
         """Write a value and return its revision.
 
         Raise StoreConflictError if the key is at another revision (0 stands
-        for no value) or if the lease has ended.
+        for no value), LeaseEndedError if the lease has ended.
         """
-        conditions = []
-        if expected_revision is not None:
-            conditions = [{'Key': key, 'Revision': expected_revision}]
+        condition = {'Key': key, 'Revision': expected_revision}
         stored = {
             'Key': key,
-            'Value': b64encode(written).decode(),
+            'Value': b64encode(value).decode(),
             'Lease': int(lease or 0),
         }
         reply = await self.call(
             'POST',
             '/kv-txn',
-            {'IfRevision': conditions, 'Puts': [stored], 'Remove': []},
+            {'IfRevision': [condition], 'Puts': [stored], 'Remove': []},
         )
-        return _parse(reply, lambda fields: int(fields['Revision']))
+        return parse_reply(reply, lambda fields: int(fields['Revision']))
 
     async def grant_lease(self, ttl_seconds: float) -> str:
         """Create a lease and return its identifier."""
         wanted = {'TtlMs': int(ttl_seconds * MS_PER_SECOND)}
         reply = await self.call('POST', '/kv-lease', wanted)
-        return _parse(reply, lambda fields: str(fields['Lease']))
+        return parse_reply(reply, lambda fields: str(fields['Lease']))
 
     async def renew_lease(self, lease: str) -> None:
-        """Extend a lease; raise StoreConflictError if it has ended."""
+        """Extend a lease; raise LeaseEndedError if it has ended."""
         await self.call('POST', f'/kv-keep/{lease}', {})
 
     async def end_lease(self, lease: str) -> None:
@@ -171,13 +151,15 @@
         self, method: str, path: str, fields: Mapping[str, Any] | None = None
     ) -> StoreReply:
         """Return a reply with status 200; raise StoreError for any other."""
-        async with self.lock:
-            reply = await self.exchange(
-                _request(method, path, fields), CALL_TIMEOUT_SECONDS
-            )
-        _check(reply)
+        reply = await self.exchange_alone(_request(method, path, fields))
+        check_status(reply)
         return reply
 
+    async def exchange_alone(self, request: OutgoingRequest) -> StoreReply:
+        """Return the reply to a request that waits for the one before it."""
+        async with self.lock:
+            return await self.exchange(request, CALL_TIMEOUT_SECONDS)
+
     async def exchange(
         self, request: OutgoingRequest, timeout_seconds: float
     ) -> StoreReply:
@@ -257,88 +239,3 @@
         headers = [(b'Content-Type', b'application/json')]
         body = json.dumps(fields).encode()
     return OutgoingRequest(method.encode(), path.encode(), headers, body)
-
-
-def _check(reply: StoreReply) -> None:
-    if reply.status == _OK:
-        return
-    if reply.status in {_NOT_FOUND, _CONDITION_FAILED}:
-        raise StoreConflictError(
-            f'the store answered with status {reply.status}'
-        )
-    if reply.status in _REFUSED_STATUSES:
-        raise StoreUnavailableError(
-            f'the store refused the request with status {reply.status}'
-        )
-    raise StoreError(f'the store answered with status {reply.status}')
-
-
-def _parse(reply: StoreReply, read: Callable[[Mapping[str, Any]], Any]) -> Any:
-    try:
-        return read(reply.fields)
-    except (KeyError, TypeError, ValueError) as error:
-        raise StoreUnavailableError(
-            f'unreadable reply from the store: {error!r}'
-        ) from error
-
-
-def _item(fields: Mapping[str, Any]) -> StoreItem:
-    return StoreItem(
-        str(fields['Key']),
-        b64decode(fields['Value']),
-        int(fields['Revision']),
-    )
-
-
-@define
-class _Pages:
-    items: list[StoreItem] = field(factory=list)
-    # Revision of the first page; changes after it are read by the watch, so a
-    # change between two pages is not missed.
-    revision: int = 0
-    after: str = ''
-    has_more: bool = True
-    held_bytes: int = 0
-
-    def add(self, page: StorePage) -> None:
-        """Add a page.
-
-        Raise StoreUnavailableError above MAX_SNAPSHOT_BYTES, because a faulty
-        store may return pages without end.
-        """
-        self.held_bytes += sum(
-            ITEM_OVERHEAD_BYTES + len(one.value) for one in page.items
-        )
-        if self.held_bytes > MAX_SNAPSHOT_BYTES:
-            raise StoreUnavailableError(
-                'the pages of the store do not end: their values exceed the '
-                'maximum size of a snapshot',
-                remedy='check whether the store returns correct pages',
-            )
-        self.items.extend(page.items)
-        self.revision = self.revision or page.revision
-        self.has_more = page.has_more
-        self.after = page.last_key
-
-
-def _page(after: str, fields: Mapping[str, Any]) -> StorePage:
-    page = StorePage(
-        tuple(map(_item, fields['items'])),
-        int(fields['AsOf']),
-        bool(fields['HasMore']),
-    )
-    if page.has_more and page.last_key <= after:
-        raise ValueError(
-            'HasMore is set, but the page has no key after the previous page'
-        )
-    return page
-
-
-def _changes(fields: Mapping[str, Any]) -> StoreChanges:
-    # A key may be written and removed within one reply: its last event counts.
-    last = {str(event['Key']): event for event in fields['events']}
-    written = [one for one in last.values() if not one.get('Deleted')]
-    removed = [key for key, one in last.items() if one.get('Deleted')]
-    return StoreChanges(
-        tuple(map(_item, written)), tuple(removed), int(fields['AsOf'])
-    )
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -105,11 +105,11 @@
         async with trio.open_nursery() as nursery:
             address = await _serve(nursery, stand_in)
             store = PlatformStore(address, pool)
-            await store.put('b', b'1')
+            await store.put('b', b'1', 0)
             read = await store.snapshot()
             nursery.start_soon(store.changes, read.revision, 5)
             await wait_all_tasks_blocked()
-            await store.put('c', b'1')
+            await store.put('c', b'1', 0)
             while len(pool.idle[address]) < 2:
                 await trio.sleep(0.01)
             nursery.cancel_scope.cancel()
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -11,7 +11,11 @@
     UnknownLease,
 )
 from jasminewheel._internal.store.client import StoredValue, StoreListing
-from jasminewheel.errors import StoreConflictError, StoreUnavailableError
+from jasminewheel.errors import (
+    LeaseEndedError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
 
 
 @define
@@ -47,8 +51,10 @@
         """Return the answer or the conflict, and wake up the watches."""
         try:
             return change()
-        except (RevisionConflict, UnknownLease) as error:
+        except RevisionConflict as error:
             return StoreConflictError(str(error))
+        except UnknownLease as error:
+            return LeaseEndedError(str(error))
         finally:
             self.changed.set()
             self.changed = trio.Event()
@@ -58,10 +64,12 @@
         found = await self.apply(partial(self.state.items.get, key))
         return found and StoredValue(found.key, found.value, found.revision)
 
-    async def put(self, key, value, expected_revision, lease=None):
+    async def put(self, key, value, expected_revision, lease=''):
         """Write by compare-and-swap."""
         return await self.apply(
-            partial(self.state.put, key, value, expected_revision, lease),
+            partial(
+                self.state.put, key, value, expected_revision, lease or None
+            ),
         )
 
     async def delete(self, key, expected_revision):
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -10,6 +10,7 @@
 
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.request_parser import HttpRequest
+from tests.late_calls import LateCalls
 
 HISTORY_EVENTS = 1000
 
@@ -28,6 +29,8 @@
     refuse_with: int = 0
     calls: int = 0
     changed: trio.Event = field(factory=trio.Event)
+    # Loses answers if it is set.
+    late_calls: LateCalls | None = None
 
     def write(self, key: str, stored: bytes, lease: int = 0) -> int:
         """Write a value."""
@@ -74,39 +77,47 @@
         for lease in ended:
             self.end_lease(lease)
 
-    def end_lease(self, lease: int) -> None:
+    def end_lease(self, lease: int | str) -> tuple[int, dict]:
         """End a lease and remove its keys."""
+        lease = int(lease)
         self.leases.pop(lease, None)
         gone = [
             key for key, item in self.items.items() if item['Lease'] == lease
         ]
         for key in gone:
             self.remove(key)
+        return 200, {}
 
     async def handle(self, request: HttpRequest, answer: AnswerWriter) -> None:
         """Answer one call."""
+        target = request.target.decode()
+        status, reply = await self.reply(target, request.body)
+        body = b'' if reply is None else json.dumps(reply).encode()
+        await answer.send_whole(status, [], body)
+
+    async def reply(self, target: str, body: bytes) -> tuple[int, dict | None]:
+        """Return the status and the fields of the answer to one call."""
         self.calls += 1
         self.expire(trio.current_time())
         if self.refuse_with:
-            await answer.send_whole(self.refuse_with, [], b'')
-            return
-        path, _, query = request.target.decode().partition('?')
+            return self.refuse_with, None
+        path, _, query = target.partition('?')
         parameters = dict(parse_qsl(query, keep_blank_values=True))
         name, _, argument = path.removeprefix('/').partition('/')
-        fields = json.loads(request.body) if request.body else {}
+        fields = json.loads(body) if body else {}
+        if name == 'kv-watch':
+            return await self.watch(parameters)
         calls = {
+            'kv-key': partial(_item, self.items, parameters),
             'kv-range': partial(self.range, parameters),
             'kv-txn': partial(self.change, fields),
             'kv-lease': partial(self.grant, fields),
             'kv-keep': partial(self.keep, argument),
-            'kv-lease-end': partial(self.revoke, argument),
+            'kv-lease-end': partial(self.end_lease, argument),
         }
-        if name == 'kv-watch':
-            status, reply = await self.watch(parameters)
-        else:
-            status, reply = calls[name]()
-        body = json.dumps(reply).encode()
-        await answer.send_whole(status, [], body)
+        if self.late_calls:
+            await self.late_calls.hold(name, fields, calls[name])
+        return calls[name]()
 
     def range(self, parameters: dict[str, str]) -> tuple[int, dict]:
         """Answer a page of items; it is short, so that tests get several."""
@@ -132,13 +143,19 @@
 
     def change(self, fields: dict) -> tuple[int, dict]:
         """Apply a transaction if its conditions hold."""
-        for row in fields['IfRevision']:
-            item = self.items.get(row['Key'], {'Revision': 0})
-            if item['Revision'] != row['Revision']:
-                return 412, {'items': []}
+        self.expire(trio.current_time())
+        rows = fields['IfRevision']
+        current = [
+            self.items.get(row['Key'], {'Key': row['Key'], 'Revision': 0})
+            for row in rows
+        ]
+        expected = [row['Revision'] for row in rows]
+        if [one['Revision'] for one in current] != expected:
+            return 412, {'items': current}
+        leases = {put['Lease'] for put in fields['Puts']} - {0}
+        if leases - self.leases.keys():
+            return 404, {}
         for put in fields['Puts']:
-            if put['Lease'] and put['Lease'] not in self.leases:
-                return 404, {}
             self.write(put['Key'], b'', put['Lease'])
             self.items[put['Key']]['Value'] = put['Value']
         return 200, {'Revision': self.revision}
@@ -159,7 +176,9 @@
         self.leases[lease] = trio.current_time() + ttl_seconds
         return 200, {'TtlMs': int(ttl_seconds * 1000)}
 
-    def revoke(self, argument: str) -> tuple[int, dict]:
-        """End a lease."""
-        self.end_lease(int(argument))
-        return 200, {}
+
+def _item(
+    items: dict[str, dict], parameters: dict[str, str]
+) -> tuple[int, dict]:
+    found = items.get(parameters['Key'])
+    return (200, found) if found else (404, {})
--- a/tests/unit/test_disk_registration.py
+++ b/tests/unit/test_disk_registration.py
@@ -22,7 +22,7 @@
 from jasminewheel._internal.store.contact import REREGISTRATION_SECONDS
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.store.port import StoreItem
-from jasminewheel.errors import StoreConflictError, StoreUnavailableError
+from jasminewheel.errors import LeaseEndedError, StoreUnavailableError
 
 REPLICA = Replica('d1', 'vm1', 'h:1', 'z')
 OTHER = Replica('d2', 'vm2', 'h:2', 'z')
@@ -55,7 +55,9 @@
         await trio.sleep(0)
         self.raise_fault('renew')
 
-    async def put(self, key: str, written: bytes, *, lease: str = '') -> int:
+    async def put(
+        self, key: str, value: bytes, expected_revision: int, lease: str = ''
+    ) -> int:
         """Write a key under its lease."""
         await trio.sleep(0)
         self.raise_fault('put')
@@ -84,7 +86,7 @@
 
 def test_disk_is_listed_again_after_its_lease_ended():
     """An expired lease is replaced, and the disk is listed again."""
-    store = _run(5, {'renew': [StoreConflictError('ended')]})
+    store = _run(5, {'renew': [LeaseEndedError('ended')]})
     assert store.keys == {f'{DISK_PREFIX}vm1': '2'}
 
 
--- a/tests/unit/test_leased_key.py
+++ b/tests/unit/test_leased_key.py
@@ -9,7 +9,7 @@
     RENEW_SECONDS,
 )
 from jasminewheel._internal.store.leased_key import LeasedKey
-from jasminewheel.errors import StoreConflictError, StoreUnavailableError
+from jasminewheel.errors import LeaseEndedError, StoreUnavailableError
 
 CALL_SECONDS = 2.0
 
@@ -43,10 +43,12 @@
         """Extend the lease unless it has run out."""
         await self.reach()
         if trio.current_time() > self.ends_at:
-            raise StoreConflictError('the lease has ended')
+            raise LeaseEndedError('the lease has ended')
         self.ends_at = trio.current_time() + LEASE_SECONDS
 
-    async def put(self, key: str, written: bytes, *, lease: str) -> int:
+    async def put(
+        self, key: str, value: bytes, expected_revision: int, lease: str
+    ) -> int:
         """Accept the key."""
         await self.reach()
         return 1
