Write no key of a process without a lease

A disk whose process is gone would stay listed for good, and its place in the replica set would never be given to another disk.

Cause: a disk that has copied for a change writes its key at once. If its lease had just ended, or was not granted yet, the key was written without one, and the process took it for written when it had a lease again. Change: without a lease the key is written right after the grant.

--- a/src/jasminewheel/_internal/store/leased_key.py
+++ b/src/jasminewheel/_internal/store/leased_key.py
@@ -110,13 +110,15 @@
     async def rewrite(self, value: bytes) -> None:
         """Replace the value of the key.
 
-        If that fails, it is repeated until it has succeeded.
+        If that fails, it is repeated until it has succeeded. Without a lease
+        the key would outlast this process, so it is written after the grant.
         """
         self.own.value = value
         self.own.is_written = False
         try:
             async with self.lock:
-                await self.own.write_or_check(self.lease)
+                if self.lease:
+                    await self.own.write_or_check(self.lease)
         except StoreError:
             self.due.set()
             raise
--- a/tests/unit/test_late_writes.py
+++ b/tests/unit/test_late_writes.py
@@ -202,6 +202,25 @@
     _run(scenario)
 
 
+def test_copy_before_the_lease_is_noted_under_a_lease():
+    """A disk that has copied before it has a lease is listed under one.
+
+    A key without a lease lists a disk for good, also after its process ended.
+    """
+
+    async def scenario() -> None:
+        async with late_store() as store, trio.open_nursery() as tasks:
+            registration = _registration(store)
+            await registration.note_copied(7)
+            tasks.start_soon(registration.leased_key.run)
+            await trio.sleep(2)
+            assert _stored(store, DISK_KEY)['copied_revision'] == 7
+            assert store.stand_in.items[DISK_KEY]['Lease']
+            tasks.cancel_scope.cancel()
+
+    _run(scenario)
+
+
 def test_two_processes_of_a_vm_overwrite_each_other_once():
     """The process that registers last keeps the key, until it ends."""
 
