Limit the responses, header fields and body parts of an answer in number

What callers saw: none of ours yet; other operators report a machine that ran out of memory as a runner sent bytes without end, and all calls on it with it. It can happen here.

Change: the parser stops at 16 responses to one request, 128 fields of a head or trailer, and 65536 parts of a body. The error names the limit.

--- a/src/jasminewheel/_internal/web/answer_limits.py
+++ b/src/jasminewheel/_internal/web/answer_limits.py
@@ -7,6 +7,13 @@
 
 # Status line and header fields; usual ones take less than 1 KiB.
 HEAD_BYTES = 65536
+# Header fields of one response; usual ones have some ten.
+HEADER_FIELDS = 128
+# Responses read for one request: its answer, interim responses and responses
+# to other requests.
+RESPONSES = 16
+# Pieces of one body, such as chunks.
+BODY_PARTS = 65536
 # Bytes read before the answer to a request: interim responses and responses
 # to other requests.
 UNMATCHED_BYTES = 1048576
--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -84,6 +84,7 @@
     ) -> HttpResponse:
         """Return the next response that matches the request; skip others."""
         self.received_bytes = 0
+        self.parser.begin_exchange()
         while True:
             while not self.parser.responses:
                 await self._receive(self.limits.unmatched_bytes)
@@ -181,7 +182,7 @@
             await self._receive(max_bytes)
 
     async def _receive(self, max_bytes: int) -> None:
-        if self.parser.head_too_long or self.received_bytes > max_bytes:
+        if self.parser.exceeded or self.received_bytes > max_bytes:
             raise self._too_long(self.received_bytes)
         if self.parser.broken or self.parser.ended:
             raise ConnectionLostError(
@@ -198,8 +199,10 @@
         self.parser.feed(received)
 
     def _too_long(self, received: int) -> AnswerTooLongError:
+        counted = self.parser.exceeded or 'bytes'
         return AnswerTooLongError(
-            f'answer of {self.address} exceeds a limit: {received} bytes so far'
+            f'answer of {self.address} exceeds the limit of {counted}: '
+            f'{received} bytes so far'
         )
 
 
--- a/src/jasminewheel/_internal/web/response_parser.py
+++ b/src/jasminewheel/_internal/web/response_parser.py
@@ -5,7 +5,12 @@
 import httptools
 from attrs import define, field
 
-from jasminewheel._internal.web.answer_limits import HEAD_BYTES
+from jasminewheel._internal.web.answer_limits import (
+    BODY_PARTS,
+    HEAD_BYTES,
+    HEADER_FIELDS,
+    RESPONSES,
+)
 from jasminewheel._internal.web.headers import Headers, field_value
 
 _FIRST_FINAL_STATUS = 200
@@ -20,8 +25,9 @@
     headers: Headers
     parts: deque[bytes] = field(factory=deque)
     complete: bool = False
-    # Bytes of the body received so far, without framing.
+    # Bytes of the body received so far, without framing, and their pieces.
     body_bytes: int = 0
+    part_count: int = 0
 
     def declared_bytes(self) -> int:
         """Return the value of Content-Length, or 0 if there is none."""
@@ -37,16 +43,30 @@
         return not framed and coding is None
 
 
+class _LimitError(Exception):
+    """Stop the parser, which passes it on as an error of its own."""
+
+
 @define(eq=False)
 class ResponseParser:
-    """Collect final responses in order; drop interim ones."""
+    """Collect final responses in order; drop interim ones.
+
+    Each response, header field and piece of a body costs time and memory,
+    however small, so their numbers are limited as well as the bytes.
+    """
 
     responses: deque[HttpResponse] = field(factory=deque)
     max_head_bytes: int = HEAD_BYTES
     # Bytes received since the end of the last head or complete response.
     head_bytes: int = 0
     in_head: bool = True
-    head_too_long: bool = False
+    # The limit that was exceeded; empty if none was.
+    exceeded: str = ''
+    # Responses begun since the last request was sent.
+    response_count: int = 0
+    field_count: int = 0
+    # Responses, header fields and pieces of bodies so far.
+    steps: int = 0
     broken: bool = False
     ended: bool = False
     keep_alive: bool = True
@@ -71,16 +91,32 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.broken = True
         if self.in_head and self.head_bytes > self.max_head_bytes:
-            self.head_too_long = True
+            self.exceeded = 'bytes of a head'
             self.broken = True
 
+    def begin_exchange(self) -> None:
+        """Count the responses from here, as a request was sent."""
+        self.response_count = 0
+
+    def check_count(self, count: int, limit: int, counted: str) -> None:
+        """Stop parsing if a count exceeds its limit."""
+        self.steps += 1
+        if count > limit:
+            self.exceeded = counted
+            raise _LimitError
+
     def on_message_begin(self) -> None:
         """Start a response."""
         self.headers = []
         self.in_response = True
+        self.field_count = 0
+        self.response_count += 1
+        self.check_count(self.response_count, RESPONSES, 'responses')
 
     def on_header(self, name: bytes, found: bytes) -> None:
         """Add a header field; trailer fields are ignored."""
+        self.field_count += 1
+        self.check_count(self.field_count, HEADER_FIELDS, 'header fields')
         if self.in_head:
             self.headers.append((name, found))
 
@@ -98,6 +134,8 @@
         response = self.responses[-1]
         response.parts.append(part)
         response.body_bytes += len(part)
+        response.part_count += 1
+        self.check_count(response.part_count, BODY_PARTS, 'parts of a body')
 
     def on_message_complete(self) -> None:
         """Mark a response as complete."""
