Bound the time and memory that endless answers take from other calls

Beside 300 calls to runners that sent chunks of five bytes without end, turns of others took up to 4.2 s, and 5 of 600 callers of the faulty service had no answer 1 s after their deadline.

Cause: a piece of 64 KiB in small parts keeps the process busy for tens of milliseconds, and each of hundreds of connections got one in each round of the scheduler. What had arrived and was not read yet had no bound of ours, and the memory that large answers share did not depend on that of the process.

Change: connections to runners and to the store read 4 KiB at first and up to 16 KiB later; after a piece of more than 64 parts, fields or responses they wait for a turn and rest three times as long as it took (WorkShare). Their socket buffers are bounded. The large answers of an entry share a sixteenth of Limits.MemoryMb. A role that is started without its settings file names the variable (it said: Is a directory).

Measured: test_endless_load runs a real entry and three processes that send bytes without end in ten ways to twice 300 calls.

--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -1,6 +1,7 @@
 """Send requests over persistent connections, one at a time on each."""
 
 import select
+import socket
 from collections.abc import AsyncIterator, Callable
 
 import trio
@@ -26,9 +27,16 @@
     HttpResponse,
     ResponseParser,
 )
+from jasminewheel._internal.web.work_share import WorkShare
 from jasminewheel.errors import AnswerTooLongError, ConnectionLostError
 
-CHUNK_BYTES = 65536
+# Bytes received at once: first, and after pieces that cost little.
+FIRST_RECEIVE_BYTES = 4096
+MAX_RECEIVE_BYTES = 16384
+# A piece with more responses, header fields and parts of a body is costly.
+CHEAP_STEPS = 64
+# Bytes that wait for this process on one connection, in the kernel.
+SOCKET_BUFFER_BYTES = 65536
 # Idle timeout of a server that does not announce one.
 DEFAULT_IDLE_SECONDS = 4.0
 # Subtracted from the announced timeout: the server may close the connection
@@ -68,6 +76,9 @@
     received_bytes: int = 0
     # Whether an earlier request was answered on this connection.
     reused: bool = False
+    receive_bytes: int = FIRST_RECEIVE_BYTES
+    # Shared by all connections of a pool.
+    share: WorkShare = field(factory=WorkShare)
 
     async def send(self, request: OutgoingRequest) -> None:
         """Send one request; raise ConnectionLostError if sending fails."""
@@ -189,14 +200,25 @@
                 f'incomplete or malformed answer from {self.address}'
             )
         try:
-            received = await self.stream.receive_some(CHUNK_BYTES)
+            received = await self.stream.receive_some(self.receive_bytes)
         except BROKEN_STREAM_ERRORS as error:
             raise ConnectionLostError(
                 f'connection to {self.address} failed while receiving the '
                 f'answer: {error!r}',
             ) from error
         self.received_bytes += len(received)
+        await self._parse(received)
+
+    async def _parse(self, received: bytes) -> None:
+        """Parse a piece; rest after a costly one, receive more after others."""
+        steps = self.parser.steps
+        began_at = trio.current_time()
         self.parser.feed(received)
+        if self.parser.steps - steps > CHEAP_STEPS:
+            self.receive_bytes = FIRST_RECEIVE_BYTES
+            await self.share.rest(trio.current_time() - began_at)
+        elif len(received) == self.receive_bytes:
+            self.receive_bytes = min(MAX_RECEIVE_BYTES, 2 * self.receive_bytes)
 
     def _too_long(self, received: int) -> AnswerTooLongError:
         counted = self.parser.exceeded or 'bytes'
@@ -214,6 +236,7 @@
     Raise ConnectionLostError, marked as not sent, if that fails.
     """
     opened = trio.socket.socket()
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
     try:
         with trio.fail_after(timeout_seconds):
             await opened.connect(split_address(address))
--- a/src/jasminewheel/_internal/web/pool.py
+++ b/src/jasminewheel/_internal/web/pool.py
@@ -4,12 +4,17 @@
 
 from jasminewheel._internal.web.answer_limits import AnswerMemoryPool
 from jasminewheel._internal.web.client import HttpConnection, open_connection
+from jasminewheel._internal.web.work_share import WorkShare
 
 # A request that must not be repeated uses no connection idle for longer, as the
 # server may be about to close it.
 FRESH_SECONDS = 1.5
 
 
+# Large answers share this part of the memory of a process, one sixteenth.
+ANSWERS_MEMORY_PART = 16
+
+
 @define(eq=False)
 class ConnectionPool:
     """Pool idle connections by address, the most recently used last."""
@@ -18,6 +23,7 @@
     opened: int = 0
     # Shared by all answers that are read over the connections.
     memory_pool: AnswerMemoryPool = field(factory=AnswerMemoryPool)
+    share: WorkShare = field(factory=WorkShare)
 
     async def acquire(
         self, address: str, now: float, timeout_seconds: float, *, fresh: bool
@@ -35,7 +41,9 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await open_connection(address, timeout_seconds)
+        connection = await open_connection(address, timeout_seconds)
+        connection.share = self.share
+        return connection
 
     def release(self, connection: HttpConnection) -> None:
         """Return a reusable connection to the pool."""
@@ -52,3 +60,9 @@
             self.idle[address] = usable
             if not usable:
                 self.idle.pop(address)
+
+
+def pool_for_memory(memory_bytes: int) -> ConnectionPool:
+    """Return a pool for a process that may use so much memory."""
+    shared = AnswerMemoryPool(memory_bytes // ANSWERS_MEMORY_PART)
+    return ConnectionPool(memory_pool=shared)
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -14,7 +14,7 @@
 from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.followed_store import FollowedStore
 from jasminewheel._internal.store.mirror import StoreMirror
-from jasminewheel._internal.web.pool import ConnectionPool
+from jasminewheel._internal.web.pool import ConnectionPool, pool_for_memory
 from jasminewheel._internal.web.server import WebServer
 from jasminewheel.platform.entry_peers import EntryPeers
 from jasminewheel.platform.listener import PlatformListener
@@ -30,7 +30,7 @@
     settings: NodeSettings
     pool: PeerPool
     routes: RoutesHolder = field(factory=RoutesHolder)
-    connections: ConnectionPool = field(factory=ConnectionPool)
+    connections: ConnectionPool = field(init=False)
     directory: RunnerDirectory = field(init=False)
     store: PlatformStore = field(init=False)
     followed: FollowedStore = field(init=False)
@@ -38,6 +38,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the clients of the store and of the peers."""
+        self.connections = pool_for_memory(self.settings.memory_bytes)
         contact = StoreContact(self.settings.heartbeat_seconds)
         self.directory = RunnerDirectory(contact=contact)
         self.store = PlatformStore(
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -21,6 +21,9 @@
 FILE_VARIABLE = 'JASMINEWHEEL_NODE_FILE'
 # Must be the port that the deploy file names for each role.
 METRICS_PORT = 9464
+# The smallest VM that the product is meant for.
+DEFAULT_MEMORY_MB = 128
+_MEGABYTE = 1048576
 _ENTRY_ROLE = 'Front'
 _MS_PER_SECOND = 1000
 _HEARTBEAT_MS = HEARTBEAT_SECONDS * _MS_PER_SECOND
@@ -51,6 +54,8 @@
     store_address: str
     # Interval of the runners' heartbeats.
     heartbeat_seconds: float = HEARTBEAT_SECONDS
+    # Memory that the process may use.
+    memory_bytes: int = DEFAULT_MEMORY_MB * _MEGABYTE
 
     @property
     def peer_address(self) -> str:
@@ -106,7 +111,13 @@
 
     Raise SettingsError if the file is missing or wrong.
     """
-    return read_node_settings(Path(os.environ.get(FILE_VARIABLE, '')))
+    path = os.environ.get(FILE_VARIABLE)
+    if not path:
+        raise SettingsError(
+            f'{FILE_VARIABLE} is not set',
+            remedy='set it to the path of the settings file',
+        )
+    return read_node_settings(Path(path))
 
 
 def read_node_settings(path: Path) -> NodeSettings:
@@ -135,6 +146,9 @@
         disks_lost=fields.read('FaultTolerance.Machines', int, default=1),
         store_address=fields.read('Platform.Address', str),
         heartbeat_seconds=fields.read('HeartbeatMs', _seconds, _HEARTBEAT_MS),
+        memory_bytes=fields.read(
+            'Limits.MemoryMb', _megabytes, DEFAULT_MEMORY_MB
+        ),
     )
 
 
@@ -142,5 +156,12 @@
     return float(configured) / _MS_PER_SECOND
 
 
+def _megabytes(configured: Any) -> int:
+    count = int(configured)
+    if count <= 0:
+        raise ValueError(f'{count} is no amount of memory in MB')
+    return count * _MEGABYTE
+
+
 def _first_port(configured: Any) -> int:
     return int(configured[0])
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -1,6 +1,7 @@
 """Simulate a server that sends endless answers."""
 
 import re
+import sys
 
 import trio
 from attrs import define
@@ -80,3 +81,24 @@
         with trio.fail_after(seconds):
             while self.closed < self.opened:
                 await trio.sleep(0.01)
+
+
+def main() -> None:
+    """Serve an endless answer until killed; print the port.
+
+    The arguments are the start and the repeated bytes, in hexadecimal.
+    """
+    start, repeated = map(bytes.fromhex, sys.argv[1:])
+    trio.run(_serve_alone, EndlessServer(start, repeated))
+
+
+async def _serve_alone(server: EndlessServer) -> None:
+    async with trio.open_nursery() as nursery:
+        address = await server.serve(nursery)
+        sys.stdout.write(f'{address}\n')
+        sys.stdout.flush()
+        await trio.sleep_forever()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/functional/test_endless_load.py
@@ -0,0 +1,235 @@
+"""Check an entry process beside many endless answers, from outside.
+
+All runners of one service send bytes without end, to many calls at once. The
+entry stays within the memory of the smallest VM, and the calls of others end
+in time.
+"""
+
+import logging
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import (
+    ExitStack,
+    asynccontextmanager,
+    contextmanager,
+    suppress,
+)
+from pathlib import Path
+from types import MappingProxyType
+
+import pytest
+import trio
+from attrs import define, field
+
+from tests.platform_fleet import PlatformFleet, ask_once, platform_fleet
+from tests.soak.role_process import Node, RoleProcess
+from jasminewheel._internal.web.client import OutgoingRequest
+from jasminewheel.errors import ConnectionLostError
+from tests.processes import STOP_SECONDS
+
+# The smallest VM of the sheets.
+MEMORY_BYTES = 128_000_000
+ENTRY_IP = '127.0.91.1'
+RUNNERS = 3
+CALLS = 300
+DEADLINE_SECONDS = 3.0
+# A caller that is answered no later than this after its deadline.
+SLACK_SECONDS = 1.0
+POLL_SECONDS = 0.01
+OWN = b'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n'
+CHUNKED = b'%bTransfer-Encoding: chunked\r\n\r\n' % OWN
+CHUNK = b'1000\r\n%b\r\n' % (b'a' * 4096)
+REFUSAL = b'HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n'
+WAYS = MappingProxyType(
+    {
+        'field': (b'HTTP/1.1 200 OK\r\nX: ', b'a'),
+        'fields': (b'HTTP/1.1 200 OK\r\n', b'X:y\r\n'),
+        'chunks': (CHUNKED, CHUNK),
+        'chunks of five': (CHUNKED, b'5\r\nabcde\r\n'),
+        'chunks of thirty': (CHUNKED, b'1e\r\n%b\r\n' % (b'a' * 30)),
+        'no length': (b'%b\r\n' % OWN, b'a'),
+        'no http': (b'', b'\x00\xff'),
+        'interim': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        'foreign answers': (
+            b'',
+            b'HTTP/1.1 200 OK\r\nRequest-Id: o\r\nContent-Length: 0\r\n\r\n',
+        ),
+        'refusal': (b'%bTransfer-Encoding: chunked\r\n\r\n' % REFUSAL, CHUNK),
+    }
+)
+
+
+@contextmanager
+def endless_process(start: bytes, repeated: bytes):
+    """Run a server of endless answers as a process; provide its address."""
+    popen = subprocess.Popen(
+        [
+            sys.executable,
+            '-m',
+            'tests.endless_server',
+            start.hex(),
+            repeated.hex(),
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    with popen.stdout:
+        try:
+            yield popen.stdout.readline().strip()
+        finally:
+            popen.kill()
+            popen.wait(STOP_SECONDS)
+
+
+@define(eq=False)
+class Load:
+    """Send calls through one entry process, and measure it."""
+
+    fleet: PlatformFleet
+    entry: RoleProcess
+    sent: int = 0
+    turn_seconds: list[float] = field(factory=list)
+    turn_statuses: list[int] = field(factory=list)
+    statuses: list[int] = field(factory=list)
+    unanswered: int = 0
+    unread_bytes: int = 0
+    peak_bytes: int = 0
+
+    async def ask(self, path: str, **headers: str):
+        """Send one request on a new connection."""
+        self.sent += 1
+        fields = {
+            'Host': 'desk.example',
+            'Request-Id': f'q{self.sent}',
+            'Deadline-Ms': str(int(DEADLINE_SECONDS * 1000)),
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        pairs = [(name.encode(), fields[name].encode()) for name in fields]
+        request = OutgoingRequest(b'POST', path.encode(), pairs, b'x')
+        return await ask_once(self.entry.node.call_address, request)
+
+    async def call(self) -> None:
+        """Call the faulty service."""
+        with trio.move_on_after(DEADLINE_SECONDS + SLACK_SECONDS):
+            answered = await self.ask('/book/a')
+            self.statuses.append(answered.status)
+            return
+        self.unanswered += 1
+
+    async def send_turns(self) -> None:
+        """Send a turn of a program, one after another, until cancelled."""
+        while True:
+            began = trio.current_time()
+            answered = await self.ask(
+                '/turns/a', Program_Id='p', Session_Id='s', Token_Usage='10,8'
+            )
+            self.turn_seconds.append(trio.current_time() - began)
+            self.turn_statuses.append(answered.status)
+            await trio.sleep(POLL_SECONDS)
+
+    async def watch_unread(self, ports: set[int]) -> None:
+        """Track the bytes of runners that the process has not read yet."""
+        while True:
+            self.unread_bytes = max(self.unread_bytes, _unread_bytes(ports))
+            await trio.sleep(5 * POLL_SECONDS)
+
+    async def run(self, ports: set[int]) -> None:
+        """Send the calls beside the turns."""
+        async with trio.open_nursery() as others:
+            others.start_soon(self.send_turns)
+            others.start_soon(self.watch_unread, ports)
+            await trio.sleep(0.3)
+            await self.call_at_once()
+            await self.call_at_once()
+            await trio.sleep(0.3)
+            others.cancel_scope.cancel()
+
+    async def call_at_once(self) -> None:
+        """Send many calls to the faulty service at once."""
+        async with trio.open_nursery() as callers:
+            for _ in range(CALLS):
+                callers.start_soon(self.call)
+
+
+def _unread_bytes(ports: set[int]) -> int:
+    """Return what waits in sockets that are connected to one of the ports."""
+    table = Path('/proc/net/tcp').read_text(encoding='ascii')
+    rows = [line.split() for line in table.splitlines()[1:]]
+    return sum(
+        int(row[4].partition(':')[2], 16)
+        for row in rows
+        if int(row[2].partition(':')[2], 16) in ports
+    )
+
+
+def _peak_bytes(process: RoleProcess) -> int:
+    text = (process.proc_folder / 'status').read_text(encoding='ascii')
+    peak = text.partition('VmHWM:')[2].split()[0]
+    return int(peak) * 1024
+
+
+@asynccontextmanager
+async def running_entry(fleet: PlatformFleet) -> AsyncIterator[RoleProcess]:
+    """Run an entry as a process, once it is ready."""
+    node = Node(
+        'entry-1', ENTRY_IP, 'east-a', fleet.folder, fleet.store_address
+    )
+    process = RoleProcess(node)
+    with closing_process(process):
+        process.start()
+        request = OutgoingRequest(b'GET', b'/ready', [(b'Host', b'h')])
+        status = 0
+        while status != 200:
+            await trio.sleep(POLL_SECONDS)
+            with suppress(ConnectionLostError):
+                status = (await ask_once(node.ready_address, request)).status
+        yield process
+
+
+@contextmanager
+def closing_process(process: RoleProcess):
+    """End a process in any case."""
+    try:
+        yield
+    finally:
+        process.end()
+
+
+async def _play(folder: Path, addresses: list[str]) -> Load:
+    async with platform_fleet(folder) as fleet:
+        fleet.configure()
+        for number, address in enumerate(addresses):
+            fleet.list_runner(f'desk-{number}', 'desk', address)
+        await fleet.add_runner('model-1', 'model')
+        await fleet.start_histories()
+        async with running_entry(fleet) as process:
+            load = Load(fleet, process)
+            await load.run({int(one.split(':')[1]) for one in addresses})
+            load.peak_bytes = _peak_bytes(process)
+            return load
+
+
+@pytest.mark.parametrize(('start', 'repeated'), WAYS.values(), ids=WAYS.keys())
+def test_entry_outlasts_many_endless_answers(tmp_path, start, repeated):
+    """An entry of 128 MB serves others while 300 calls get bytes without end.
+
+    The callers of the faulty service get an answer too.
+    """
+    with ExitStack() as stack:
+        addresses = [
+            stack.enter_context(endless_process(start, repeated))
+            for _ in range(RUNNERS)
+        ]
+        load = trio.run(_play, tmp_path, addresses)
+    logging.info(
+        'peak %d MiB, unread %d MiB, turns of up to %.2f s',
+        load.peak_bytes >> 20,
+        load.unread_bytes >> 20,
+        max(load.turn_seconds),
+    )
+    assert set(load.turn_statuses) == {200}
+    assert max(load.turn_seconds) < DEADLINE_SECONDS
+    assert not load.unanswered
+    assert set(load.statuses) <= {502, 503, 504}
+    assert load.peak_bytes + load.unread_bytes < MEMORY_BYTES
