--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -475,6 +475,7 @@
         assert 'jasminewheel_event_seconds_bucket' in page
         assert 'jasminewheel_store_calls_txn 1.0' in page
         assert 'jasminewheel_store_calls_lease 1.0' in page
+        assert 'jasminewheel_store_calls_key 0.0' in page
 
     run_scenario(scenario)
 
