--- a/tests/functional/test_endless_load.py
+++ b/tests/functional/test_endless_load.py
@@ -17,6 +17,7 @@
     suppress,
 )
 from pathlib import Path
+from random import Random
 from types import MappingProxyType
 
 import pytest
@@ -41,7 +42,6 @@
 
 # The smallest VM of the sheets.
 MEMORY_BYTES = 128_000_000
-ENTRY_IP = '127.0.91.1'
 RUNNERS = 3
 CALLS = 300
 DEADLINE_SECONDS = 3.0
@@ -236,9 +236,10 @@
 @asynccontextmanager
 async def running_entry(fleet: PlatformFleet) -> AsyncIterator[RoleProcess]:
     """Run an entry as a process, once it is ready."""
-    node = Node(
-        'entry-1', ENTRY_IP, 'east-a', fleet.folder, fleet.store_address
-    )
+    # The ports are fixed; a random address lets several tests run at once.
+    low, high = Random().sample(range(1, 255), 2)
+    ip = f'127.{low}.{high}.1'
+    node = Node('entry-1', ip, 'east-a', fleet.folder, fleet.store_address)
     process = RoleProcess(node)
     with closing_process(process):
         process.start()
