Bound what clients may make an entry hold in memory and descriptors

Cause: an entry kept whatever clients sent: header fields and trailers without a bound on their number, bodies each up to the configured limit with no bound on all together, any number of connections. With one real entry, on the former code, twelve clients with endless trailers took over 350 MiB, 60 bodies short of their end 284 MiB and more, 420 silent connections 435 descriptors of 400.

Change: one budget of bytes and connections for all clients of an entry, from MemoryMb and MaxFds. What makes no progress for a second yields, else the newcomer is refused with 503 and Retry-After. Trailers and the framing between pieces of a body are bounded; costly bytes share the time of the process as costly answers do; long bodies are no longer copied behind their heads.

--- a/src/jasminewheel/_internal/web/answer_writer.py
+++ b/src/jasminewheel/_internal/web/answer_writer.py
@@ -7,6 +7,8 @@
 from attrs import define
 
 from jasminewheel._internal.web.headers import Headers, header_block
+from jasminewheel._internal.web.message import send_message
+from jasminewheel.errors import CallError
 
 _REASONS = MappingProxyType(
     {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -15,6 +17,13 @@
 _CLOSE = b'close'
 
 
+def retry_after(error: CallError) -> Headers:
+    """Return the header field that tells when to retry, if it is known."""
+    if not error.retry_after_seconds:
+        return []
+    return [(b'Retry-After', b'%.3f' % error.retry_after_seconds)]
+
+
 @define(eq=False)
 class AnswerWriter:
     """Write whole answers, or answers in parts as chunks.
@@ -36,7 +45,7 @@
         self.started = True
         length = (b'Content-Length', b'%d' % len(body))
         head = self._head(status, [*headers, length])
-        await self.stream.send_all(b'%b%b' % (head, body))
+        await send_message(self.stream, head, body)
         self.finished = True
 
     async def start(self, status: int, headers: Headers) -> None:
--- a/src/jasminewheel/_internal/web/client.py
+++ b/src/jasminewheel/_internal/web/client.py
@@ -23,6 +23,7 @@
     field_text,
     header_block,
 )
+from jasminewheel._internal.web.message import send_message
 from jasminewheel._internal.web.response_parser import (
     HttpResponse,
     ResponseParser,
@@ -53,13 +54,13 @@
     headers: Headers
     body: bytes = b''
 
-    def to_bytes(self) -> bytes:
-        """Return the whole message."""
+    def head(self) -> bytes:
+        """Return the message up to its body."""
         line = b'%b %b HTTP/1.1\r\n' % (self.method, self.target)
         fields = list(self.headers)
         if self.body or self.method not in {b'GET', b'HEAD'}:
             fields.append((b'Content-Length', b'%d' % len(self.body)))
-        return b'%b%b\r\n%b' % (line, header_block(fields), self.body)
+        return b'%b%b\r\n' % (line, header_block(fields))
 
 
 @define(eq=False)
@@ -83,7 +84,7 @@
     async def send(self, request: OutgoingRequest) -> None:
         """Send one request; raise ConnectionLostError if sending fails."""
         try:
-            await self.stream.send_all(request.to_bytes())
+            await send_message(self.stream, request.head(), request.body)
         except BROKEN_STREAM_ERRORS as error:
             raise ConnectionLostError(
                 f'connection to {self.address} failed while sending the '
--- a/src/jasminewheel/_internal/web/request_parser.py
+++ b/src/jasminewheel/_internal/web/request_parser.py
@@ -19,6 +19,9 @@
 
 _HTTP_VERSION = '1.1'
 _FIELD_EXTRA_BYTES = len(b': \r\n')
+# Memory of a header field and of a request beside their bytes.
+FIELD_MEMORY_BYTES = 160
+REQUEST_MEMORY_BYTES = 1024
 
 
 @frozen
@@ -43,6 +46,20 @@
     keep_alive: bool
     arrived_at: float
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory that the request takes."""
+        fields = sum(
+            len(name) + len(found) + FIELD_MEMORY_BYTES
+            for name, found in self.headers
+        )
+        sizes = fields + len(self.target) + len(self.body)
+        return REQUEST_MEMORY_BYTES + sizes
+
+
+class _LimitError(Exception):
+    """Stop the parser, which passes it on as an error of its own."""
+
 
 @define(eq=False)
 class RequestParser:
@@ -57,7 +74,15 @@
     parser: httptools.HttpRequestParser = field(init=False)
     target: bytes = b''
     headers: Headers = field(factory=list)
+    # Bytes received since the last piece of a body: of a head, or of chunk
+    # sizes and trailers.
     head_bytes: int = 0
+    # Size of the target and header fields of a head, or of its trailers.
+    field_bytes: int = 0
+    # Memory of the header fields that are kept.
+    field_memory_bytes: int = 0
+    # Header fields and pieces of bodies so far.
+    steps: int = 0
     body: bytearray = field(factory=bytearray)
     now: float = 0
 
@@ -70,20 +95,26 @@
         self.now = now
         if self.started_at is None:
             self.started_at = now
-        if self.in_head:
-            self.head_bytes += len(received)
+        self.head_bytes += len(received)
         try:
             self.parser.feed_data(received)
         except httptools.HttpParserUpgrade:
             self.fail(MalformedRequestError('upgrades are not offered'))
         except httptools.HttpParserError as error:
             self.fail(MalformedRequestError(f'malformed request: {error}'))
-        if self.in_head and self.head_bytes > self.limits.header_bytes:
-            self.fail(HeadersTooLargeError('the header fields are too large'))
+        if self.head_bytes > self.limits.header_bytes:
+            self.fail(_too_large())
 
     def fail(self, fault: RequestError) -> None:
-        """Record the fault, unless there already is one."""
+        """Record the fault, unless there already is one; drop the request."""
         self.fault = self.fault or fault
+        self.headers = []
+        self.field_memory_bytes = 0
+        self.body = bytearray()
+
+    def unfinished_bytes(self) -> int:
+        """Return the memory that the request being received takes."""
+        return self.field_memory_bytes + self.head_bytes + len(self.body)
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -91,22 +122,36 @@
         self.in_head = True
         self.target = b''
         self.headers = []
+        self.field_bytes = 0
+        self.field_memory_bytes = 0
         self.body = bytearray()
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the target."""
         self.target += part
+        self.count_field_bytes(len(part))
 
     def on_header(self, name: bytes, found: bytes) -> None:
-        """Add a header field."""
-        self.headers.append((name, found))
+        """Add a header field; trailer fields are only counted."""
+        self.steps += 1
+        size = len(name) + len(found)
+        self.count_field_bytes(size + _FIELD_EXTRA_BYTES)
+        if self.in_head and not self.fault:
+            self.field_memory_bytes += size + FIELD_MEMORY_BYTES
+            self.headers.append((name, found))
+
+    def count_field_bytes(self, count: int) -> None:
+        """Count bytes of a head or its trailers; stop if they are too many."""
+        self.field_bytes += count
+        if self.field_bytes > self.limits.header_bytes:
+            self.fail(_too_large())
+            raise _LimitError
 
     def on_headers_complete(self) -> None:
         """Check the head against the limits and the supported protocol."""
         self.in_head = False
         self.head_bytes = 0
-        if self._size() > self.limits.header_bytes:
-            self.fail(HeadersTooLargeError('the header fields are too large'))
+        self.field_bytes = 0
         if self.parser.get_http_version() != _HTTP_VERSION:
             self.fail(MalformedRequestError('only HTTP/1.1 is supported'))
         if len(field_values(self.headers, b'host')) != 1:
@@ -122,6 +167,8 @@
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, unless the request has a fault."""
+        self.steps += 1
+        self.head_bytes = 0
         if self.fault:
             return
         self.body += part
@@ -131,6 +178,7 @@
     def on_message_complete(self) -> None:
         """Add a complete request, unless it has a fault."""
         self.in_head = True
+        self.head_bytes = 0
         self.started_at = None
         self.wants_continue = False
         if self.fault:
@@ -146,10 +194,8 @@
             ),
         )
         self.body = bytearray()
+        self.field_memory_bytes = 0
 
-    def _size(self) -> int:
-        fields = sum(
-            len(name) + len(found) + _FIELD_EXTRA_BYTES
-            for name, found in self.headers
-        )
-        return fields + len(self.target)
+
+def _too_large() -> HeadersTooLargeError:
+    return HeadersTooLargeError('the header fields are too large')
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -119,6 +119,13 @@
     status = 431
 
 
+class ClientMemoryError(RequestError):
+    """Refuse a request as the memory for requests of clients is used up."""
+
+    code = 'client-memory'
+    status = 503
+
+
 class BudgetError(CallError):
     """Refuse a call that the caller's budget cannot cover."""
 
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -12,6 +12,7 @@
 from jasminewheel._internal.store.known_items import KnownItemsFetcher
 from jasminewheel._internal.web.early_sockets import EarlySockets
 from jasminewheel._internal.web.server import WebServer
+from jasminewheel.platform.entry_gateway import build_gateway
 from jasminewheel.platform.entry_parts import EntryParts
 from jasminewheel.platform.ingress import Ingress
 from jasminewheel.platform.metrics import log_request_fault, start_metrics
@@ -46,8 +47,10 @@
     """Serve clients until stop is set, then drain the open calls."""
     parts = EntryParts(settings, pool)
     async with trio.open_nursery() as nursery:
-        ingress = Ingress(parts.gateway(nursery))
-        web = WebServer(ingress.handle, log_request_fault)
+        ingress = Ingress(build_gateway(parts, nursery))
+        web = WebServer(
+            ingress.handle, log_request_fault, memory=parts.client_memory
+        )
         starter = ListenerStarter(settings, nursery, early)
         replicas = await parts.peers.start(nursery)
         start_store_tasks(nursery, parts, web)
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -3,22 +3,17 @@
 import trio
 from attrs import define, field
 
-from jasminewheel._internal.conversation.client import ConversationClient
-from jasminewheel._internal.gateway.attempts import RetryingSender
-from jasminewheel._internal.gateway.choice import RunnerChoice
-from jasminewheel._internal.gateway.gateway import Gateway, RoutesHolder
-from jasminewheel._internal.gateway.plain_flow import PlainFlow
+from jasminewheel._internal.gateway.gateway import RoutesHolder
 from jasminewheel._internal.gateway.runners import RunnerDirectory
-from jasminewheel._internal.gateway.turn_flow import TurnFlow
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.followed_store import FollowedStore
 from jasminewheel._internal.store.mirror import StoreMirror
+from jasminewheel._internal.web.client_memory import ClientMemory, memory_for
 from jasminewheel._internal.web.pool import ConnectionPool, pool_for_memory
 from jasminewheel._internal.web.server import WebServer
 from jasminewheel.platform.entry_peers import EntryPeers
 from jasminewheel.platform.listener import PlatformListener
-from jasminewheel.platform.runner_protocol import PlatformRunners
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
 
@@ -31,6 +26,7 @@
     pool: PeerPool
     routes: RoutesHolder = field(factory=RoutesHolder)
     connections: ConnectionPool = field(init=False)
+    client_memory: ClientMemory = field(init=False)
     directory: RunnerDirectory = field(init=False)
     store: PlatformStore = field(init=False)
     followed: FollowedStore = field(init=False)
@@ -39,6 +35,9 @@
     def __attrs_post_init__(self) -> None:
         """Create the clients of the store and of the peers."""
         self.connections = pool_for_memory(self.settings.memory_bytes)
+        self.client_memory = memory_for(
+            self.settings.memory_bytes, self.settings.max_descriptors
+        )
         contact = StoreContact(self.settings.heartbeat_seconds)
         self.directory = RunnerDirectory(contact=contact)
         self.store = PlatformStore(
@@ -47,23 +46,6 @@
         self.peers = EntryPeers(self.settings, self.pool, self.store)
         self.followed = self.peers.followed_store(contact)
 
-    def gateway(self, nursery: trio.Nursery) -> Gateway:
-        """Return the gateway that answers calls."""
-        sender = RetryingSender(
-            RunnerChoice(
-                self.directory,
-                self.peers.distance,
-                limits=self.peers.limits(),
-            ),
-            PlatformRunners(self.connections),
-        )
-        conversations = ConversationClient(self.peers.quorum, nursery)
-        return Gateway(
-            self.routes,
-            PlainFlow(sender),
-            TurnFlow(sender, conversations),
-        )
-
     def mirror(self, web: WebServer) -> StoreMirror:
         """Return the task that mirrors the store's keys."""
         listener = PlatformListener(self.routes, self.directory, web)
@@ -92,4 +74,5 @@
             'store_read_seconds_ago': self.directory.contact.read_age(now),
             'calls_at_runners': sum(view.load.own_running for view in views),
             'connections_opened': self.connections.opened,
+            **self.client_memory.gauges(),
         }
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -8,7 +8,10 @@
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.call import Call, TurnRequest
 from jasminewheel._internal.gateway.gateway import Gateway, RoutedCall
-from jasminewheel._internal.web.answer_writer import AnswerWriter
+from jasminewheel._internal.web.answer_writer import (
+    AnswerWriter,
+    retry_after,
+)
 from jasminewheel._internal.web.headers import (
     Headers,
     end_to_end,
@@ -108,9 +111,8 @@
     headers: Headers = [
         (b'Content-Type', b'text/plain'),
         (b'Request-Id', field_text(request.headers, _CALL_ID).encode()),
+        *retry_after(error),
     ]
-    if error.retry_after_seconds:
-        headers.append((b'Retry-After', b'%.3f' % error.retry_after_seconds))
     await answer.send_whole(error.status, headers, error.message.encode())
 
 
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -23,6 +23,8 @@
 METRICS_PORT = 9464
 # The smallest VM that the product is meant for.
 DEFAULT_MEMORY_MB = 128
+# The usual soft limit of a process.
+DEFAULT_DESCRIPTORS = 1024
 _MEGABYTE = 1048576
 _ENTRY_ROLE = 'Front'
 _MS_PER_SECOND = 1000
@@ -56,6 +58,8 @@
     heartbeat_seconds: float = HEARTBEAT_SECONDS
     # Memory that the process may use.
     memory_bytes: int = DEFAULT_MEMORY_MB * _MEGABYTE
+    # Descriptors that the process may have open.
+    max_descriptors: int = DEFAULT_DESCRIPTORS
 
     @property
     def peer_address(self) -> str:
@@ -149,6 +153,9 @@
         memory_bytes=fields.read(
             'Limits.MemoryMb', _megabytes, DEFAULT_MEMORY_MB
         ),
+        max_descriptors=fields.read(
+            'Limits.MaxFds', _positive, DEFAULT_DESCRIPTORS
+        ),
     )
 
 
@@ -163,5 +170,12 @@
     return count * _MEGABYTE
 
 
+def _positive(configured: Any) -> int:
+    count = int(configured)
+    if count <= 0:
+        raise ValueError(f'{count} is not positive')
+    return count
+
+
 def _first_port(configured: Any) -> int:
     return int(configured[0])
--- a/tests/functional/test_endless_load.py
+++ b/tests/functional/test_endless_load.py
@@ -8,16 +8,8 @@
 import logging
 import subprocess
 import sys
-from collections.abc import AsyncIterator
-from contextlib import (
-    ExitStack,
-    asynccontextmanager,
-    closing,
-    contextmanager,
-    suppress,
-)
+from contextlib import ExitStack, closing, contextmanager
 from pathlib import Path
-from random import Random
 from types import MappingProxyType
 
 import pytest
@@ -32,12 +24,12 @@
     ask_once,
     platform_fleet,
 )
-from tests.soak.role_process import Node, RoleProcess
+from tests.entry_process import peak_bytes, running_entry
+from tests.soak.role_process import RoleProcess
 from jasminewheel._internal.web.client import (
     OutgoingRequest,
     open_connection,
 )
-from jasminewheel.errors import ConnectionLostError
 from tests.processes import STOP_SECONDS
 
 # The smallest VM of the sheets.
@@ -227,40 +219,6 @@
     )
 
 
-def _peak_bytes(process: RoleProcess) -> int:
-    text = (process.proc_folder / 'status').read_text(encoding='ascii')
-    peak = text.partition('VmHWM:')[2].split()[0]
-    return int(peak) * 1024
-
-
-@asynccontextmanager
-async def running_entry(fleet: PlatformFleet) -> AsyncIterator[RoleProcess]:
-    """Run an entry as a process, once it is ready."""
-    # The ports are fixed; a random address lets several tests run at once.
-    low, high = Random().sample(range(1, 255), 2)
-    ip = f'127.{low}.{high}.1'
-    node = Node('entry-1', ip, 'east-a', fleet.folder, fleet.store_address)
-    process = RoleProcess(node)
-    with closing_process(process):
-        process.start()
-        request = OutgoingRequest(b'GET', b'/ready', [(b'Host', b'h')])
-        status = 0
-        while status != 200:
-            await trio.sleep(POLL_SECONDS)
-            with suppress(ConnectionLostError):
-                status = (await ask_once(node.ready_address, request)).status
-        yield process
-
-
-@contextmanager
-def closing_process(process: RoleProcess):
-    """End a process in any case."""
-    try:
-        yield
-    finally:
-        process.end()
-
-
 async def _play(folder: Path, fault: Fault, addresses: list[str]) -> Load:
     async with platform_fleet(folder) as fleet:
         fleet.configure(routes={**ROUTES, 'feed': FEED})
@@ -271,7 +229,7 @@
         async with running_entry(fleet) as process:
             load = Load(fleet, process, fault)
             await load.run({int(one.split(':')[1]) for one in addresses})
-            load.peak_bytes = _peak_bytes(process)
+            load.peak_bytes = peak_bytes(process)
             return load
 
 
--- a/tests/soak/role_process.py
+++ b/tests/soak/role_process.py
@@ -39,6 +39,8 @@
 Machines = 1
 [Bounds]
 GraceS = {grace}
+[Limits]
+{limits}
 [Platform]
 Address = "{store}"
 """
@@ -54,6 +56,8 @@
     folder: Path
     store: str = ''
     seeds: tuple[str, ...] = ()
+    # Lines of the settings' section on limits.
+    limits: str = ''
 
     @property
     def role(self) -> str:
@@ -86,6 +90,7 @@
             folder=self.folder / self.name,
             listen=listen,
             grace=GRACE_SECONDS,
+            limits=self.limits,
             store=self.store,
         )
 
