Admit calls by the keys of organisations, and hold these to their rates

Change: the configuration's organisations, keys and rates are decoded; a call is refused with 401 for an unknown key, and with 503 while the entry cannot prove that it knew the newest configuration within the bound on withdrawn keys. The proof counts from when the store was asked, over every hop, on the clock that counts suspended time. Rates are granted by the members of the replica set, each from a fixed share of every rate, so that no disagreement between processes exceeds a rate. Turns and token budgets belong to their organisation.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -12,6 +12,7 @@
   7: i64 tokens,               // handed to the caller
   8: double retention_seconds,
   9: list<string> ancestors,   // kept as long as this turn
+  10: string organisation,     // that may go on from it; empty: any
 }
 
 // What one turn may take, or has taken, of its program's budget.
@@ -122,6 +123,22 @@
   7: bool confirms,            // settled also for who missed the store before
   8: bool silent,              // without `reads`: since when is not known
   9: double age_seconds,       // since the store last answered who tells this
+  10: double proof_age_seconds, // since this was certainly the newest
+}
+
+// Asked of a replica by an entry that is to pass on calls of an organisation
+// whose rate is limited.
+struct AskCalls {
+  1: string organisation,
+  2: i64 wanted,
+  3: i64 returned,             // granted before here, and given back
+}
+
+struct CallGrant {
+  1: i64 granted,
+  2: double valid_seconds,     // counted from when the asker asked
+  3: double retry_after_seconds, // when more may be granted
+  4: bool current,             // false: who tells this may know an old limit
 }
 
 // Asked of another entry by one that does not reach a replica itself.
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -16,6 +16,7 @@
 )
 from jasminewheel._internal.gateway.routes import CallKind, Route
 from jasminewheel._internal.gateway.runners import RunnerView
+from jasminewheel._internal.organisations.organisation import Organisation
 from jasminewheel._internal.scheduling.breaker import (
     DEFAULT_LIMITS,
     BreakerLimits,
@@ -53,6 +54,7 @@
     target: str
     deadline_at: float
     runner: str = ''
+    organisation: Organisation | None = None
     status: int = 0
     # Attempts after which the call may have run.
     attempts: int = 0
@@ -70,6 +72,25 @@
         """Return whether the call may run more than once."""
         return self.route.kind is CallKind.safe
 
+    @property
+    def priority(self) -> int:
+        """Return the rank of the call; lower is more urgent."""
+        if self.organisation and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
+    @property
+    def organisation_name(self) -> str:
+        """Return the name of the organisation; empty if there is none."""
+        return self.organisation.name if self.organisation else ''
+
+    @property
+    def budget_id(self) -> str:
+        """Return the name under which the program's tokens are counted."""
+        program_id = self.call.turn.program_id
+        name = self.organisation_name
+        return f'{name}/{program_id}' if name else program_id
+
     def can_attempt(self) -> bool:
         """Return whether the call may be sent to another runner."""
         if self.refusals > MAX_REFUSALS:
@@ -173,7 +194,8 @@
             seconds_left=record.deadline_at - trio.current_time(),
             repeatable=record.repeatable,
             observer=tracked,
-            priority=record.route.priority,
+            priority=record.priority,
+            organisation=record.organisation_name,
         )
 
 
--- a/src/jasminewheel/_internal/gateway/call.py
+++ b/src/jasminewheel/_internal/gateway/call.py
@@ -32,3 +32,5 @@
     arrived_at: float
     deadline_at: float
     turn: TurnRequest = field(factory=TurnRequest)
+    # Names the organisation; goes no further than this entry.
+    key: str = field(default='', repr=False)
--- a/src/jasminewheel/_internal/gateway/gateway.py
+++ b/src/jasminewheel/_internal/gateway/gateway.py
@@ -20,6 +20,16 @@
     TargetProfile,
 )
 from jasminewheel._internal.gateway.turn_flow import TurnFlow
+from jasminewheel._internal.organisations.gate import (
+    OrganisationGate,
+    open_gate,
+)
+from jasminewheel._internal.organisations.organisation import Organisation
+from jasminewheel._internal.organisations.rates import (
+    CallRates,
+    UnlimitedRates,
+)
+from jasminewheel._internal.store.proof import boot_seconds
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel.errors import (
     CallError,
@@ -66,6 +76,8 @@
     call: Call
     route: Route
     table: RoutingTable
+    # Whose call it is, if callers need keys.
+    organisation: Organisation | None = None
 
     @property
     def deadline_at(self) -> float:
@@ -81,6 +93,8 @@
     routes: RoutesHolder
     plain: PlainFlow
     turns: TurnFlow
+    gate: OrganisationGate = field(factory=open_gate)
+    rates: CallRates = field(factory=UnlimitedRates)
     # Scopes of the calls in progress.
     open_calls: set[trio.CancelScope] = field(factory=set)
 
@@ -93,9 +107,13 @@
             scope.cancel()
 
     def route(self, call: Call) -> RoutedCall:
-        """Return the call with its route; raise CallError if there is none."""
+        """Return the call with its route; raise CallError if refused."""
         table = self.routes.current
-        return RoutedCall(call, self.route_of(call, table), table)
+        route = self.route_of(call, table)
+        organisation = self.gate.identify(
+            table, route, call.key, boot_seconds()
+        )
+        return RoutedCall(call, route, table, organisation)
 
     async def serve(self, routed: RoutedCall, answer: AnswerWriter) -> None:
         """Answer one call; raise CallError if it is refused or fails."""
@@ -106,6 +124,7 @@
             route,
             route.target_for(share / _HASH_RANGE),
             routed.deadline_at,
+            organisation=routed.organisation,
         )
         try:
             await self.serve_until_deadline(record, answer, table)
@@ -155,6 +174,8 @@
         self, record: CallRecord, answer: AnswerWriter, table: RoutingTable
     ) -> None:
         """Answer by the flow for the route's kind of call."""
+        if record.organisation and record.organisation.rate:
+            await self.rates.take(record.organisation)
         if record.route.kind is CallKind.streaming:
             target = table.targets.get(
                 record.target, TargetProfile(record.target)
@@ -188,6 +209,12 @@
         )
 
 
+def _organisation_field(record: CallRecord) -> dict[str, object]:
+    if record.organisation is None:
+        return {}
+    return {'organisation': record.organisation.name}
+
+
 def ended_error(record: CallRecord, now: float) -> Exception:
     """Return the error of a call that was ended before its answer."""
     overdue = now >= record.deadline_at
@@ -208,6 +235,7 @@
         'status': record.status,
         'attempts': record.attempts,
         'program': record.call.turn.program_id,
+        **_organisation_field(record),
         'seconds': round(now - record.call.arrived_at, 4),
         'left': round(record.deadline_at - now, 4),
         **record.log_fields,
--- a/src/jasminewheel/_internal/gateway/ports.py
+++ b/src/jasminewheel/_internal/gateway/ports.py
@@ -39,6 +39,8 @@
     observer: SendObserver
     # Lower is more urgent; if None, the runner decides.
     priority: int | None = None
+    # The name of the organisation that calls; empty without keys.
+    organisation: str = ''
 
 
 class RunnerAnswer(Protocol):
--- a/src/jasminewheel/_internal/gateway/routes.py
+++ b/src/jasminewheel/_internal/gateway/routes.py
@@ -5,6 +5,7 @@
 
 from attrs import field, frozen
 
+from jasminewheel._internal.organisations.organisation import Organisation
 from jasminewheel._internal.web.request_parser import RequestLimits
 
 
@@ -43,6 +44,8 @@
     retention_seconds: float = 0
     # Within which a call should be answered; zero if the operators name none.
     latency_seconds: float = 0
+    # Whether callers need no key.
+    public: bool = False
 
     def target_for(self, point: float) -> str:
         """Return the target whose share covers a point from 0 to 1."""
@@ -71,6 +74,9 @@
     routes: tuple[Route, ...]
     targets: Mapping[str, TargetProfile]
     limits: RequestLimits
+    organisations: Mapping[str, Organisation] = field(factory=dict)
+    # The organisation of each key; empty if callers need none.
+    keys: Mapping[str, Organisation] = field(factory=dict)
     by_host: Mapping[str, list[Route]] = field(init=False)
 
     def match(self, host: str, path: str) -> Route | None:
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -24,7 +24,11 @@
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel._internal.web.headers import end_to_end
 from jasminewheel._internal.wire.gen.conversation.ttypes import TurnRecord
-from jasminewheel.errors import ConnectionLostError, UnavailableError
+from jasminewheel.errors import (
+    ConnectionLostError,
+    NotFoundError,
+    UnavailableError,
+)
 
 _OK = 200
 # Pause before the disks are asked again to store a turn.
@@ -76,6 +80,7 @@
         turn = self.record.call.turn
         if self.record.route.retains_history and turn.previous_id:
             self.chain = await self.conversations.chain(turn.previous_id)
+            check_owner(self.chain[-1], self.record.organisation_name)
         if turn.budget_tokens is not None and turn.program_id:
             await self.reserve(turn.budget_tokens)
         return self
@@ -91,7 +96,7 @@
         turn = self.record.call.turn
         reservation = Reservation(
             self.record.call.call_id,
-            turn.program_id,
+            self.record.budget_id,
             turn.max_output_tokens,
             self.record.route.retention_seconds,
         )
@@ -237,6 +242,7 @@
             tokens=self.progress.tokens,
             retention_seconds=self.record.route.retention_seconds,
             ancestors=[turn.turn_id for turn in self.chain],
+            organisation=self.record.organisation_name or None,
         )
 
 
@@ -261,6 +267,12 @@
             await open_turn.finish()
 
 
+def check_owner(turn: TurnRecord, organisation: str) -> None:
+    """Raise NotFoundError if a turn belongs to another organisation."""
+    if turn.organisation and turn.organisation != organisation:
+        raise NotFoundError(f'there is no turn {turn.turn_id}')
+
+
 def full_prompt(chain: list[TurnRecord], added: bytes) -> bytes:
     """Return the prompts and outputs of the chain, then the added prompt."""
     pieces: list[bytes] = []
--- /dev/null
+++ b/src/jasminewheel/_internal/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Tell organisations apart by their keys, and hold them to their rates."""
--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -2,7 +2,9 @@
 
 import math
 
-from attrs import define
+from attrs import define, field
+
+from jasminewheel._internal.store.proof import ContentsProof
 
 # After an outage of the store, processes whose keys expired write them again
 # within this time; a key that is missing later was removed.
@@ -38,6 +40,7 @@
     settled_at: float = -math.inf
     # When this process first read the store itself.
     first_read_at: float = math.inf
+    proof: ContentsProof = field(factory=ContentsProof)
 
     def record_read(
         self, revision: int, now: float, *, age_seconds: float = 0
--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -97,7 +97,11 @@
                 found = await self.try_reader(waiting.pop(0), 0, 0)
         if found is None:
             return await self.store.snapshot()
-        return StoreSnapshot(found.written, found.revision)
+        return StoreSnapshot(
+            found.written,
+            found.revision,
+            proof_age_seconds=found.proof_age_seconds,
+        )
 
     async def changes(
         self, after_revision: int, wait_seconds: float
@@ -273,6 +277,12 @@
         settled=_settled(reply, missed_store=missed_store),
         watchers=0,
         age_seconds=reply.age_seconds or 0,
+        # An older build does not tell.
+        proof_age_seconds=(
+            math.inf
+            if reply.proof_age_seconds is None
+            else reply.proof_age_seconds
+        ),
     )
 
 
--- a/src/jasminewheel/_internal/store/mirror.py
+++ b/src/jasminewheel/_internal/store/mirror.py
@@ -16,6 +16,7 @@
     StoreHistoryLostError,
     StoreItem,
 )
+from jasminewheel._internal.store.proof import boot_seconds
 from jasminewheel.errors import StoreError
 
 # Pause after a change, so that changes in quick succession cost one call.
@@ -111,10 +112,12 @@
         if self.revision:
             await self.watch_once()
             return
+        asked_at = boot_seconds()
         snapshot = await self.store.snapshot()
         self.record_read(snapshot.revision)
         if snapshot.revision >= self.revision:
             self.apply_snapshot(snapshot.items, snapshot.revision)
+            self.contact.proof.record(asked_at, snapshot.proof_age_seconds)
         self.loaded.set()
 
     async def watch_once(self) -> None:
@@ -126,6 +129,7 @@
         wait_seconds = (
             WATCH_SECONDS if self.is_readable else UNAVAILABLE_WATCH_SECONDS
         )
+        asked_at = boot_seconds()
         changes = await self.store.changes(self.revision, wait_seconds)
         self.record_read(changes.revision, changes.age_seconds)
         self.loaded.set()
@@ -133,6 +137,7 @@
             return
         self.record_settled(changes)
         self.apply_changes(changes)
+        self.contact.proof.record(asked_at, changes.proof_age_seconds)
         if changes.written or changes.removed:
             await trio.sleep(pause_seconds(changes, self.items))
 
--- a/src/jasminewheel/_internal/store/port.py
+++ b/src/jasminewheel/_internal/store/port.py
@@ -42,6 +42,8 @@
 
     items: tuple[StoreItem, ...]
     revision: int
+    # How long before the question these were certainly the newest.
+    proof_age_seconds: float = 0
 
 
 @frozen
@@ -61,6 +63,8 @@
     watchers: int | None = None
     # How long ago the store answered the process that read these.
     age_seconds: float = 0
+    # How long before the question these were certainly the newest.
+    proof_age_seconds: float = 0
 
 
 class ReadableStore(Protocol):
--- a/src/jasminewheel/_internal/store/reader_service.py
+++ b/src/jasminewheel/_internal/store/reader_service.py
@@ -5,6 +5,7 @@
 
 from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.store.change_log import ChangeLog
+from jasminewheel._internal.store.proof import boot_seconds
 from jasminewheel._internal.store.wire_items import items_to_wire
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 
@@ -71,4 +72,5 @@
             complete=changes.complete,
             confirms=mirror.contact.can_confirm_settled(now),
             age_seconds=mirror.contact.read_age(now),
+            proof_age_seconds=mirror.contact.proof.age(boot_seconds()),
         )
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -28,6 +28,7 @@
      - tokens
      - retention_seconds
      - ancestors
+     - organisation
 
     """
 
@@ -41,10 +42,11 @@
         'tokens',
         'retention_seconds',
         'ancestors',
+        'organisation',
     )
 
 
-    def __init__(self, turn_id=None, previous_id=None, program_id=None, prompt=None, output=None, runner=None, tokens=None, retention_seconds=None, ancestors=None,):
+    def __init__(self, turn_id=None, previous_id=None, program_id=None, prompt=None, output=None, runner=None, tokens=None, retention_seconds=None, ancestors=None, organisation=None,):
         self.turn_id = turn_id
         self.previous_id = previous_id
         self.program_id = program_id
@@ -54,6 +56,7 @@
         self.tokens = tokens
         self.retention_seconds = retention_seconds
         self.ancestors = ancestors
+        self.organisation = organisation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -114,6 +117,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -163,6 +171,10 @@
                 oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 10)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1674,6 +1686,7 @@
      - confirms
      - silent
      - age_seconds
+     - proof_age_seconds
 
     """
 
@@ -1687,10 +1700,11 @@
         'confirms',
         'silent',
         'age_seconds',
+        'proof_age_seconds',
     )
 
 
-    def __init__(self, written=None, removed=None, revision=None, settled=None, reads=None, complete=None, confirms=None, silent=None, age_seconds=None,):
+    def __init__(self, written=None, removed=None, revision=None, settled=None, reads=None, complete=None, confirms=None, silent=None, age_seconds=None, proof_age_seconds=None,):
         self.written = written
         self.removed = removed
         self.revision = revision
@@ -1700,6 +1714,7 @@
         self.confirms = confirms
         self.silent = silent
         self.age_seconds = age_seconds
+        self.proof_age_seconds = proof_age_seconds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1766,6 +1781,11 @@
                     self.age_seconds = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.proof_age_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1818,6 +1838,206 @@
             oprot.writeFieldBegin('age_seconds', TType.DOUBLE, 9)
             oprot.writeDouble(self.age_seconds)
             oprot.writeFieldEnd()
+        if self.proof_age_seconds is not None:
+            oprot.writeFieldBegin('proof_age_seconds', TType.DOUBLE, 10)
+            oprot.writeDouble(self.proof_age_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AskCalls(object):
+    """
+    Attributes:
+     - organisation
+     - wanted
+     - returned
+
+    """
+
+    __slots__ = (
+        'organisation',
+        'wanted',
+        'returned',
+    )
+
+
+    def __init__(self, organisation=None, wanted=None, returned=None,):
+        self.organisation = organisation
+        self.wanted = wanted
+        self.returned = returned
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.wanted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.returned = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskCalls')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I64, 2)
+            oprot.writeI64(self.wanted)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I64, 3)
+            oprot.writeI64(self.returned)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CallGrant(object):
+    """
+    Attributes:
+     - granted
+     - valid_seconds
+     - retry_after_seconds
+     - current
+
+    """
+
+    __slots__ = (
+        'granted',
+        'valid_seconds',
+        'retry_after_seconds',
+        'current',
+    )
+
+
+    def __init__(self, granted=None, valid_seconds=None, retry_after_seconds=None, current=None,):
+        self.granted = granted
+        self.valid_seconds = valid_seconds
+        self.retry_after_seconds = retry_after_seconds
+        self.current = current
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.granted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.valid_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.retry_after_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.current = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CallGrant')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.I64, 1)
+            oprot.writeI64(self.granted)
+            oprot.writeFieldEnd()
+        if self.valid_seconds is not None:
+            oprot.writeFieldBegin('valid_seconds', TType.DOUBLE, 2)
+            oprot.writeDouble(self.valid_seconds)
+            oprot.writeFieldEnd()
+        if self.retry_after_seconds is not None:
+            oprot.writeFieldBegin('retry_after_seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.retry_after_seconds)
+            oprot.writeFieldEnd()
+        if self.current is not None:
+            oprot.writeFieldBegin('current', TType.BOOL, 4)
+            oprot.writeBool(self.current)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2025,6 +2245,7 @@
     (7, TType.I64, 'tokens', None, None, ),  # 7
     (8, TType.DOUBLE, 'retention_seconds', None, None, ),  # 8
     (9, TType.LIST, 'ancestors', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.STRING, 'organisation', 'UTF8', None, ),  # 10
 )
 all_structs.append(TokenReservation)
 TokenReservation.thrift_spec = (
@@ -2145,6 +2366,22 @@
     (7, TType.BOOL, 'confirms', None, None, ),  # 7
     (8, TType.BOOL, 'silent', None, None, ),  # 8
     (9, TType.DOUBLE, 'age_seconds', None, None, ),  # 9
+    (10, TType.DOUBLE, 'proof_age_seconds', None, None, ),  # 10
+)
+all_structs.append(AskCalls)
+AskCalls.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'wanted', None, None, ),  # 2
+    (3, TType.I64, 'returned', None, None, ),  # 3
+)
+all_structs.append(CallGrant)
+CallGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'granted', None, None, ),  # 1
+    (2, TType.DOUBLE, 'valid_seconds', None, None, ),  # 2
+    (3, TType.DOUBLE, 'retry_after_seconds', None, None, ),  # 3
+    (4, TType.BOOL, 'current', None, None, ),  # 4
 )
 all_structs.append(RelayQuestion)
 RelayQuestion.thrift_spec = (
--- a/src/jasminewheel/platform/configuration.py
+++ b/src/jasminewheel/platform/configuration.py
@@ -16,6 +16,7 @@
     TargetProfile,
     TargetShare,
 )
+from jasminewheel._internal.organisations.organisation import Organisation
 from jasminewheel._internal.store.documents import (
     DECODE_ERRORS,
     decode_document,
@@ -53,6 +54,47 @@
         tuple(filter(None, map(_route_or_none, fields['Routes']))),
         {target.name: target for target in targets},
         _limits(fields.get('Limits') or {}),
+        *_organisations(fields),
+    )
+
+
+def decode_organisations(stored: bytes) -> Mapping[str, Organisation]:
+    """Return the organisations alone, by name.
+
+    Raise ConfigurationError if the configuration is unreadable.
+    """
+    try:
+        return _organisations(decode_document(stored))[0]
+    except DECODE_ERRORS as error:
+        raise ConfigurationError(
+            f'cannot decode the configuration: {problem_text(error)}'
+        ) from error
+
+
+def _organisations(
+    fields: Mapping[str, Any],
+) -> tuple[dict[str, Organisation], dict[str, Organisation]]:
+    """Return the organisations by name and by key.
+
+    The platform calls them tenants.
+    """
+    by_name: dict[str, Organisation] = {}
+    by_key: dict[str, Organisation] = {}
+    for row in fields.get('Tenants') or ():
+        organisation = _organisation(row)
+        by_name[organisation.name] = organisation
+        for key in row.get('ApiKeys') or ():
+            by_key[str(key)] = organisation
+    return by_name, by_key
+
+
+def _organisation(fields: Mapping[str, Any]) -> Organisation:
+    priority = fields.get('Priority')
+    return Organisation(
+        str(fields['Name']),
+        float(fields.get('RatePerS') or 0),
+        float(fields.get('Burst') or 0),
+        None if priority is None else int(priority),
     )
 
 
@@ -78,6 +120,7 @@
         max_attempts=int(fields.get('MaxAttempts', 1)),
         retains_history=bool(fields.get('RetainHistory')),
         retention_seconds=float(fields.get('RetentionS') or 0),
+        public=bool(fields.get('Public')),
         latency_seconds=(fields.get('TargetLatencyMs') or 0) / _MS_PER_SECOND,
     )
 
--- a/src/jasminewheel/platform/entry_gateway.py
+++ b/src/jasminewheel/platform/entry_gateway.py
@@ -8,6 +8,9 @@
 from jasminewheel._internal.gateway.gateway import Gateway
 from jasminewheel._internal.gateway.plain_flow import PlainFlow
 from jasminewheel._internal.gateway.turn_flow import TurnFlow
+from jasminewheel._internal.organisations.gate import OrganisationGate
+from jasminewheel._internal.organisations.peer_limiters import PeerLimiters
+from jasminewheel._internal.organisations.rate_client import RateClient
 from jasminewheel.platform.entry_parts import EntryParts
 from jasminewheel.platform.runner_protocol import PlatformRunners
 
@@ -23,8 +26,14 @@
         PlatformRunners(parts.connections),
     )
     conversations = ConversationClient(parts.peers.quorum, nursery)
+    limiters = PeerLimiters(parts.pool, parts.peers.sets, parts.peers.distance)
+    parts.rates = RateClient(limiters)
     return Gateway(
         parts.routes,
         PlainFlow(sender),
         TurnFlow(sender, conversations),
+        OrganisationGate(
+            parts.directory.contact.proof, parts.settings.revocation_seconds
+        ),
+        parts.rates,
     )
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -5,6 +5,7 @@
 
 from jasminewheel._internal.gateway.gateway import RoutesHolder
 from jasminewheel._internal.gateway.runners import RunnerDirectory
+from jasminewheel._internal.organisations.rate_client import RateClient
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.followed_store import FollowedStore
@@ -31,6 +32,7 @@
     store: PlatformStore = field(init=False)
     followed: FollowedStore = field(init=False)
     peers: EntryPeers = field(init=False)
+    rates: RateClient | None = None
 
     def __attrs_post_init__(self) -> None:
         """Create the clients of the store and of the peers."""
@@ -75,4 +77,5 @@
             'calls_at_runners': sum(view.load.own_running for view in views),
             'connections_opened': self.connections.opened,
             **self.client_memory.gauges(),
+            **(self.rates.gauges() if self.rates else {}),
         }
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -22,6 +22,7 @@
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import PeerServer
 from jasminewheel._internal.store.mirror import MirrorListener, StoreMirror
+from jasminewheel.platform.history_limits import HistoryLimits
 from jasminewheel.platform.roles import peer_server
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
@@ -40,6 +41,7 @@
     journal: Journal = field(init=False)
     disk_id: str = field(init=False)
     registration: DiskRegistration = field(init=False)
+    limits: HistoryLimits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Open the data folder and load the journal."""
@@ -49,6 +51,9 @@
         self.store = PlatformStore(self.settings.store_address)
         self.journal = Journal(self.folder, self.state)
         self.journal.load(trio.current_time())
+        self.limits = HistoryLimits(
+            self.settings, self.disk_id, self.listener, trio.current_time()
+        )
         self.registration = DiskRegistration(
             self.store, Candidate(self.own_replica())
         )
@@ -68,7 +73,9 @@
             self.settings, self.store, pool, self.listener.holder, contact
         )
         mirror = StoreMirror(
-            store, [self.listener, *listeners], contact=contact
+            store,
+            [self.listener, self.limits.listener(), *listeners],
+            contact=contact,
         )
         self.registration.leased_key.follow(mirror)
         return mirror
@@ -77,7 +84,12 @@
         """Return the server that answers entries and other replicas."""
         service = ReplicaService(self.disk_id, self.journal)
         return peer_server(
-            self.settings, {**service.handlers(), **reader_handlers(mirror)}
+            self.settings,
+            {
+                **service.handlers(),
+                **reader_handlers(mirror),
+                **self.limits.handlers(),
+            },
         )
 
     def set_controller(
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -43,6 +43,9 @@
     b'kv-from',
     b'kv-fetch',
 )
+# A client's key, and the organisation that the system names to runners.
+_KEY = b'credential'
+_ORGANISATION_HEADERS = (_KEY, b'tenant')
 _CALL_ID = b'request-id'
 _LOGGER = logging.getLogger(__name__)
 
@@ -78,7 +81,9 @@
         """Return the call with its route; raise CallError if refused."""
         if self.closed:
             raise stopping_error()
-        routed = self.gateway.route(decode_call(request))
+        needs_keys = bool(self.gateway.routes.current.keys)
+        reserved = _ORGANISATION_HEADERS if needs_keys else ()
+        routed = self.gateway.route(decode_call(request, reserved))
         if routed.deadline_at > self.ends_at:
             raise stopping_error()
         return routed
@@ -116,8 +121,11 @@
     await answer.send_whole(error.status, headers, error.message.encode())
 
 
-def decode_call(request: HttpRequest) -> Call:
-    """Return the call; raise MalformedRequestError without a Request-Id."""
+def decode_call(request: HttpRequest, reserved: tuple[bytes, ...] = ()) -> Call:
+    """Return the call without header fields that are reserved.
+
+    Raise MalformedRequestError without a Request-Id.
+    """
     names = field_values(request.headers, _CALL_ID)
     if len(names) != 1 or not names[0].strip():
         raise MalformedRequestError('exactly one Request-Id header is required')
@@ -132,11 +140,12 @@
         path=request.target.partition(b'?')[0].decode('latin-1'),
         method=request.method,
         target=request.target,
-        headers=end_to_end(request.headers, _RESERVED_HEADERS),
+        headers=end_to_end(request.headers, (*_RESERVED_HEADERS, *reserved)),
         body=request.body,
         arrived_at=request.arrived_at,
         deadline_at=request.arrived_at + seconds,
         turn=_turn(request.headers),
+        key=field_text(request.headers, _KEY),
     )
 
 
--- a/src/jasminewheel/platform/runner_protocol.py
+++ b/src/jasminewheel/platform/runner_protocol.py
@@ -160,6 +160,8 @@
         (b'Deadline-Ms', b'%d' % remaining_ms),
         (b'Target-Instance', attempt.runner.runner_id.encode()),
     ]
+    if attempt.organisation:
+        headers.append((b'Tenant', attempt.organisation.encode()))
     if attempt.priority is not None:
         priority = min(_MAX_PRIORITY, max(0, attempt.priority))
         headers.append((b'Request-Priority', b'%d' % priority))
--- a/src/jasminewheel/platform/settings.py
+++ b/src/jasminewheel/platform/settings.py
@@ -6,14 +6,16 @@
 disks that may be lost, and only the first port of PortRange is used.
 """
 
+import math
 import os
 import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, TypeVar
 
-from attrs import frozen
+from attrs import field, frozen
 
+from jasminewheel._internal.organisations.organisation import RateTolerance
 from jasminewheel._internal.peer.distance import ZoneDistance
 from jasminewheel._internal.store.contact import HEARTBEAT_SECONDS
 from jasminewheel.errors import SettingsError
@@ -60,6 +62,9 @@
     memory_bytes: int = DEFAULT_MEMORY_MB * _MEGABYTE
     # Descriptors that the process may have open.
     max_descriptors: int = DEFAULT_DESCRIPTORS
+    # How long a withdrawn key may be accepted; infinite without such a bound.
+    revocation_seconds: float = math.inf
+    rate_tolerance: RateTolerance = field(factory=RateTolerance)
 
     @property
     def peer_address(self) -> str:
@@ -156,6 +161,23 @@
         max_descriptors=fields.read(
             'Limits.MaxFds', _positive, DEFAULT_DESCRIPTORS
         ),
+        revocation_seconds=_revocation_seconds(fields),
+        rate_tolerance=_rate_tolerance(fields),
+    )
+
+
+def _revocation_seconds(fields: _Fields) -> float:
+    if not fields.read('Bounds.RevokeStrict', bool, default=False):
+        return math.inf
+    return fields.read('Bounds.RevokeMs', _seconds)
+
+
+def _rate_tolerance(fields: _Fields) -> RateTolerance:
+    standard = RateTolerance()
+    return RateTolerance(
+        fields.read('Bounds.QuotaOver', float, standard.share),
+        fields.read('Bounds.QuotaSlack', float, standard.calls),
+        fields.read('Bounds.QuotaWindowS', float, standard.window_seconds),
     )
 
 
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -17,7 +17,7 @@
 
 @asynccontextmanager
 async def running_entry(
-    fleet: PlatformFleet, limits: str = ''
+    fleet: PlatformFleet, limits: str = '', bounds: str = ''
 ) -> AsyncIterator[RoleProcess]:
     """Run an entry as a process, once it is ready."""
     # The ports are fixed; a random address lets several tests run at once.
@@ -30,6 +30,7 @@
         fleet.folder,
         fleet.store_address,
         limits=limits,
+        bounds=bounds,
     )
     process = RoleProcess(node)
     with closing_process(process):
--- a/tests/soak/role_process.py
+++ b/tests/soak/role_process.py
@@ -39,6 +39,7 @@
 Machines = 1
 [Bounds]
 GraceS = {grace}
+{bounds}
 [Limits]
 {limits}
 [Platform]
@@ -58,6 +59,8 @@
     seeds: tuple[str, ...] = ()
     # Lines of the settings' section on limits.
     limits: str = ''
+    # Further lines of the section on bounds.
+    bounds: str = ''
 
     @property
     def role(self) -> str:
@@ -91,6 +94,7 @@
             listen=listen,
             grace=GRACE_SECONDS,
             limits=self.limits,
+            bounds=self.bounds,
             store=self.store,
         )
 
