Place prompts that are sent whole by what runners hold and have to read

Cause: where callers send whole prompts the former runner of a line is not known, so every turn of a line landed anywhere and was read again; runners that an entry had no report of counted as idle, so all entries sent to them.

Change: an entry remembers which runners it sent which parts; the cost of a runner is the way, what it has to read before and for this prompt, and what that delays the others. Loads are told along through the nearest replica; an old report counts less than the mean of the target. Runners that hold nothing of the line are compared at random, few at a time.

Routes that keep history are placed as before.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -136,9 +136,24 @@
 
 struct CallGrant {
   1: i64 granted,
-  2: double valid_seconds,     // counted from when the asker asked
-  3: double retry_after_seconds, // when more may be granted
-  4: bool current,             // false: who tells this may know an old limit
+  2: double retry_after_seconds, // when more may be granted
+  3: bool current,             // false: who tells this may know an old limit
+}
+
+// What an entry knows of the calls at runners, told to a replica that tells it
+// what other entries know.
+struct RunnerCalls {
+  1: string runner,
+  2: i64 calls,
+  3: double age_seconds,       // since the runner reported it
+}
+
+struct TellRunnerCalls {
+  1: list<RunnerCalls> known,
+}
+
+struct KnownRunnerCalls {
+  1: list<RunnerCalls> known,
 }
 
 // Asked of another entry by one that does not reach a replica itself.
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -9,11 +9,13 @@
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.call import Call
 from jasminewheel._internal.gateway.choice import CallRequirements, RunnerChoice
+from jasminewheel._internal.gateway.held_prompts import Prompt
 from jasminewheel._internal.gateway.ports import (
     Attempt,
     RunnerAnswer,
     RunnerPort,
 )
+from jasminewheel._internal.gateway.prompt_choice import PromptReading
 from jasminewheel._internal.gateway.routes import CallKind, Route
 from jasminewheel._internal.gateway.runners import RunnerView
 from jasminewheel._internal.organisations.organisation import Organisation
@@ -84,6 +86,22 @@
         """Return the name of the organisation; empty if there is none."""
         return self.organisation.name if self.organisation else ''
 
+    @property
+    def prompt(self) -> Prompt | None:
+        """Return the prompt, if runners that hold it are to be preferred.
+
+        A turn whose chain is kept here names its former runner instead.
+        """
+        turn = self.call.turn
+        route = self.route
+        if route.retains_history or not route.prefers_known_runner:
+            return None
+        if not turn.prompt_parts:
+            return None
+        return Prompt(
+            self.target, turn.prompt_parts, turn.prompt_tokens, turn.program_id
+        )
+
     @property
     def budget_id(self) -> str:
         """Return the name under which the program's tokens are counted."""
@@ -221,12 +239,19 @@
     started_at: float
     outcome: str = ''
     log_fields: dict[str, object] = field(factory=dict)
+    reading: PromptReading | None = None
 
     async def __aenter__(self) -> None:
         """Count the call at its runner; record why the runner was chosen."""
         self.add_log_fields(**self.selection_fields())
         self.record.runner = self.view.runner.runner_id
         self.record.attempts += 1
+        prompt = self.record.prompt
+        if prompt:
+            self.reading = self.choice.prompts.begin_reading(
+                self.view, prompt, self.started_at
+            )
+            self.add_log_fields(**self.reading.log_fields())
         self.view.load.started(self.started_at)
         self.view.breaker.sent(self.started_at)
         if self.view.limit:
@@ -291,6 +316,8 @@
         load = answer.load
         if load:
             self.view.load.reported(load, now)
+            calls = load.running + load.waiting
+            self.choice.prompts.record_load(self.record.target, calls)
         if answer.leaving:
             self.choice.directory.record_leaving(self.view)
         # A refusal may come from before the part that knows of a limit.
@@ -324,6 +351,8 @@
         rates = self.choice.directory.rates_of(self.record.target)
         rates.learn_service(now - self.started_at)
         self.learn_pace(now, ended=True)
+        if self.reading:
+            self.reading.finish(now)
 
     def learn_pace(self, now: float, *, ended: bool) -> None:
         """Compare the time at this runner with the usual time of the route.
--- a/src/jasminewheel/_internal/gateway/call.py
+++ b/src/jasminewheel/_internal/gateway/call.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from jasminewheel._internal.gateway.held_prompts import PromptPart
 from jasminewheel._internal.web.headers import Headers
 
 
@@ -15,6 +16,8 @@
     budget_tokens: int | None = None
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    # The parts of the whole prompt in order; empty if the caller names none.
+    prompt_parts: tuple[PromptPart, ...] = ()
 
 
 @frozen
--- a/src/jasminewheel/_internal/gateway/choice.py
+++ b/src/jasminewheel/_internal/gateway/choice.py
@@ -9,7 +9,9 @@
 
 from attrs import define, field, frozen
 
+from jasminewheel._internal.gateway.held_prompts import Prompt
 from jasminewheel._internal.gateway.limits import RunnerLimits
+from jasminewheel._internal.gateway.prompt_choice import PromptChoice
 from jasminewheel._internal.gateway.routes import CallKind
 from jasminewheel._internal.gateway.runners import (
     RunnerDirectory,
@@ -36,6 +38,8 @@
     usual_seconds: float = 0
     # The runner that answered the previous turn.
     previous_runner: str = ''
+    # The prompt, if runners that hold it are to be preferred.
+    prompt: Prompt | None = None
     # Runners that refused or failed this call.
     excluded_runners: Collection[str] = ()
 
@@ -48,6 +52,11 @@
     distance: Distance
     random: Random = field(factory=Random)
     limits: RunnerLimits = field(factory=RunnerLimits)
+    prompts: PromptChoice = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin without knowledge of prompts."""
+        self.prompts = PromptChoice(self.directory, self.distance, self.random)
 
     def choose(
         self, requirements: CallRequirements, now: float
@@ -63,8 +72,11 @@
             if self.limits.ready_at(view) <= now
         ]
         allowed = [view for view in usable if view.breaker.allows(now)]
+        usable = allowed or usable
+        if requirements.prompt:
+            return self.prompts.choose(usable, requirements.prompt, now)
         return min(
-            allowed or usable,
+            usable,
             key=lambda view: self.cost_seconds(view, requirements, now),
             default=None,
         )
--- a/src/jasminewheel/_internal/gateway/routes.py
+++ b/src/jasminewheel/_internal/gateway/routes.py
@@ -44,6 +44,8 @@
     retention_seconds: float = 0
     # Within which a call should be answered; zero if the operators name none.
     latency_seconds: float = 0
+    # Whether a runner serves a line of turns faster that has served it before.
+    prefers_known_runner: bool = False
     # Whether callers need no key.
     public: bool = False
 
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -15,6 +15,10 @@
 
 # How many runners are remembered that said that they leave.
 MAX_LEFT = 4096
+# The time until a prompt is read tells little of a runner, as it depends on
+# the other calls there.
+PACE_WEIGHT = 0.1
+PACE_HALF_LIFE_SECONDS = 30.0
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -31,6 +35,13 @@
     started_ms: int = 0
 
 
+def new_reading_pace() -> RunnerPace:
+    """Return the pace of a runner that nothing is known of."""
+    return RunnerPace(
+        newest_weight=PACE_WEIGHT, half_life_seconds=PACE_HALF_LIFE_SECONDS
+    )
+
+
 @define(eq=False)
 class RunnerView:
     """Track the load and health of a runner as estimated by this entry."""
@@ -39,6 +50,8 @@
     load: RunnerLoad = field(factory=lambda: RunnerLoad(lag_seconds=0))
     breaker: CircuitBreaker = field(factory=CircuitBreaker)
     pace: RunnerPace = field(factory=RunnerPace)
+    # The same for the time until a prompt is read.
+    reading_pace: RunnerPace = field(factory=new_reading_pace)
     # Set while the runner's entry is missing from the store, but may only have
     # lapsed during an outage of the store; the list is not settled yet.
     unlisted: bool = False
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -112,6 +112,7 @@
             prompt_tokens=turn.prompt_tokens,
             previous_runner=self.chain[-1].runner if self.chain else '',
             excluded_runners=self.record.excluded_runners,
+            prompt=self.record.prompt,
         )
 
     async def read(self, runner_answer: RunnerAnswer) -> None:
--- a/src/jasminewheel/_internal/organisations/held_calls.py
+++ b/src/jasminewheel/_internal/organisations/held_calls.py
@@ -10,6 +10,8 @@
 import trio
 from attrs import define, field
 
+from jasminewheel._internal.organisations.organisation import GRANT_SECONDS
+
 # Weight of the newest interval in the expected rate of calls.
 NEWEST_WEIGHT = 0.3
 # A longer pause tells no more about the rate of calls.
@@ -53,8 +55,6 @@
 
     demand: CallDemand = field(factory=CallDemand)
     grants: list[HeldGrant] = field(factory=list)
-    # How long the latest grant was valid.
-    valid_seconds: float = 0
     # Until when each limiter has nothing to grant.
     empty_until: dict[str, float] = field(factory=dict)
     # Held while calls are asked for.
@@ -82,14 +82,11 @@
         self.grants = [one for one in self.grants if one.address != address]
         return sum(one.calls for one in given_up)
 
-    def add(
-        self, address: str, calls: int, asked_at: float, valid_seconds: float
-    ) -> None:
+    def add(self, address: str, calls: int, asked_at: float) -> None:
         """Hold granted calls, from when they were asked for."""
-        self.valid_seconds = valid_seconds
         self.empty_until.pop(address, None)
         if calls:
-            ends_at = asked_at + valid_seconds
+            ends_at = asked_at + GRANT_SECONDS
             self.grants.append(HeldGrant(address, calls, ends_at))
 
     def is_empty(self, address: str, now: float) -> bool:
@@ -98,7 +95,7 @@
 
     def expected(self) -> int:
         """Return how many calls to hold beside those that wait."""
-        return self.demand.expected(self.valid_seconds)
+        return self.demand.expected(GRANT_SECONDS)
 
     def retry_seconds(self, now: float) -> float:
         """Return after how long the first limiter may grant a call."""
--- a/src/jasminewheel/_internal/organisations/organisation.py
+++ b/src/jasminewheel/_internal/organisations/organisation.py
@@ -28,24 +28,18 @@
     calls: float = 20
     window_seconds: float = 5
 
-    def grant_seconds(self, rate: float) -> float:
-        """Return how long granted calls may be held before they are used.
+    def capacity(self, organisation: Organisation) -> float:
+        """Return how many calls may be saved up for an organisation.
 
-        Those granted before a window and used in it exceed the rate by what
-        it allows in this time, and take half of the calls in excess.
+        In a window these come on top of what the rate allows, and so do calls
+        that were granted before the window and are used in it.
         """
-        seconds = self.share * self.window_seconds
-        if rate:
-            seconds += self.calls / 2 / rate
-        return min(MAX_GRANT_SECONDS, seconds)
+        burst = organisation.burst * (1 + self.share)
+        spare_seconds = self.share * self.window_seconds - GRANT_SECONDS
+        spare = organisation.rate * spare_seconds + self.calls
+        return max(1, burst + spare)
 
-    def least_capacity(self, limiters: int) -> float:
-        """Return the least that each of several limiters may save up.
 
-        All together may save up the other half of the calls in excess.
-        """
-        return max(1, self.calls / 2 / max(1, limiters))
-
-
-# A grant that is held for longer is lost to whoever needs it elsewhere.
-MAX_GRANT_SECONDS = 2.0
+# How long granted calls may be held before they are used: a round trip to the
+# other region, and some more.
+GRANT_SECONDS = 0.15
--- a/src/jasminewheel/_internal/organisations/peer_limiters.py
+++ b/src/jasminewheel/_internal/organisations/peer_limiters.py
@@ -47,9 +47,7 @@
         )
         if not reply.current:
             raise PeerError(f'{limiter.address} may know outdated rates')
-        return Grant(
-            reply.granted, reply.valid_seconds, reply.retry_after_seconds
-        )
+        return Grant(reply.granted, reply.retry_after_seconds)
 
 
 @define(eq=False)
@@ -80,7 +78,6 @@
         if not (is_member and is_current and now >= self.limiter.begins_at):
             return wire.CallGrant(
                 granted=0,
-                valid_seconds=0,
                 retry_after_seconds=0,
                 current=False,
             )
@@ -92,7 +89,6 @@
         )
         return wire.CallGrant(
             granted=grant.calls,
-            valid_seconds=grant.valid_seconds,
             retry_after_seconds=grant.retry_after_seconds,
             current=True,
         )
--- a/src/jasminewheel/_internal/organisations/rate_client.py
+++ b/src/jasminewheel/_internal/organisations/rate_client.py
@@ -159,6 +159,8 @@
             for one in self.port.limiters()
             if now >= self.avoided_until.get(one.address, now)
         ]
+        # Equally near ones share the load.
+        self.random.shuffle(usable)
         return sorted(usable, key=lambda one: one.distance_seconds)
 
     async def ask_one(
@@ -175,7 +177,7 @@
                 _LOGGER, limiter=limiter.address, problem=error
             )
             return None
-        held.add(limiter.address, grant.calls, asked_at, grant.valid_seconds)
+        held.add(limiter.address, grant.calls, asked_at)
         if not grant.calls:
             held.empty_until[limiter.address] = (
                 self.clock() + grant.retry_after_seconds
--- a/src/jasminewheel/_internal/organisations/rate_limiter.py
+++ b/src/jasminewheel/_internal/organisations/rate_limiter.py
@@ -26,7 +26,6 @@
     """Represent calls that may be passed on, counted from the question."""
 
     calls: int
-    valid_seconds: float = 0
     retry_after_seconds: float = 0
 
 
@@ -100,8 +99,7 @@
 
     def capacity(self, organisation: Organisation) -> float:
         """Return how many calls this replica may save up."""
-        least = self.tolerance.least_capacity(self.replicas)
-        return max(least, organisation.burst / self.replicas)
+        return max(1, self.tolerance.capacity(organisation) / self.replicas)
 
     def grant(self, name: str, wanted: int, returned: int, now: float) -> Grant:
         """Return what an entry may pass on of an organisation's calls.
@@ -113,15 +111,14 @@
         organisation = self.organisations.get(name)
         if organisation is None:
             return Grant(0)
-        valid_seconds = self.tolerance.grant_seconds(organisation.rate)
         if not organisation.rate:
-            return Grant(wanted, valid_seconds)
+            return Grant(wanted)
         bucket = self.bucket(organisation, now)
         bucket.refill(now)
         bucket.give_back(returned)
         calls = bucket.take(wanted)
         retry_after = 0 if calls else bucket.seconds_until_one()
-        return Grant(calls, valid_seconds, retry_after)
+        return Grant(calls, retry_after)
 
     def bucket(self, organisation: Organisation, now: float) -> RateBucket:
         """Return the bucket of an organisation.
--- a/src/jasminewheel/_internal/scheduling/load.py
+++ b/src/jasminewheel/_internal/scheduling/load.py
@@ -26,6 +26,8 @@
 
     lag_seconds: float = DEFAULT_LAG_SECONDS
     reported_at: float = 0
+    # The calls of all entries, as of then.
+    reported_calls: int = 0
     own_running: int = 0
     own_weight: float = 0
     others_running: int = 0
@@ -47,6 +49,7 @@
         """Apply a report; count calls not sent by this entry as others'."""
         self.reported_at = now
         total = report.running + report.waiting
+        self.reported_calls = total
         own_then = self._own_running_at(now - self.lag_seconds)
         self.others_running = max(0, total - own_then)
 
--- a/src/jasminewheel/_internal/scheduling/pace.py
+++ b/src/jasminewheel/_internal/scheduling/pace.py
@@ -18,16 +18,20 @@
 
     ratio: float = 1
     learned_at: float = 0
+    newest_weight: float = NEWEST_WEIGHT
+    half_life_seconds: float = HALF_LIFE_SECONDS
 
     def estimate(self, now: float) -> float:
         """Return how many times as long as usual calls take."""
         age = max(0, now - self.learned_at)
-        return 1 + (self.ratio - 1) * 0.5 ** (age / HALF_LIFE_SECONDS)
+        return 1 + (self.ratio - 1) * 0.5 ** (age / self.half_life_seconds)
 
     def learn(self, ratio: float, now: float) -> None:
         """Record a call that took this many times as long as usual."""
         known = self.estimate(now)
-        self.ratio = known + NEWEST_WEIGHT * (min(ratio, MAX_RATIO) - known)
+        self.ratio = known + self.newest_weight * (
+            min(ratio, MAX_RATIO) - known
+        )
         self.learned_at = now
 
     def learn_at_least(self, ratio: float, now: float) -> None:
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1963,7 +1963,6 @@
     """
     Attributes:
      - granted
-     - valid_seconds
      - retry_after_seconds
      - current
 
@@ -1971,15 +1970,13 @@
 
     __slots__ = (
         'granted',
-        'valid_seconds',
         'retry_after_seconds',
         'current',
     )
 
 
-    def __init__(self, granted=None, valid_seconds=None, retry_after_seconds=None, current=None,):
+    def __init__(self, granted=None, retry_after_seconds=None, current=None,):
         self.granted = granted
-        self.valid_seconds = valid_seconds
         self.retry_after_seconds = retry_after_seconds
         self.current = current
 
@@ -1998,16 +1995,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.valid_seconds = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.DOUBLE:
                     self.retry_after_seconds = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 3:
                 if ftype == TType.BOOL:
                     self.current = iprot.readBool()
                 else:
@@ -2026,16 +2018,12 @@
             oprot.writeFieldBegin('granted', TType.I64, 1)
             oprot.writeI64(self.granted)
             oprot.writeFieldEnd()
-        if self.valid_seconds is not None:
-            oprot.writeFieldBegin('valid_seconds', TType.DOUBLE, 2)
-            oprot.writeDouble(self.valid_seconds)
-            oprot.writeFieldEnd()
         if self.retry_after_seconds is not None:
-            oprot.writeFieldBegin('retry_after_seconds', TType.DOUBLE, 3)
+            oprot.writeFieldBegin('retry_after_seconds', TType.DOUBLE, 2)
             oprot.writeDouble(self.retry_after_seconds)
             oprot.writeFieldEnd()
         if self.current is not None:
-            oprot.writeFieldBegin('current', TType.BOOL, 4)
+            oprot.writeFieldBegin('current', TType.BOOL, 3)
             oprot.writeBool(self.current)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2063,6 +2051,252 @@
         return not (self == other)
 
 
+class RunnerCalls(object):
+    """
+    Attributes:
+     - runner
+     - calls
+     - age_seconds
+
+    """
+
+    __slots__ = (
+        'runner',
+        'calls',
+        'age_seconds',
+    )
+
+
+    def __init__(self, runner=None, calls=None, age_seconds=None,):
+        self.runner = runner
+        self.calls = calls
+        self.age_seconds = age_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.calls = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.age_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunnerCalls')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.I64, 2)
+            oprot.writeI64(self.calls)
+            oprot.writeFieldEnd()
+        if self.age_seconds is not None:
+            oprot.writeFieldBegin('age_seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.age_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TellRunnerCalls(object):
+    """
+    Attributes:
+     - known
+
+    """
+
+    __slots__ = (
+        'known',
+    )
+
+
+    def __init__(self, known=None,):
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = RunnerCalls()
+                        _elem68.read(iprot)
+                        self.known.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TellRunnerCalls')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.known))
+            for iter69 in self.known:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownRunnerCalls(object):
+    """
+    Attributes:
+     - known
+
+    """
+
+    __slots__ = (
+        'known',
+    )
+
+
+    def __init__(self, known=None,):
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RunnerCalls()
+                        _elem75.read(iprot)
+                        self.known.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownRunnerCalls')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.known))
+            for iter76 in self.known:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayQuestion(object):
     """
     Attributes:
@@ -2379,9 +2613,25 @@
 CallGrant.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'granted', None, None, ),  # 1
-    (2, TType.DOUBLE, 'valid_seconds', None, None, ),  # 2
-    (3, TType.DOUBLE, 'retry_after_seconds', None, None, ),  # 3
-    (4, TType.BOOL, 'current', None, None, ),  # 4
+    (2, TType.DOUBLE, 'retry_after_seconds', None, None, ),  # 2
+    (3, TType.BOOL, 'current', None, None, ),  # 3
+)
+all_structs.append(RunnerCalls)
+RunnerCalls.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'calls', None, None, ),  # 2
+    (3, TType.DOUBLE, 'age_seconds', None, None, ),  # 3
+)
+all_structs.append(TellRunnerCalls)
+TellRunnerCalls.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'known', (TType.STRUCT, [RunnerCalls, None], False), None, ),  # 1
+)
+all_structs.append(KnownRunnerCalls)
+KnownRunnerCalls.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'known', (TType.STRUCT, [RunnerCalls, None], False), None, ),  # 1
 )
 all_structs.append(RelayQuestion)
 RelayQuestion.thrift_spec = (
--- a/src/jasminewheel/platform/configuration.py
+++ b/src/jasminewheel/platform/configuration.py
@@ -120,6 +120,7 @@
         max_attempts=int(fields.get('MaxAttempts', 1)),
         retains_history=bool(fields.get('RetainHistory')),
         retention_seconds=float(fields.get('RetentionS') or 0),
+        prefers_known_runner=bool(fields.get('StickySessions')),
         public=bool(fields.get('Public')),
         latency_seconds=(fields.get('TargetLatencyMs') or 0) / _MS_PER_SECOND,
     )
--- a/src/jasminewheel/platform/entry_gateway.py
+++ b/src/jasminewheel/platform/entry_gateway.py
@@ -6,6 +6,7 @@
 from jasminewheel._internal.gateway.attempts import RetryingSender
 from jasminewheel._internal.gateway.choice import RunnerChoice
 from jasminewheel._internal.gateway.gateway import Gateway
+from jasminewheel._internal.gateway.load_exchange import LoadExchange
 from jasminewheel._internal.gateway.plain_flow import PlainFlow
 from jasminewheel._internal.gateway.turn_flow import TurnFlow
 from jasminewheel._internal.organisations.gate import OrganisationGate
@@ -17,14 +18,20 @@
 
 def build_gateway(parts: EntryParts, nursery: trio.Nursery) -> Gateway:
     """Return the gateway that answers calls."""
-    sender = RetryingSender(
-        RunnerChoice(
-            parts.directory,
-            parts.peers.distance,
-            limits=parts.peers.limits(),
-        ),
-        PlatformRunners(parts.connections),
+    choice = RunnerChoice(
+        parts.directory,
+        parts.peers.distance,
+        limits=parts.peers.limits(),
+    )
+    sender = RetryingSender(choice, PlatformRunners(parts.connections))
+    loads = LoadExchange(
+        parts.pool,
+        parts.peers.sets,
+        parts.peers.distance,
+        parts.directory,
+        choice.prompts.times,
     )
+    nursery.start_soon(loads.run)
     conversations = ConversationClient(parts.peers.quorum, nursery)
     limiters = PeerLimiters(parts.pool, parts.peers.sets, parts.peers.distance)
     parts.rates = RateClient(limiters)
--- a/src/jasminewheel/platform/history.py
+++ b/src/jasminewheel/platform/history.py
@@ -13,6 +13,7 @@
 from jasminewheel._internal.web.early_sockets import EarlySockets
 from jasminewheel.errors import SettingsError
 from jasminewheel.platform.history_parts import HistoryParts
+from jasminewheel.platform.history_server import history_server
 from jasminewheel.platform.metrics import start_metrics
 from jasminewheel.platform.retire import PlatformRetireBoard
 from jasminewheel.platform.roles import periodic_task
@@ -65,7 +66,7 @@
     """
     nursery.start_soon(parts.journal.run)
     nursery.start_soon(LogCleaner(parts.journal).run)
-    server = parts.server(mirror)
+    server = history_server(parts, mirror)
     settings = parts.settings
     await start_metrics(nursery, settings, parts.gauges)
     await nursery.start(server.serve, settings.ip, settings.peer_port)
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -8,7 +8,6 @@
 from jasminewheel._internal.conversation.catch_up import CatchUp
 from jasminewheel._internal.conversation.journal import Journal
 from jasminewheel._internal.conversation.replica_set import Replica
-from jasminewheel._internal.conversation.service import ReplicaService
 from jasminewheel._internal.conversation.set_change import Candidate
 from jasminewheel._internal.conversation.set_controller import (
     DiskRegistration,
@@ -20,13 +19,11 @@
 from jasminewheel._internal.conversation.state import ConversationState
 from jasminewheel._internal.history.folder import load_disk_id
 from jasminewheel._internal.peer.pool import PeerPool
-from jasminewheel._internal.peer.server import PeerServer
 from jasminewheel._internal.store.mirror import MirrorListener, StoreMirror
 from jasminewheel.platform.history_limits import HistoryLimits
-from jasminewheel.platform.roles import peer_server
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
-from jasminewheel.platform.store_reading import followed_store, reader_handlers
+from jasminewheel.platform.store_reading import followed_store
 
 
 @define(eq=False)
@@ -80,18 +77,6 @@
         self.registration.leased_key.follow(mirror)
         return mirror
 
-    def server(self, mirror: StoreMirror) -> PeerServer:
-        """Return the server that answers entries and other replicas."""
-        service = ReplicaService(self.disk_id, self.journal)
-        return peer_server(
-            self.settings,
-            {
-                **service.handlers(),
-                **reader_handlers(mirror),
-                **self.limits.handlers(),
-            },
-        )
-
     def set_controller(
         self, pool: PeerPool, board: RetireBoard
     ) -> ReplicaSetController:
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -2,12 +2,14 @@
 
 import logging
 import math
+from collections.abc import Iterator
 
 from attrs import define
 
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.call import Call, TurnRequest
 from jasminewheel._internal.gateway.gateway import Gateway, RoutedCall
+from jasminewheel._internal.gateway.held_prompts import PromptPart
 from jasminewheel._internal.web.answer_writer import (
     AnswerWriter,
     retry_after,
@@ -160,9 +162,19 @@
         budget_tokens=_number(headers, b'token-budget'),
         prompt_tokens=counts[0] if counts else 0,
         max_output_tokens=counts[1] if len(counts) > 1 else 0,
+        prompt_parts=tuple(_prompt_parts(headers)),
     )
 
 
+def _prompt_parts(headers: Headers) -> Iterator[PromptPart]:
+    """Yield the parts that Prompt-Prefix names; stop at one that is odd."""
+    for text in field_text(headers, b'prompt-prefix').split(','):
+        part_id, _, tokens = text.strip().partition(':')
+        if not tokens.isdigit():
+            return
+        yield PromptPart(part_id, int(tokens))
+
+
 def _number(headers: Headers, name: bytes) -> int | None:
     text = field_text(headers, name)
     if not text:
