Place the turns of organisations by what runners hold and have to read

Cause: turns whose chain is kept went by their former runner alone; all other runners counted as holding nothing, and those without a report as idle.

Change: where the configuration names organisations, these turns are placed as whole prompts are; a runner that the record of the former turn names counts as holding all. What this entry sent and is not yet read is counted in tokens.

--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -57,6 +57,8 @@
     deadline_at: float
     runner: str = ''
     organisation: Organisation | None = None
+    # The runner of the turn before, if its record names it.
+    previous_runner: str = ''
     status: int = 0
     # Attempts after which the call may have run.
     attempts: int = 0
@@ -90,16 +92,22 @@
     def prompt(self) -> Prompt | None:
         """Return the prompt, if runners that hold it are to be preferred.
 
-        A turn whose chain is kept here names its former runner instead.
+        Where no organisations share the runners, a turn whose chain is kept
+        here goes by its former runner alone.
         """
         turn = self.call.turn
         route = self.route
-        if route.retains_history or not route.prefers_known_runner:
+        by_runner = route.retains_history and not self.organisation
+        if by_runner or not route.prefers_known_runner:
             return None
         if not turn.prompt_parts:
             return None
         return Prompt(
-            self.target, turn.prompt_parts, turn.prompt_tokens, turn.program_id
+            self.target,
+            turn.prompt_parts,
+            turn.prompt_tokens,
+            turn.program_id,
+            self.previous_runner,
         )
 
     @property
@@ -303,6 +311,8 @@
         self.view.load.ended(now)
         if not self.outcome:
             self.learn_pace(now, ended=False)
+        if self.reading:
+            self.reading.end()
         # A refusal is no evidence of the runner's health either way; a probe
         # that ends without a result must not keep the breaker waiting.
         self.view.breaker.abandoned(now)
--- a/src/jasminewheel/_internal/gateway/held_prompts.py
+++ b/src/jasminewheel/_internal/gateway/held_prompts.py
@@ -36,6 +36,8 @@
     parts: tuple[PromptPart, ...]
     tokens: int
     program: str = ''
+    # The runner of the turn before, if its record names it.
+    previous_runner: str = ''
 
 
 @frozen
@@ -92,6 +94,8 @@
 
     def held_tokens(self, runner: str, prompt: Prompt, now: float) -> int:
         """Return how many tokens of a prompt a runner probably holds."""
+        if runner == prompt.previous_runner:
+            return prompt.tokens
         total = 0
         for part in prompt.parts:
             known = self.parts.get(part.part_id)
@@ -103,6 +107,8 @@
 
     def was_sent(self, runner: str, prompt: Prompt) -> bool:
         """Return whether a runner was sent the last known part of a prompt."""
+        if runner == prompt.previous_runner:
+            return True
         for part in reversed(prompt.parts):
             known = self.parts.get(part.part_id)
             if known is not None:
--- a/src/jasminewheel/_internal/gateway/prompt_choice.py
+++ b/src/jasminewheel/_internal/gateway/prompt_choice.py
@@ -45,8 +45,13 @@
             'reading_pace': round(reading_pace(self.view, now), 2),
         }
 
+    def end(self) -> None:
+        """Count the prompt as read, or as given up."""
+        self.view.reading.pop(id(self), None)
+
     def finish(self, now: float) -> None:
         """Learn from the time until the answer began."""
+        self.end()
         self.times.learn(
             self.view,
             self.missing_tokens,
@@ -136,6 +141,7 @@
             self.cost_seconds(view, prompt, now),
         )
         self.prompts.record(view.runner.runner_id, prompt, now)
+        view.reading[id(reading)] = missing
         return reading
 
     def record_load(self, target: str, calls: int) -> None:
--- a/src/jasminewheel/_internal/gateway/reading_time.py
+++ b/src/jasminewheel/_internal/gateway/reading_time.py
@@ -58,7 +58,9 @@
 
     def tokens(self, view: RunnerView, missing: int, now: float) -> float:
         """Return how many tokens a runner reads until it has read a prompt."""
-        before = self.load(view, now) * READING_SHARE * self.call_tokens
+        own = sum(view.reading.values())
+        others = max(0, self.load(view, now) - view.load.own_running)
+        before = own + others * READING_SHARE * self.call_tokens
         return missing + before
 
     def cost_seconds(self, view: RunnerView, missing: int, now: float) -> float:
--- a/src/jasminewheel/_internal/gateway/runners.py
+++ b/src/jasminewheel/_internal/gateway/runners.py
@@ -52,6 +52,8 @@
     pace: RunnerPace = field(factory=RunnerPace)
     # The same for the time until a prompt is read.
     reading_pace: RunnerPace = field(factory=new_reading_pace)
+    # Tokens of the prompts of this entry that the runner has still to read.
+    reading: dict[int, int] = field(factory=dict)
     # Set while the runner's entry is missing from the store, but may only have
     # lapsed during an outage of the store; the list is not settled yet.
     unlisted: bool = False
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -80,7 +80,9 @@
         turn = self.record.call.turn
         if self.record.route.retains_history and turn.previous_id:
             self.chain = await self.conversations.chain(turn.previous_id)
-            check_owner(self.chain[-1], self.record.organisation_name)
+            latest = self.chain[-1]
+            check_owner(latest, self.record.organisation_name)
+            self.record.previous_runner = latest.runner
         if turn.budget_tokens is not None and turn.program_id:
             await self.reserve(turn.budget_tokens)
         return self
@@ -110,7 +112,7 @@
             self.record.target,
             self.record.route.kind,
             prompt_tokens=turn.prompt_tokens,
-            previous_runner=self.chain[-1].runner if self.chain else '',
+            previous_runner=self.record.previous_runner,
             excluded_runners=self.record.excluded_runners,
             prompt=self.record.prompt,
         )
