Tell runners which turns are urgent, by what their programs can still earn

Cause: a runner got the priority of the route, whatever time the program had left; turns of programs that were late already went before others in time.

Change: where organisations share the runners, the priority of a turn is that of its organisation or route, then programs under way, then those not begun, then those past their aim.

--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -18,6 +18,7 @@
 from jasminewheel._internal.gateway.prompt_choice import PromptReading
 from jasminewheel._internal.gateway.routes import CallKind, Route
 from jasminewheel._internal.gateway.runners import RunnerView
+from jasminewheel._internal.gateway.urgency import urgency
 from jasminewheel._internal.organisations.organisation import Organisation
 from jasminewheel._internal.scheduling.breaker import (
     DEFAULT_LIMITS,
@@ -78,7 +79,7 @@
 
     @property
     def priority(self) -> int:
-        """Return the rank of the call; lower is more urgent."""
+        """Return the priority of the organisation, or that of the route."""
         if self.organisation and self.organisation.priority is not None:
             return self.organisation.priority
         return self.route.priority
@@ -220,10 +221,22 @@
             seconds_left=record.deadline_at - trio.current_time(),
             repeatable=record.repeatable,
             observer=tracked,
-            priority=record.priority,
+            priority=self.priority(record),
             organisation=record.organisation_name,
         )
 
+    def priority(self, record: CallRecord) -> int:
+        """Return the priority that a runner gets; lower is more urgent.
+
+        Where organisations share the runners, the state of the program counts.
+        """
+        prompt = record.prompt
+        if record.organisation is None or prompt is None:
+            return record.priority
+        turn = record.call.turn
+        begun = bool(turn.previous_id) or self.choice.prompts.knows(prompt)
+        return urgency(record.priority, turn, begun=begun)
+
 
 def unanswered_error(
     record: CallRecord,
--- a/src/jasminewheel/_internal/gateway/call.py
+++ b/src/jasminewheel/_internal/gateway/call.py
@@ -18,6 +18,8 @@
     max_output_tokens: int = 0
     # The parts of the whole prompt in order; empty if the caller names none.
     prompt_parts: tuple[PromptPart, ...] = ()
+    # Until the program should have ended; None if the caller does not say.
+    program_seconds_left: float | None = None
 
 
 @frozen
--- a/src/jasminewheel/_internal/gateway/prompt_choice.py
+++ b/src/jasminewheel/_internal/gateway/prompt_choice.py
@@ -93,6 +93,10 @@
             default=None,
         )
 
+    def knows(self, prompt: Prompt) -> bool:
+        """Return whether this entry has sent an earlier prompt of the line."""
+        return prompt.parts[-1].part_id in self.prompts.parts
+
     def sample(self, usable: list[RunnerView]) -> list[RunnerView]:
         """Return some runners at random, most of them near ones."""
         near = [one for one in usable if self.is_near(one)]
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -163,9 +163,19 @@
         prompt_tokens=counts[0] if counts else 0,
         max_output_tokens=counts[1] if len(counts) > 1 else 0,
         prompt_parts=tuple(_prompt_parts(headers)),
+        program_seconds_left=_program_seconds_left(headers),
     )
 
 
+def _program_seconds_left(headers: Headers) -> float | None:
+    text = field_text(headers, b'program-deadline-ms')
+    left_ms = text.removeprefix('-')
+    if not left_ms.isdigit():
+        return None
+    seconds = int(left_ms) / MS_PER_SECOND
+    return -seconds if text.startswith('-') else seconds
+
+
 def _prompt_parts(headers: Headers) -> Iterator[PromptPart]:
     """Yield the parts that Prompt-Prefix names; stop at one that is odd."""
     for text in field_text(headers, b'prompt-prefix').split(','):
