--- a/src/jasminewheel/_internal/gateway/load_exchange.py
+++ b/src/jasminewheel/_internal/gateway/load_exchange.py
@@ -107,7 +107,7 @@
                 runner_id, view.load.reported_calls, view.load.reported_at
             )
             for runner_id, view in self.directory.views.items()
-            if view.load.reported_at > self.told_until
+            if view.load.reported_at >= self.told_until
         ]
 
     def apply(self, reply: wire.KnownRunnerCalls, now: float) -> None:
