--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -20,6 +20,10 @@
 from jasminewheel._internal.gateway.runners import RunnerView
 from jasminewheel._internal.gateway.urgency import urgency
 from jasminewheel._internal.organisations.organisation import Organisation
+from jasminewheel._internal.organisations.rates import (
+    CallRates,
+    UnlimitedRates,
+)
 from jasminewheel._internal.scheduling.breaker import (
     DEFAULT_LIMITS,
     BreakerLimits,
@@ -133,6 +137,16 @@
 
     choice: RunnerChoice
     port: RunnerPort
+    rates: CallRates = field(factory=UnlimitedRates)
+
+    async def admit(self, record: CallRecord) -> None:
+        """Count the call towards the rate of its organisation.
+
+        This comes last, as a call that is refused for another reason must not
+        count. Raise CallError if the organisation is over its rate.
+        """
+        if record.organisation and record.organisation.rate:
+            await self.rates.take(record.organisation)
 
     async def run(
         self,
--- a/src/jasminewheel/_internal/gateway/gateway.py
+++ b/src/jasminewheel/_internal/gateway/gateway.py
@@ -25,10 +25,6 @@
     open_gate,
 )
 from jasminewheel._internal.organisations.organisation import Organisation
-from jasminewheel._internal.organisations.rates import (
-    CallRates,
-    UnlimitedRates,
-)
 from jasminewheel._internal.store.proof import boot_seconds
 from jasminewheel._internal.web.answer_writer import AnswerWriter
 from jasminewheel.errors import (
@@ -94,7 +90,6 @@
     plain: PlainFlow
     turns: TurnFlow
     gate: OrganisationGate = field(factory=open_gate)
-    rates: CallRates = field(factory=UnlimitedRates)
     # Scopes of the calls in progress.
     open_calls: set[trio.CancelScope] = field(factory=set)
 
@@ -174,8 +169,6 @@
         self, record: CallRecord, answer: AnswerWriter, table: RoutingTable
     ) -> None:
         """Answer by the flow for the route's kind of call."""
-        if record.organisation and record.organisation.rate:
-            await self.rates.take(record.organisation)
         if record.route.kind is CallKind.streaming:
             target = table.targets.get(
                 record.target, TargetProfile(record.target)
--- a/src/jasminewheel/_internal/gateway/plain_flow.py
+++ b/src/jasminewheel/_internal/gateway/plain_flow.py
@@ -20,6 +20,7 @@
 
     async def run(self, record: CallRecord, answer: AnswerWriter) -> None:
         """Answer one call."""
+        await self.sender.admit(record)
         directory = self.sender.choice.directory
         rates = directory.route_rates_of(record.route.name)
         requirements = CallRequirements(
--- a/src/jasminewheel/_internal/gateway/turn_flow.py
+++ b/src/jasminewheel/_internal/gateway/turn_flow.py
@@ -263,6 +263,7 @@
         progress = StreamProgress(stride, record.route.retains_history)
         open_turn = OpenTurn(record, self.conversations, answer, progress)
         async with open_turn:
+            await self.sender.admit(record)
             body = full_prompt(open_turn.chain, record.call.body)
             await self.sender.run(
                 record, body, open_turn.requirements(), open_turn.read
--- a/src/jasminewheel/platform/entry_gateway.py
+++ b/src/jasminewheel/platform/entry_gateway.py
@@ -23,7 +23,11 @@
         parts.peers.distance,
         limits=parts.peers.limits(),
     )
-    sender = RetryingSender(choice, PlatformRunners(parts.connections))
+    limiters = PeerLimiters(parts.pool, parts.peers.sets, parts.peers.distance)
+    parts.rates = RateClient(limiters)
+    sender = RetryingSender(
+        choice, PlatformRunners(parts.connections), parts.rates
+    )
     loads = LoadExchange(
         parts.pool,
         parts.peers.sets,
@@ -33,8 +37,6 @@
     )
     nursery.start_soon(loads.run)
     conversations = ConversationClient(parts.peers.quorum, nursery)
-    limiters = PeerLimiters(parts.pool, parts.peers.sets, parts.peers.distance)
-    parts.rates = RateClient(limiters)
     return Gateway(
         parts.routes,
         PlainFlow(sender),
@@ -42,5 +44,4 @@
         OrganisationGate(
             parts.directory.contact.proof, parts.settings.revocation_seconds
         ),
-        parts.rates,
     )
--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -232,3 +232,23 @@
         assert other.status == 200
 
     run_scenario(tmp_path, scenario, limited, YARD)
+
+
+def test_calls_that_run_nowhere_take_nothing_of_the_rate(tmp_path):
+    """Turns that are refused for another reason do not count."""
+    limited = {**CAFE, 'RatePerS': 2, 'Burst': 2}
+
+    async def scenario(fleet, entry) -> None:
+        # The limiters begin with nothing saved up.
+        await trio.sleep(2)
+        turns = 0
+        while turns < 80:
+            turns += 1
+            unknown = await fleet.ask(
+                entry, '/turns/a', b'x', Credential='key-1', Previous_Turn='no'
+            )
+            assert unknown.status == 404
+        answered = await fleet.ask(entry, '/look/a', Credential='key-1')
+        assert answered.status == 200
+
+    run_scenario(tmp_path, scenario, limited)
