--- a/src/jasminewheel/_internal/organisations/organisation.py
+++ b/src/jasminewheel/_internal/organisations/organisation.py
@@ -14,6 +14,8 @@
     burst: float = 0
     # Goes before the priority of a route; None to leave that in force.
     priority: int | None = None
+    # Keys that the operators declare for it.
+    key_count: int = 0
 
 
 @frozen
--- a/src/jasminewheel/cli/ctl.py
+++ b/src/jasminewheel/cli/ctl.py
@@ -12,6 +12,7 @@
 
 from jasminewheel.cli.histories import histories_app
 from jasminewheel.cli.local_files import (
+    check_config_app,
     check_node_app,
     check_turns_app,
     explain_log_app,
@@ -36,6 +37,7 @@
 app.register_install_completion_command()
 app.command(histories_app)
 app.command(explain_log_app)
+app.command(check_config_app)
 app.command(check_node_app)
 app.command(check_turns_app)
 
--- a/src/jasminewheel/platform/configuration.py
+++ b/src/jasminewheel/platform/configuration.py
@@ -95,6 +95,7 @@
         float(fields.get('RatePerS') or 0),
         float(fields.get('Burst') or 0),
         None if priority is None else int(priority),
+        len(fields.get('ApiKeys') or ()),
     )
 
 
