Prove sooner that the configuration is the newest

Change: a reader tells how old its proof was when the question came; each wait for news is a tenth of the bound on withdrawn keys where there is one.

--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -77,6 +77,9 @@
     pool: PeerPool
     readers: ReaderChoice
     contact: StoreContact
+    # The longest waits at a reader, and of a reader's own watch.
+    follow_seconds: float = FOLLOW_SECONDS
+    watch_seconds: float = READER_WATCH_SECONDS
     # The address of the reader that is followed; empty without one.
     followed: str = ''
     # Until when the store is read directly.
@@ -115,7 +118,7 @@
         waiting = self.candidates()
         if not waiting:
             return await self.watch(after_revision, wait_seconds)
-        wait_seconds = min(wait_seconds, FOLLOW_SECONDS)
+        wait_seconds = min(wait_seconds, self.follow_seconds)
         asked_at = trio.current_time()
         while waiting:
             found = await self.try_reader(
@@ -137,7 +140,7 @@
         If one fell silent, what is known is too old for another round.
         """
         self.failed_rounds += 1
-        was_silent = now - asked_at >= FOLLOW_SECONDS + REPLY_SECONDS
+        was_silent = now - asked_at >= self.follow_seconds + REPLY_SECONDS
         if was_silent or self.failed_rounds >= ROUNDS_TRIED:
             self.failed_rounds = 0
             self.direct_until = now + DIRECT_SECONDS
@@ -155,7 +158,7 @@
         """Watch the store itself."""
         if self.readers.is_own():
             return await self.watch_for_followers(
-                after_revision, min(wait_seconds, READER_WATCH_SECONDS)
+                after_revision, min(wait_seconds, self.watch_seconds)
             )
         if self.followed:
             events.READING_ALONE.log(_LOGGER, followed=self.followed)
--- a/src/jasminewheel/_internal/store/reader_service.py
+++ b/src/jasminewheel/_internal/store/reader_service.py
@@ -30,11 +30,17 @@
         A process that loses the store says so at once, and so does one that
         the store has not answered in time.
         """
+        received_at = boot_seconds()
         after = request.after_revision or 0
         wait_seconds = min(request.wait_seconds or 0, MAX_WAIT_SECONDS)
         with trio.move_on_after(wait_seconds):
             await self.wait_for_news(after)
-        return self.reply(after, trio.current_time())
+        reply = self.reply(after, trio.current_time())
+        if reply.reads:
+            # The asker counts from its question, which was held for a while.
+            contact = self.log.mirror.contact
+            reply.proof_age_seconds = contact.proof.age(received_at)
+        return reply
 
     async def wait_for_news(self, after_revision: int) -> None:
         """Wait until there are changes, or this process is not current."""
@@ -72,5 +78,4 @@
             complete=changes.complete,
             confirms=mirror.contact.can_confirm_settled(now),
             age_seconds=mirror.contact.read_age(now),
-            proof_age_seconds=mirror.contact.proof.age(boot_seconds()),
         )
--- a/src/jasminewheel/platform/store_reading.py
+++ b/src/jasminewheel/platform/store_reading.py
@@ -8,7 +8,11 @@
 from jasminewheel._internal.peer.server import Handler
 from jasminewheel._internal.store.change_log import ChangeLog
 from jasminewheel._internal.store.contact import StoreContact
-from jasminewheel._internal.store.followed_store import FollowedStore
+from jasminewheel._internal.store.followed_store import (
+    FOLLOW_SECONDS,
+    READER_WATCH_SECONDS,
+    FollowedStore,
+)
 from jasminewheel._internal.store.known_items import KnownItemsService
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.store.port import ReadableStore
@@ -20,6 +24,10 @@
 )
 from jasminewheel.platform.settings import NodeSettings
 
+# Of the time for which a withdrawn key may be accepted, each wait for news of
+# the store takes so much, so that most of it is left when the store is away.
+PROOF_SHARE = 0.1
+
 
 def followed_store(
     settings: NodeSettings,
@@ -36,7 +44,15 @@
     """
     listed = SetReaders(sets, seeds)
     readers = ReaderChoice(settings.peer_address, settings.distance, listed)
-    return FollowedStore(store, pool, readers, contact)
+    proof_seconds = settings.revocation_seconds * PROOF_SHARE
+    return FollowedStore(
+        store,
+        pool,
+        readers,
+        contact,
+        follow_seconds=min(FOLLOW_SECONDS, proof_seconds),
+        watch_seconds=min(READER_WATCH_SECONDS, proof_seconds),
+    )
 
 
 def reader_handlers(mirror: StoreMirror) -> Mapping[type, Handler]:
