Avoid a limiter that does not answer for three seconds

Cause: each entry asked a dead limiter again every second, and a call waited 0.25 s for it each time.

Change: it is asked again after three seconds.

Result: test_call_rates.py passes.

--- a/src/jasminewheel/_internal/organisations/rate_client.py
+++ b/src/jasminewheel/_internal/organisations/rate_client.py
@@ -20,7 +20,7 @@
 )
 
 # A limiter that did not answer is not asked again for this time.
-AVOID_SECONDS = 1.0
+AVOID_SECONDS = 3.0
 # A call waits for no longer until one may be granted, and only behind so many
 # others: its caller is told at once if that is not enough.
 MAX_WAIT_SECONDS = 0.2
