Admit nobody once all keys are withdrawn, and bound numbers in header fields

Cause: reading the change as a newcomer: where the configuration names organisations without a single key, callers needed none; and a number of 5,000 digits, or of other scripts, in a header field raised an error that closed the connection with a traceback in the log.

Change: organisations decide whether a key is needed, not keys; numbers are ASCII digits, 15 at most.

--- a/src/jasminewheel/_internal/gateway/routes.py
+++ b/src/jasminewheel/_internal/gateway/routes.py
@@ -77,7 +77,8 @@
     targets: Mapping[str, TargetProfile]
     limits: RequestLimits
     organisations: Mapping[str, Organisation] = field(factory=dict)
-    # The organisation of each key; empty if callers need none.
+    # The organisation of each key; callers need one if there are any
+    # organisations.
     keys: Mapping[str, Organisation] = field(factory=dict)
     by_host: Mapping[str, list[Route]] = field(init=False)
 
--- a/src/jasminewheel/_internal/organisations/gate.py
+++ b/src/jasminewheel/_internal/organisations/gate.py
@@ -35,7 +35,7 @@
         UnavailableError if it may have been withdrawn. The time is that of
         boot_seconds.
         """
-        if not table.keys or route.public:
+        if not table.organisations or route.public:
             return None
         age = self.proof.age(now)
         if age > self.max_age_seconds:
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -28,6 +28,8 @@
 )
 
 MS_PER_SECOND = 1000
+# Of a number in a header field; a client may send any.
+MAX_DIGITS = 15
 # For a client that sends no Deadline-Ms.
 DEFAULT_DEADLINE_SECONDS = 30.0
 # Other entries can serve the retry at once.
@@ -83,7 +85,7 @@
         """Return the call with its route; raise CallError if refused."""
         if self.closed:
             raise stopping_error()
-        needs_keys = bool(self.gateway.routes.current.keys)
+        needs_keys = bool(self.gateway.routes.current.organisations)
         reserved = _ORGANISATION_HEADERS if needs_keys else ()
         routed = self.gateway.route(decode_call(request, reserved))
         if routed.deadline_at > self.ends_at:
@@ -155,7 +157,8 @@
     # In a request, Token-Usage is the client's estimate: tokens of the prompt
     # and the most that the answer may take.
     usage = field_text(headers, b'token-usage').split(',')
-    counts = [int(part) for part in usage if part.strip().isdigit()]
+    numbers = [_whole_number(part.strip()) for part in usage]
+    counts = [one for one in numbers if one is not None]
     return TurnRequest(
         previous_id=field_text(headers, b'previous-turn'),
         program_id=field_text(headers, b'program-id'),
@@ -169,26 +172,35 @@
 
 def _program_seconds_left(headers: Headers) -> float | None:
     text = field_text(headers, b'program-deadline-ms')
-    left_ms = text.removeprefix('-')
-    if not left_ms.isdigit():
+    left_ms = _whole_number(text.removeprefix('-'))
+    if left_ms is None:
         return None
-    seconds = int(left_ms) / MS_PER_SECOND
+    seconds = left_ms / MS_PER_SECOND
     return -seconds if text.startswith('-') else seconds
 
 
 def _prompt_parts(headers: Headers) -> Iterator[PromptPart]:
     """Yield the parts that Prompt-Prefix names; stop at one that is odd."""
     for text in field_text(headers, b'prompt-prefix').split(','):
-        part_id, _, tokens = text.strip().partition(':')
-        if not tokens.isdigit():
+        part_id, _, count = text.strip().partition(':')
+        tokens = _whole_number(count)
+        if tokens is None:
             return
-        yield PromptPart(part_id, int(tokens))
+        yield PromptPart(part_id, tokens)
 
 
 def _number(headers: Headers, name: bytes) -> int | None:
     text = field_text(headers, name)
     if not text:
         return None
-    if not text.isdigit():
+    found = _whole_number(text)
+    if found is None:
         raise MalformedRequestError(f'{name.decode()} is not a number')
+    return found
+
+
+def _whole_number(text: str) -> int | None:
+    """Return the number that ASCII digits stand for, unless it is huge."""
+    if len(text) > MAX_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
     return int(text)
--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -3,6 +3,7 @@
 from contextlib import closing
 from types import MappingProxyType
 
+import pytest
 import trio
 
 from tests.entry_process import running_entry
@@ -91,6 +92,37 @@
     run_scenario(tmp_path, scenario, CAFE)
 
 
+def test_organisations_without_keys_admit_nobody(tmp_path):
+    """Once the last key is withdrawn no call needs none."""
+
+    async def scenario(fleet, entry) -> None:
+        answered = await fleet.ask(entry, '/look/a', Credential='key-1')
+        assert answered.status == 401
+        assert (await fleet.ask(entry, '/look/a')).status == 401
+
+    run_scenario(tmp_path, scenario, {**CAFE, 'ApiKeys': []})
+
+
+@pytest.mark.parametrize('odd', ['9' * 5000, 'x', '-'])
+def test_odd_numbers_are_refused_or_ignored(tmp_path, odd):
+    """A number without end closes no connection."""
+
+    async def scenario(fleet, entry) -> None:
+        answered = await fleet.ask(
+            entry,
+            '/turns/a',
+            b'x',
+            Program_Deadline_Ms=odd,
+            Prompt_Prefix=f'a:{odd}',
+            Token_Usage=f'{odd},8',
+        )
+        assert answered.status == 200
+        refused = await fleet.ask(entry, '/look/a', Deadline_Ms=odd)
+        assert refused.status == 400
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_fields_pass_unchanged_without_organisations(tmp_path):
     """Without organisations the same fields are a caller's own."""
 
