Do not ask an overloaded limiter again for grants that come too late

Cause: a grant that arrived after its end was thrown away and asked for again at once, until the call's deadline, and drained the rate meanwhile.

Change: such a limiter is avoided like one that does not answer, and a grant holds for 0.3 s.

Result: the new test, limiters that take a second, ends with one question to each; on the former code it asks until the deadline.

--- a/src/jasminewheel/_internal/organisations/organisation.py
+++ b/src/jasminewheel/_internal/organisations/organisation.py
@@ -44,4 +44,4 @@
 
 # How long granted calls may be held before they are used: a round trip to the
 # other region, and some more.
-GRANT_SECONDS = 0.15
+GRANT_SECONDS = 0.3
--- a/src/jasminewheel/_internal/organisations/rate_client.py
+++ b/src/jasminewheel/_internal/organisations/rate_client.py
@@ -10,7 +10,10 @@
 
 from jasminewheel._internal.events import organisations as events
 from jasminewheel._internal.organisations.held_calls import HeldCalls
-from jasminewheel._internal.organisations.organisation import Organisation
+from jasminewheel._internal.organisations.organisation import (
+    GRANT_SECONDS,
+    Organisation,
+)
 from jasminewheel._internal.organisations.rate_limiter import Grant
 from jasminewheel._internal.store.proof import boot_seconds
 from jasminewheel.errors import (
@@ -112,6 +115,7 @@
     ) -> None:
         """Wait until a limiter may grant a call; raise if that is too late."""
         now = self.clock()
+        held.drop_ended(now)
         if held.grants:
             return
         seconds = held.retry_seconds(now)
@@ -172,10 +176,12 @@
         try:
             grant = await self.port.ask(limiter, name, wanted, returned)
         except JasminewheelError as error:
-            self.avoided_until[limiter.address] = asked_at + AVOID_SECONDS
-            events.LIMITER_FAILED.log(
-                _LOGGER, limiter=limiter.address, problem=error
-            )
+            self.avoid(limiter, error)
+            return None
+        seconds = self.clock() - asked_at
+        if grant.calls and seconds >= GRANT_SECONDS:
+            # Asked again at once, an overloaded limiter would stay so.
+            self.avoid(limiter, f'the grant came after {seconds:.2f} s')
             return None
         held.add(limiter.address, grant.calls, asked_at)
         if not grant.calls:
@@ -184,6 +190,13 @@
             )
         return grant.calls
 
+    def avoid(self, limiter: Limiter, problem: object) -> None:
+        """Ask other limiters for a while."""
+        self.avoided_until[limiter.address] = self.clock() + AVOID_SECONDS
+        events.LIMITER_FAILED.log(
+            _LOGGER, limiter=limiter.address, problem=problem
+        )
+
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges on rates."""
         return {
--- a/tests/unit/test_call_rates.py
+++ b/tests/unit/test_call_rates.py
@@ -25,11 +25,13 @@
     Grant,
     RateLimiter,
 )
-from jasminewheel.errors import CallError, PeerError
+from jasminewheel.errors import CallError, PeerError, UnavailableError
 
 # Calls inside the rate that may be refused.
 REFUSED_SHARE = 0.01
 TOLERANCE = RateTolerance()
+# Round trips within the region and to the other one.
+REGIONS_SECONDS = (0.002, 0.04)
 SECONDS = 20.0
 WARM_SECONDS = 6.0
 
@@ -44,6 +46,8 @@
     random: Random = field(factory=lambda: Random(7))
     members: dict[str, RateLimiter] = field(factory=dict)
     asked: int = 0
+    # Of all limiters, in place of two regions.
+    distance_seconds: float = 0
 
     def __attrs_post_init__(self):
         """Start all limiters."""
@@ -66,8 +70,8 @@
     def limiters(self) -> list[Limiter]:
         """Return the limiters; half of them are in the other region."""
         return [
-            Limiter(address, 0.04 if number % 2 else 0.002)
-            for number, address in enumerate(self.members)
+            Limiter(address, self.distance_seconds or REGIONS_SECONDS[one % 2])
+            for one, address in enumerate(self.members)
         ]
 
     async def ask(
@@ -229,3 +233,19 @@
     """Most calls of a steady load wait for no limiter."""
     played = play(160, 73, 0.6)
     assert played.limiters.asked < 1.5 * len(played.passed)
+
+
+def test_overloaded_limiters_are_not_asked_without_end():
+    """Grants that come too late end in a refusal, with few questions."""
+
+    async def ask() -> Limiters:
+        late = Limiters(Organisation('o', 20, 20), 5)
+        late.distance_seconds = 1
+        client = RateClient(late, Random(1), clock=trio.current_time)
+        await trio.sleep(WARM_SECONDS)
+        with pytest.raises(UnavailableError):
+            await client.take(late.organisation)
+        return late
+
+    late = trio.run(ask, clock=MockClock(autojump_threshold=0))
+    assert late.asked == late.count
