Remove a clean-up of rate buckets that nothing called

Cause: reading the change again: RateLimiter.forget_full was never called, and the capacity page said that buckets end after a minute.

--- a/src/jasminewheel/_internal/organisations/rate_limiter.py
+++ b/src/jasminewheel/_internal/organisations/rate_limiter.py
@@ -17,9 +17,6 @@
     RateTolerance,
 )
 
-# Buckets that are full and were not used for so long are forgotten.
-FORGET_SECONDS = 60.0
-
 
 @frozen
 class Grant:
@@ -123,7 +120,7 @@
     def bucket(self, organisation: Organisation, now: float) -> RateBucket:
         """Return the bucket of an organisation.
 
-        A new one has filled since this replica began or was last forgotten.
+        A new one has filled since this replica began.
         """
         found = self.buckets.get(organisation.name)
         if found is None:
@@ -134,11 +131,3 @@
             )
             self.buckets[organisation.name] = found
         return found
-
-    def forget_full(self, now: float) -> None:
-        """Drop the full buckets that were not used for long."""
-        for name, bucket in list(self.buckets.items()):
-            unused = now - bucket.updated_at
-            is_full = bucket.calls + unused * bucket.rate >= bucket.capacity
-            if is_full and unused > FORGET_SECONDS:
-                self.buckets.pop(name)
