Tell how old the news of the store is, and what large news takes

Cause: the logs could not tell the hypotheses on late configurations apart: a refusal before a route was found had the version in force, but neither the store's revision nor the age of what was known; nothing told the size of a configuration or how long it took to arrive.

Change: JW1886 and JW1861 tell the revision, list_age, told_age and the reader followed; JW1880 the revision, bytes and list_age of the configuration; JW1860 after how many seconds a reader failed, and for how long it is passed over. JW1863 tells large changes with their source, bytes and seconds.

--- a/src/jasminewheel/_internal/events/store.py
+++ b/src/jasminewheel/_internal/events/store.py
@@ -62,6 +62,12 @@
     'check the process at this address, and that it can reach the store',
     state_change=True,
 )
+LARGE_CHANGES = Event(
+    1863,
+    logging.INFO,
+    'changes of the store of many bytes were received',
+    state_change=True,
+)
 KEY_DIFFERED = Event(
     1862,
     logging.INFO,
--- a/src/jasminewheel/_internal/gateway/gateway.py
+++ b/src/jasminewheel/_internal/gateway/gateway.py
@@ -43,6 +43,20 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+@frozen
+class ConfigurationSource:
+    """Tell where a configuration was read, for the log."""
+
+    # The store's revision that wrote it.
+    revision: int = 0
+    size_bytes: int = 0
+    # How long ago the store answered whoever read it.
+    read_age_seconds: float = 0
+
+
+UNKNOWN_SOURCE = ConfigurationSource()
+
+
 @define(eq=False)
 class RoutesHolder:
     """Provide the newest configuration; older versions are ignored."""
@@ -50,7 +64,11 @@
     current: RoutingTable = NO_ROUTES
     loaded: trio.Event = field(factory=trio.Event)
 
-    def adopt(self, table: RoutingTable) -> bool:
+    def adopt(
+        self,
+        table: RoutingTable,
+        source: ConfigurationSource = UNKNOWN_SOURCE,
+    ) -> bool:
         """Apply the configuration if it is newer; return whether it was."""
         if table.version <= self.current.version:
             return False
@@ -59,6 +77,9 @@
             version=table.version,
             before=self.current.version,
             routes=len(table.routes),
+            revision=source.revision,
+            size_bytes=source.size_bytes,
+            list_age=round(source.read_age_seconds, 2),
         )
         self.current = table
         self.loaded.set()
--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -51,6 +51,10 @@
 QUICK_FAILURE_SECONDS = 0.3
 # A start without any items waits this long for those of a reader.
 FIRST_REPLY_SECONDS = 0.1
+# Changes of this size are logged with the time that they took.
+LARGE_BYTES = 65536
+# The source of changes that no reader told.
+STORE_NAME = 'store'
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -91,6 +95,15 @@
     # The readers that failed when they were last asked.
     failing: set[str] = field(factory=set)
 
+    def log_fields(self, now: float) -> dict[str, object]:
+        """Return what tells how old the known items may be, and why."""
+        return {
+            'revision': self.contact.revision,
+            'list_age': round(self.contact.read_age(now), 2),
+            'told_age': round(self.contact.report_age(now), 2),
+            'followed': self.followed,
+        }
+
     async def snapshot(self) -> StoreSnapshot:
         """Return all values; read the store itself if no reader has them."""
         found: StoreChanges | None = None
@@ -161,10 +174,12 @@
                 after_revision, min(wait_seconds, self.watch_seconds)
             )
         if self.followed:
-            events.READING_ALONE.log(_LOGGER, followed=self.followed)
+            events.READING_ALONE.log(
+                _LOGGER, **self.log_fields(trio.current_time())
+            )
             self.followed = ''
         try:
-            changes = await self.store.changes(
+            changes = await self.watch_store(
                 after_revision, min(wait_seconds, DIRECT_WATCH_SECONDS)
             )
         except StoreError:
@@ -183,14 +198,23 @@
         time; only a second failure is a loss, of which all followers are told.
         """
         try:
-            changes = await self.store.changes(after_revision, wait_seconds)
+            changes = await self.watch_store(after_revision, wait_seconds)
         except StoreUnavailableError:
-            changes = await self.store.changes(
+            changes = await self.watch_store(
                 after_revision, REPEATED_WATCH_SECONDS
             )
         self.missed_store = False
         return evolve(changes, watchers=self.readers.count())
 
+    async def watch_store(
+        self, after_revision: int, wait_seconds: float
+    ) -> StoreChanges:
+        """Watch the store, and log what changes took to arrive."""
+        asked_at = trio.current_time()
+        changes = await self.store.changes(after_revision, wait_seconds)
+        log_large(STORE_NAME, changes, asked_at, trio.current_time())
+        return changes
+
     async def try_reader(
         self, reader: Reader, after_revision: int, wait_seconds: float
     ) -> StoreChanges | None:
@@ -209,6 +233,7 @@
             self.followed = reader.address
         changes = _changes(reply, missed_store=self.missed_store)
         self.missed_store = False
+        log_large(reader.address, changes, asked_at, trio.current_time())
         return changes
 
     def check_age(self, now: float) -> None:
@@ -267,10 +292,32 @@
         if reader.address not in self.failing:
             self.failing.add(reader.address)
             events.READER_FAILED.log(
-                _LOGGER, reader=reader.address, problem=error
+                _LOGGER,
+                reader=reader.address,
+                problem=error,
+                seconds=round(now - asked_at, 3),
+                passed_over=seconds,
             )
 
 
+def log_large(
+    source: str, changes: StoreChanges, asked_at: float, now: float
+) -> None:
+    """Log changes that are large enough to be held up on a link."""
+    size_bytes = sum(len(one.value) for one in changes.written)
+    if size_bytes < LARGE_BYTES:
+        return
+    events.LARGE_CHANGES.log(
+        _LOGGER,
+        source=source,
+        size_bytes=size_bytes,
+        seconds=round(now - asked_at, 3),
+        revision=changes.revision,
+        complete=changes.complete,
+        read_age=round(changes.age_seconds, 3),
+    )
+
+
 def _changes(reply: wire.KnownChanges, *, missed_store: bool) -> StoreChanges:
     return StoreChanges(
         items_from_wire(reply.written),
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -47,7 +47,7 @@
     """Serve clients until stop is set, then drain the open calls."""
     parts = EntryParts(settings, pool)
     async with trio.open_nursery() as nursery:
-        ingress = Ingress(build_gateway(parts, nursery))
+        ingress = Ingress(build_gateway(parts, nursery), parts.followed)
         web = WebServer(
             ingress.handle, log_request_fault, memory=parts.client_memory
         )
--- a/src/jasminewheel/platform/ingress.py
+++ b/src/jasminewheel/platform/ingress.py
@@ -3,7 +3,9 @@
 import logging
 import math
 from collections.abc import Iterator
+from typing import Protocol
 
+import trio
 from attrs import define
 
 from jasminewheel._internal.events import gateway as events
@@ -54,11 +56,20 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class NewsAge(Protocol):
+    """Tell how old the news of the store may be."""
+
+    def log_fields(self, now: float) -> dict[str, object]:
+        """Return the fields for the log line of a decision."""
+
+
 @define(eq=False)
 class Ingress:
     """Pass HTTP requests to the gateway; refuse them once closed."""
 
     gateway: Gateway
+    # Tells how old the configuration may be.
+    news: NewsAge
     # No request is accepted that may last longer.
     ends_at: float = math.inf
     closed: bool = False
@@ -102,6 +113,7 @@
             version=self.gateway.routes.current.version,
             code=error.code,
             problem=error.message,
+            **self.news.log_fields(trio.current_time()),
         )
 
 
--- a/src/jasminewheel/platform/listener.py
+++ b/src/jasminewheel/platform/listener.py
@@ -7,7 +7,10 @@
 from attrs import define
 
 from jasminewheel._internal.events import gateway as events
-from jasminewheel._internal.gateway.gateway import RoutesHolder
+from jasminewheel._internal.gateway.gateway import (
+    ConfigurationSource,
+    RoutesHolder,
+)
 from jasminewheel._internal.gateway.runners import RunnerDirectory
 from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel._internal.store.port import StoreItem
@@ -47,7 +50,11 @@
         except ConfigurationError as error:
             events.ROUTES_SKIPPED.log(_LOGGER, problem=error)
             return
-        if self.routes.adopt(table):
+        read_age = self.directory.contact.read_age(trio.current_time())
+        source = ConfigurationSource(
+            stored.revision, len(stored.value), read_age
+        )
+        if self.routes.adopt(table, source):
             self.web.limits = table.limits
 
     def apply_runner(self, key: str, stored: StoreItem | None) -> None:
