--- a/tests/store_readers.py
+++ b/tests/store_readers.py
@@ -16,14 +16,19 @@
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.store.reader_choice import Reader, ReaderChoice
 from jasminewheel._internal.store.reader_service import ReaderService
+from jasminewheel._internal.wire.codec import encode
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import PeerError
 from jasminewheel.platform.listener import PlatformListener
+from tests.slow_link import SlowLink
 from tests.watched_store import SharedStore, StoreConnection
 
 TRIP_SECONDS = 0.002
 # One region with the readers and the followers, unless a test says otherwise.
 NEAR_SECONDS = 0.002
+FAR_SECONDS = 0.02
+# Processes in this zone reach the store and the others over the slow link.
+FAR = 'far'
 
 
 @define(eq=False)
@@ -33,7 +38,8 @@
     address: str
     connection: StoreConnection
     pool: 'ReaderPool'
-    readers: tuple[str, ...]
+    readers: tuple[Reader, ...]
+    zone: str = ''
     directory: RunnerDirectory = field(factory=RunnerDirectory)
     mirror: StoreMirror = field(init=False)
     fetcher: KnownItemsFetcher = field(init=False)
@@ -50,16 +56,22 @@
         contact = self.directory.contact
         choice = ReaderChoice(
             self.address,
-            lambda zone: NEAR_SECONDS,
-            lambda: [Reader(one) for one in self.readers],
+            self.distance,
+            lambda: self.readers,
         )
-        store = FollowedStore(self.connection, self.pool, choice, contact)
+        pool = ZonePool(self.pool, self.zone)
+        store = FollowedStore(self.connection, pool, choice, contact)
         self.mirror = StoreMirror(store, [listener], contact=contact)
         log = ChangeLog(self.mirror)
         self.mirror.listeners.append(log)
         self.service = ReaderService(log)
         self.known = KnownItemsService(self.mirror)
-        self.fetcher = KnownItemsFetcher(self.mirror, self.pool, self.readers)
+        addresses = tuple(one.address for one in self.readers)
+        self.fetcher = KnownItemsFetcher(self.mirror, pool, addresses)
+
+    def distance(self, zone: str) -> float:
+        """Return the seconds of the way to a zone."""
+        return NEAR_SECONDS if zone == self.zone else FAR_SECONDS
 
     async def run(self) -> None:
         """Run until stopped."""
@@ -92,12 +104,14 @@
     asked: list[str] = field(factory=list)
     # Questions asked until then get no reply.
     lost_until: float = -math.inf
+    # Between the zones.
+    link: SlowLink | None = None
 
     def lose_open_questions(self) -> None:
         """Let the questions that wait get no reply; later ones get theirs."""
         self.lost_until = trio.current_time()
 
-    async def ask(self, address, message, reply_kind, *, timeout_seconds):
+    async def ask(self, zone, address, message, timeout_seconds):
         """Return the reply of a process; raise PeerError if there is none."""
         asked_at = trio.current_time()
         self.asked.append(address)
@@ -112,6 +126,8 @@
                 await trio.sleep_forever()
         if replied is None or asked_at <= self.lost_until:
             raise PeerError(f'{address} did not answer')
+        if self.link and process.zone != zone:
+            await self.link.carry(len(encode(replied)))
         return replied
 
     async def answer(self, process: ReadingProcess, message):
@@ -129,6 +145,18 @@
         return reply
 
 
+@define(eq=False)
+class ZonePool:
+    """Send requests of a process in a zone."""
+
+    pool: ReaderPool
+    zone: str
+
+    async def ask(self, address, message, _reply_kind, *, timeout_seconds):
+        """Return the reply of a process; raise PeerError if there is none."""
+        return await self.pool.ask(self.zone, address, message, timeout_seconds)
+
+
 @define(eq=False)
 class ReaderWorld:
     """Run readers and followers of one store."""
@@ -138,6 +166,9 @@
     store: SharedStore = field(factory=SharedStore)
     pool: ReaderPool = field(factory=ReaderPool)
     readers: tuple[str, ...] = ('a', 'b', 'c')
+    # Addresses of the processes that stand in the zone far from the store.
+    far: frozenset[str] = frozenset()
+    link: SlowLink | None = None
 
     def start(self) -> None:
         """Register two runners, and start all processes."""
@@ -152,11 +183,19 @@
 
     def start_process(self, address: str) -> None:
         """Start a process, or start it again without what it knew."""
-        connection = StoreConnection(self.store)
-        process = ReadingProcess(address, connection, self.pool, self.readers)
+        self.pool.link = self.link
+        zone = self.zone(address)
+        link = self.link if zone else None
+        connection = StoreConnection(self.store, link=link)
+        readers = tuple(Reader(one, self.zone(one)) for one in self.readers)
+        process = ReadingProcess(address, connection, self.pool, readers, zone)
         self.pool.processes[address] = process
         self.nursery.start_soon(process.run)
 
+    def zone(self, address: str) -> str:
+        """Return the zone of a process."""
+        return FAR if address in self.far else ''
+
     def stop_process(self, address: str) -> None:
         """Stop a process; its connections are refused from now on."""
         process = self.reader(address)
--- a/tests/watched_store.py
+++ b/tests/watched_store.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from collections.abc import Iterable
 
 import trio
 from attrs import define, field
@@ -14,8 +15,11 @@
 )
 from jasminewheel.errors import StoreUnavailableError
 from jasminewheel.platform.store_client import WATCH_SLACK_SECONDS
+from tests.slow_link import SlowLink
 
 ANSWER_SECONDS = 0.004
+# Of a value's bytes as base64.
+BASE64_GROWTH = 4 / 3
 
 
 @define(eq=False)
@@ -53,6 +57,10 @@
         self.items.pop(key)
         self.record_change(key, None)
 
+    def forget_history(self) -> None:
+        """Drop the changes so far, as a compaction does."""
+        self.forgotten = self.revision
+
     def record_change(self, key: str, stored: StoreItem | None) -> None:
         """Record a change and wake up the watches."""
         self.revision += 1
@@ -68,8 +76,11 @@
     store: SharedStore
     silent: bool = False
     refused: bool = False
-    # Calls made so far.
+    # Calls made so far, and how many of them read all values.
     calls: int = 0
+    snapshots: int = 0
+    # On which values arrive; None if that takes no time.
+    link: SlowLink | None = None
     # Watches wait but receive no changes.
     watch_stalled: bool = False
     # Set when waiting watches are broken off.
@@ -89,10 +100,12 @@
     async def snapshot(self) -> StoreSnapshot:
         """Return all values."""
         self.calls += 1
+        self.snapshots += 1
         await self.reach_store(0)
-        return StoreSnapshot(
-            tuple(self.store.items.values()), self.store.revision
-        )
+        found = tuple(self.store.items.values())
+        revision = self.store.revision
+        await self.receive(found)
+        return StoreSnapshot(found, revision)
 
     async def changes(
         self, after_revision: int, wait_seconds: float
@@ -120,7 +133,19 @@
         await self.reach_store(max(0, left))
         if self.watch_stalled:
             return StoreChanges((), (), after_revision)
-        return self.found(after_revision)
+        found = self.found(after_revision)
+        await self.receive(
+            written
+            for revision, _key, written in self.store.changes
+            if written and after_revision < revision <= found.revision
+        )
+        return found
+
+    async def receive(self, items: Iterable[StoreItem]) -> None:
+        """Wait until the values have arrived."""
+        if self.link:
+            size = sum(len(one.value) for one in items)
+            await self.link.carry(int(size * BASE64_GROWTH))
 
     async def fail_silently(self, seconds: float) -> None:
         """Raise after a time as a call without any answer does."""
