Receive replies whole that are arriving when their time is up

Cause: a reply had a fixed time whatever its size: 2.0 s for a page of all keys, 0.7 s beyond a watch's wait, 0.5 s beyond that of a follower's question. Once a link was full no reply fitted in. Each was thrown away half received and asked for again from its start, by all at once, so the link stayed full after what had filled it was over (a congestion collapse that feeds itself).

Change: a reply of the store whose body arrives is received while no pause in it exceeds 0.7 s, and one of a peer while a frame is arriving without a pause of 0.3 s; both for 10 s beyond their time at most. A connection is unresponsive if no byte came, in place of no frame. What is silent is given up as before.

Why it works: each transfer that started ends, so what has arrived is never sent again.

--- a/src/jasminewheel/_internal/peer/connection.py
+++ b/src/jasminewheel/_internal/peer/connection.py
@@ -70,10 +70,13 @@
     inboxes: dict[int, Inbox] = field(factory=dict)
     numbers: count = field(factory=lambda: count(1))
     closed: bool = False
-    # When the last frame of the peer arrived.
-    last_received_at: float = 0
     running: trio.CancelScope = field(factory=trio.CancelScope)
 
+    @property
+    def last_received_at(self) -> float:
+        """Return when bytes of the peer last arrived."""
+        return self.link.reader.last_received_at
+
     async def run(self) -> None:
         """Read and write until the connection breaks or is closed."""
         with ExitStack() as stack:
@@ -82,7 +85,7 @@
                 await self.exchange_frames()
 
     def close_if_unresponsive(self, since: float) -> None:
-        """Close the connection if no frame arrived since the given time.
+        """Close the connection if nothing arrived since the given time.
 
         A connection that still delivers other answers is only slow; a new one
         would not be faster.
@@ -91,6 +94,10 @@
             self.close('the peer sent nothing in time; connection closed')
             self.running.cancel()
 
+    def is_receiving(self, now: float) -> bool:
+        """Return whether a large frame is arriving."""
+        return self.link.reader.is_receiving(now)
+
     async def exchange_frames(self) -> None:
         """Read and write; a broken connection fails the open exchanges."""
         try:
@@ -104,7 +111,6 @@
         """Pass frames to their inboxes; drop those of ended exchanges."""
         while True:
             envelope = await self.link.reader.receive()
-            self.last_received_at = trio.current_time()
             inbox = self.inboxes.get(envelope.exchange)
             if inbox:
                 inbox.put(envelope)
--- a/src/jasminewheel/_internal/peer/frames.py
+++ b/src/jasminewheel/_internal/peer/frames.py
@@ -23,6 +23,8 @@
 MAX_QUEUED_BYTES = 1048576
 CHUNK_BYTES = 65536
 MAC_BYTES = 32
+# A frame whose next bytes take longer has stopped arriving.
+STALL_SECONDS = 0.3
 BROKEN_ERRORS = (*BROKEN_STREAM_ERRORS, EOFError, PeerError)
 
 _LENGTH = struct.Struct('>I')
@@ -36,6 +38,7 @@
         """Start with an empty buffer."""
         self.stream = stream
         self.buffer = bytearray()
+        self.last_received_at: float = 0
 
     async def take(self, count: int) -> bytes:
         """Return the next count bytes; raise EOFError at the end."""
@@ -43,6 +46,7 @@
             chunk = await self.stream.receive_some(CHUNK_BYTES)
             if not chunk:
                 raise EOFError('the peer closed the connection')
+            self.last_received_at = trio.current_time()
             self.buffer += chunk
         taken = bytes(self.buffer[:count])
         self.buffer = self.buffer[count:]
@@ -86,6 +90,16 @@
     reader: ByteReader
     authenticator: FrameAuthenticator
 
+    @property
+    def last_received_at(self) -> float:
+        """Return when bytes last arrived."""
+        return self.reader.last_received_at
+
+    def is_receiving(self, now: float) -> bool:
+        """Return whether a part of a frame has arrived, and just now."""
+        is_recent = now - self.last_received_at < STALL_SECONDS
+        return bool(self.reader.buffer) and is_recent
+
     async def receive(self) -> Envelope:
         """Return the next envelope; raise EOFError at the end."""
         block = await self.reader.take_prefixed(MAX_FRAME_BYTES + MAC_BYTES)
--- a/src/jasminewheel/_internal/peer/pool.py
+++ b/src/jasminewheel/_internal/peer/pool.py
@@ -25,6 +25,10 @@
 DIAL_TIMEOUT_SECONDS = 1.0
 # Requests within this time after a failed dial fail with the same error.
 REDIAL_DELAY_SECONDS = 0.25
+# An answer that arrives may take so much longer than it is waited for, checked
+# at this interval.
+MAX_ARRIVAL_SECONDS = 10.0
+ARRIVAL_CHECK_SECONDS = 0.1
 ReplyT = TypeVar('ReplyT')
 
 
@@ -110,17 +114,21 @@
         """Return the peer's answer to one message.
 
         Raise PeerError on a timeout; its `sent` says whether a connection was
-        open, so that the message may have reached the peer.
+        open, so that the message may have reached the peer. An answer that is
+        arriving by then is received whole.
         """
         started_at = trio.current_time()
+        due_at = started_at + timeout_seconds
         connection: PeerConnection | None = None
         try:
-            with trio.fail_after(timeout_seconds):
+            with trio.fail_at(due_at) as scope:
                 connection = await self.connect(address)
                 async with _exchange(
                     connection, message, reply_kind
                 ) as replies:
-                    return await anext(replies)
+                    # From here on the wait for the reply has its own bound.
+                    scope.deadline = math.inf
+                    return await _first_reply(connection, replies, due_at)
         except trio.TooSlowError as error:
             if connection:
                 connection.close_if_unresponsive(started_at)
@@ -200,6 +208,21 @@
         return PeerConnection(link)
 
 
+async def _first_reply(
+    connection: PeerConnection, replies: 'Replies[ReplyT]', due_at: float
+) -> ReplyT:
+    """Return the first reply; raise TooSlowError unless it arrives."""
+    ends_at = due_at + MAX_ARRIVAL_SECONDS
+    wait_until = due_at
+    while True:
+        with trio.move_on_at(wait_until):
+            return await anext(replies)
+        now = trio.current_time()
+        if now >= ends_at or not connection.is_receiving(now):
+            raise trio.TooSlowError
+        wait_until = now + ARRIVAL_CHECK_SECONDS
+
+
 @asynccontextmanager
 async def _exchange(
     connection: PeerConnection,
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -28,6 +28,7 @@
 )
 from jasminewheel._internal.web.client import HttpConnection, OutgoingRequest
 from jasminewheel._internal.web.pool import ConnectionPool
+from jasminewheel._internal.web.response_parser import HttpResponse
 from jasminewheel.errors import ConnectionLostError, StoreUnavailableError
 from jasminewheel.platform.store_replies import (
     StorePages,
@@ -44,6 +45,10 @@
 # Time that a watch's reply may take beyond its wait before it times out; a
 # change may be unknown for as long, see followed_store.
 WATCH_SLACK_SECONDS = 0.7
+# A reply that arrives is received whole if no pause in it is longer, and all of
+# it takes no longer than this beyond its time.
+STALL_SECONDS = 0.7
+MAX_ARRIVAL_SECONDS = 10.0
 MS_PER_SECOND = 1000
 # A page of values has about 1 MB, the changes of a long period may have more.
 MAX_REPLY_BYTES = 16777216
@@ -170,7 +175,7 @@
         self.calls[_call_kind(request.target)] += 1
         connection: HttpConnection | None = None
         try:
-            with trio.fail_after(timeout_seconds):
+            with trio.fail_after(timeout_seconds) as scope:
                 connection = await self.pool.acquire(
                     self.address,
                     trio.current_time(),
@@ -179,7 +184,7 @@
                 )
                 connection.limits = _LIMITS
                 reusable, reply = await _exchange(
-                    connection, self.address, request
+                    connection, self.address, request, scope
                 )
         except (ConnectionLostError, trio.TooSlowError, ValueError) as error:
             _close(connection)
@@ -207,13 +212,15 @@
 
 
 async def _exchange(
-    connection: HttpConnection, host: str, request: OutgoingRequest
+    connection: HttpConnection,
+    host: str,
+    request: OutgoingRequest,
+    scope: trio.CancelScope,
 ) -> tuple[HttpConnection | None, StoreReply]:
     request.headers.append((b'Host', host.encode()))
     await connection.send(request)
     response = await connection.response(bool)
-    memory = AnswerMemory(AnswerMemoryPool(MAX_REPLY_BYTES), MAX_REPLY_BYTES)
-    body = await connection.whole_body(response, memory)
+    body = await _arriving_body(connection, response, scope)
     reusable: HttpConnection | None = connection
     if not connection.finish(response, trio.current_time()):
         connection.close()
@@ -221,6 +228,23 @@
     return reusable, StoreReply(response.status, _decoded(body))
 
 
+async def _arriving_body(
+    connection: HttpConnection,
+    response: HttpResponse,
+    scope: trio.CancelScope,
+) -> bytes:
+    """Return the whole body; extend the scope's deadline while it arrives."""
+    memory = AnswerMemory(AnswerMemoryPool(MAX_REPLY_BYTES), MAX_REPLY_BYTES)
+    memory.check_size(response.declared_bytes())
+    ends_at = scope.deadline + MAX_ARRIVAL_SECONDS
+    received: list[bytes] = []
+    async for part in connection.parts(response):
+        received.append(part)
+        arrives_until = min(trio.current_time() + STALL_SECONDS, ends_at)
+        scope.deadline = max(scope.deadline, arrives_until)
+    return b''.join(received)
+
+
 def _decoded(body: bytes) -> Mapping[str, Any]:
     if not body.startswith(b'{'):
         return {}
