Tell other processes large values by what changed in them

Cause: a reader sent each version whole to each follower: 0.7 MB over links of 11 Mbit/s, half a second a copy and before the answers of turns on the same connection. So did a process that was asked for its known items, up to three times at once and again after a second.

Change: who asks tells which versions of large values it holds; the reply has these packed by zstd, with the held version as the dictionary where the reader still has it.

The tests of test_large_values.py still fail: readers behind the narrow link get whole values from the store.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -88,15 +88,24 @@
   5: bool complete,            // the asker then has all that is here
 }
 
+// A large value that an asker has: others are told by what differs from it.
+struct HeldValue {
+  1: string key,
+  2: i64 revision,
+}
+
 // What a process that cannot reach the store asks of one that could before.
 struct ReadKnownItems {
   1: i64 after_revision,       // up to which the asker knows changes
+  2: list<HeldValue> held,     // not set by an asker that can't unpack values
 }
 
 struct KnownItem {
   1: string key,
-  2: binary value,
+  2: binary value,             // not set if it is packed
   3: i64 revision,
+  4: binary packed,            // the value, compressed by zstd
+  5: i64 base_revision,        // of the key's value that is its dictionary
 }
 
 struct KnownItems {
@@ -111,6 +120,7 @@
 struct AwaitChanges {
   1: i64 after_revision,       // up to which the asker knows changes
   2: double wait_seconds,
+  3: list<HeldValue> held,     // not set by an asker that can't unpack values
 }
 
 struct KnownChanges {
--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -9,9 +9,11 @@
 from jasminewheel._internal.events import store as events
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.port import (
     ReadableStore,
     StoreChanges,
+    StoreItem,
     StoreSnapshot,
 )
 from jasminewheel._internal.store.reader_choice import (
@@ -20,7 +22,6 @@
     Reader,
     ReaderChoice,
 )
-from jasminewheel._internal.store.wire_items import items_from_wire
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import (
     JasminewheelError,
@@ -81,6 +82,8 @@
     pool: PeerPool
     readers: ReaderChoice
     contact: StoreContact
+    # Large values that are known here, and need not be sent whole.
+    values: LargeValues = field(factory=LargeValues)
     # The longest waits at a reader, and of a reader's own watch.
     follow_seconds: float = FOLLOW_SECONDS
     watch_seconds: float = READER_WATCH_SECONDS
@@ -223,6 +226,7 @@
         self.check_age(asked_at)
         try:
             reply = await self.ask(reader, after_revision, wait_seconds)
+            written = self.values.from_wire(reply.written)
         except JasminewheelError as error:
             self.record_failure(reader, error, asked_at, trio.current_time())
             return None
@@ -231,7 +235,7 @@
         if self.followed != reader.address:
             events.FOLLOWING.log(_LOGGER, reader=reader.address)
             self.followed = reader.address
-        changes = _changes(reply, missed_store=self.missed_store)
+        changes = _changes(reply, written, missed_store=self.missed_store)
         self.missed_store = False
         log_large(reader.address, changes, asked_at, trio.current_time())
         return changes
@@ -256,7 +260,9 @@
         reply = await self.pool.ask(
             reader.address,
             wire.AwaitChanges(
-                after_revision=after_revision, wait_seconds=wait_seconds
+                after_revision=after_revision,
+                wait_seconds=wait_seconds,
+                held=self.values.held(),
             ),
             wire.KnownChanges,
             timeout_seconds=wait_seconds + REPLY_SECONDS,
@@ -318,9 +324,14 @@
     )
 
 
-def _changes(reply: wire.KnownChanges, *, missed_store: bool) -> StoreChanges:
+def _changes(
+    reply: wire.KnownChanges,
+    written: tuple[StoreItem, ...],
+    *,
+    missed_store: bool,
+) -> StoreChanges:
     return StoreChanges(
-        items_from_wire(reply.written),
+        written,
         tuple(reply.removed),
         reply.revision,
         complete=bool(reply.complete),
--- a/src/jasminewheel/_internal/store/known_items.py
+++ b/src/jasminewheel/_internal/store/known_items.py
@@ -14,15 +14,12 @@
 from jasminewheel._internal.history.durable_file import replace_durably
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.peer.server import Exchange
+from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.mirror import (
     MirrorListener,
     StoreMirror,
 )
 from jasminewheel._internal.store.port import StoreItem
-from jasminewheel._internal.store.wire_items import (
-    items_from_wire,
-    items_to_wire,
-)
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 from jasminewheel.errors import JasminewheelError
 
@@ -88,6 +85,7 @@
     """Serve the items of a mirror to peers."""
 
     mirror: StoreMirror
+    values: LargeValues = field(factory=LargeValues)
 
     async def read(
         self, exchange: Exchange, request: wire.ReadKnownItems
@@ -95,8 +93,9 @@
         """Return all known items, or none if the requester is up to date."""
         known = self.mirror.known_revision
         newer = known > (request.after_revision or 0)
+        items = self.mirror.items.values() if newer else ()
         return wire.KnownItems(
-            items=items_to_wire(self.mirror.items.values()) if newer else [],
+            items=self.values.to_wire(items, request.held),
             revision=known,
             settled=self.mirror.contact.can_confirm_settled(
                 trio.current_time()
@@ -118,6 +117,7 @@
     mirror: StoreMirror
     pool: PeerPool
     addresses: tuple[str, ...]
+    values: LargeValues = field(factory=LargeValues)
     # The address of a peer that reads the store; empty if none is known.
     reader: str = ''
     pending: set[str] = field(factory=set)
@@ -174,10 +174,14 @@
         try:
             reply = await self.pool.ask(
                 address,
-                wire.ReadKnownItems(after_revision=self.mirror.known_revision),
+                wire.ReadKnownItems(
+                    after_revision=self.mirror.known_revision,
+                    held=self.values.held(),
+                ),
                 wire.KnownItems,
                 timeout_seconds=FETCH_TIMEOUT_SECONDS,
             )
+            found = self.values.from_wire(reply.items)
         except JasminewheelError as error:
             self.record_reader(address, reads=False)
             _LOGGER.info(
@@ -185,7 +189,7 @@
             )
         else:
             self.record_reader(address, reads=bool(reply.reads))
-            self.apply_reply(address, reply)
+            self.apply_reply(address, reply, found)
         finally:
             self.pending.discard(address)
 
@@ -196,11 +200,15 @@
         elif self.reader == address:
             self.reader = ''
 
-    def apply_reply(self, address: str, reply: wire.KnownItems) -> None:
+    def apply_reply(
+        self,
+        address: str,
+        reply: wire.KnownItems,
+        found: tuple[StoreItem, ...],
+    ) -> None:
         """Apply a reply with a newer revision or a settled confirmation."""
         now = trio.current_time()
         settled = bool(reply.settled)
-        found = items_from_wire(reply.items)
         if self.mirror.apply_known_items(
             found, reply.revision, now, settled=settled
         ):
--- a/src/jasminewheel/_internal/store/reader_service.py
+++ b/src/jasminewheel/_internal/store/reader_service.py
@@ -1,12 +1,12 @@
 """Hand changes of the store on to the processes that follow this one."""
 
 import trio
-from attrs import frozen
+from attrs import field, frozen
 
 from jasminewheel._internal.peer.server import Exchange
 from jasminewheel._internal.store.change_log import ChangeLog
+from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.proof import boot_seconds
-from jasminewheel._internal.store.wire_items import items_to_wire
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
 
 # The longest that a follower's question is held.
@@ -21,6 +21,7 @@
     """Answer followers with the changes that this process has read."""
 
     log: ChangeLog
+    values: LargeValues = field(factory=LargeValues)
 
     async def await_changes(
         self, exchange: Exchange, request: wire.AwaitChanges
@@ -31,11 +32,10 @@
         the store has not answered in time.
         """
         received_at = boot_seconds()
-        after = request.after_revision or 0
         wait_seconds = min(request.wait_seconds or 0, MAX_WAIT_SECONDS)
         with trio.move_on_after(wait_seconds):
-            await self.wait_for_news(after)
-        reply = self.reply(after, trio.current_time())
+            await self.wait_for_news(request.after_revision or 0)
+        reply = self.reply(request, trio.current_time())
         if reply.reads:
             # The asker counts from its question, which was held for a while.
             contact = self.log.mirror.contact
@@ -59,8 +59,10 @@
         """Return whether this process has read the store, and just now."""
         return self.log.mirror.is_readable and now < self.current_until()
 
-    def reply(self, after_revision: int, now: float) -> wire.KnownChanges:
-        """Return the changes after a revision, none if they may be old."""
+    def reply(
+        self, request: wire.AwaitChanges, now: float
+    ) -> wire.KnownChanges:
+        """Return the changes that are asked for, none if they may be old."""
         mirror = self.log.mirror
         if not self.is_current(now):
             return wire.KnownChanges(
@@ -68,9 +70,9 @@
                 reads=False,
                 silent=mirror.contact.lost_silently(),
             )
-        changes = self.log.changes(after_revision, now)
+        changes = self.log.changes(request.after_revision or 0, now)
         return wire.KnownChanges(
-            written=items_to_wire(changes.written),
+            written=self.values.to_wire(changes.written, request.held),
             removed=list(changes.removed),
             revision=changes.revision,
             settled=bool(changes.settled),
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -1321,20 +1321,103 @@
         return not (self == other)
 
 
+class HeldValue(object):
+    """
+    Attributes:
+     - key
+     - revision
+
+    """
+
+    __slots__ = (
+        'key',
+        'revision',
+    )
+
+
+    def __init__(self, key=None, revision=None,):
+        self.key = key
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeldValue')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ReadKnownItems(object):
     """
     Attributes:
      - after_revision
+     - held
 
     """
 
     __slots__ = (
         'after_revision',
+        'held',
     )
 
 
-    def __init__(self, after_revision=None,):
+    def __init__(self, after_revision=None, held=None,):
         self.after_revision = after_revision
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1350,6 +1433,17 @@
                     self.after_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = HeldValue()
+                        _elem47.read(iprot)
+                        self.held.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1364,6 +1458,13 @@
             oprot.writeFieldBegin('after_revision', TType.I64, 1)
             oprot.writeI64(self.after_revision)
             oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter48 in self.held:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1395,6 +1496,8 @@
      - key
      - value
      - revision
+     - packed
+     - base_revision
 
     """
 
@@ -1402,13 +1505,17 @@
         'key',
         'value',
         'revision',
+        'packed',
+        'base_revision',
     )
 
 
-    def __init__(self, key=None, value=None, revision=None,):
+    def __init__(self, key=None, value=None, revision=None, packed=None, base_revision=None,):
         self.key = key
         self.value = value
         self.revision = revision
+        self.packed = packed
+        self.base_revision = base_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1434,6 +1541,16 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.packed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.base_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1456,6 +1573,14 @@
             oprot.writeFieldBegin('revision', TType.I64, 3)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.STRING, 4)
+            oprot.writeBinary(self.packed)
+            oprot.writeFieldEnd()
+        if self.base_revision is not None:
+            oprot.writeFieldBegin('base_revision', TType.I64, 5)
+            oprot.writeI64(self.base_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1517,11 +1642,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = KnownItem()
-                        _elem47.read(iprot)
-                        self.items.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = KnownItem()
+                        _elem54.read(iprot)
+                        self.items.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1553,8 +1678,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter48 in self.items:
-                iter48.write(oprot)
+            for iter55 in self.items:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revision is not None:
@@ -1599,18 +1724,21 @@
     Attributes:
      - after_revision
      - wait_seconds
+     - held
 
     """
 
     __slots__ = (
         'after_revision',
         'wait_seconds',
+        'held',
     )
 
 
-    def __init__(self, after_revision=None, wait_seconds=None,):
+    def __init__(self, after_revision=None, wait_seconds=None, held=None,):
         self.after_revision = after_revision
         self.wait_seconds = wait_seconds
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1631,6 +1759,17 @@
                     self.wait_seconds = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = HeldValue()
+                        _elem61.read(iprot)
+                        self.held.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1649,6 +1788,13 @@
             oprot.writeFieldBegin('wait_seconds', TType.DOUBLE, 2)
             oprot.writeDouble(self.wait_seconds)
             oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter62 in self.held:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1728,21 +1874,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.written = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = KnownItem()
-                        _elem54.read(iprot)
-                        self.written.append(_elem54)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = KnownItem()
+                        _elem68.read(iprot)
+                        self.written.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem60)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1799,15 +1945,15 @@
         if self.written is not None:
             oprot.writeFieldBegin('written', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.written))
-            for iter61 in self.written:
-                iter61.write(oprot)
+            for iter75 in self.written:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter62 in self.removed:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter76 in self.removed:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revision is not None:
@@ -2170,11 +2316,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = RunnerCalls()
-                        _elem68.read(iprot)
-                        self.known.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = RunnerCalls()
+                        _elem82.read(iprot)
+                        self.known.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2191,8 +2337,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter69 in self.known:
-                iter69.write(oprot)
+            for iter83 in self.known:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2247,11 +2393,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = RunnerCalls()
-                        _elem75.read(iprot)
-                        self.known.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = RunnerCalls()
+                        _elem89.read(iprot)
+                        self.known.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2268,8 +2414,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter76 in self.known:
-                iter76.write(oprot)
+            for iter90 in self.known:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2562,10 +2708,17 @@
     (4, TType.LIST, 'reservations', (TType.STRUCT, [TokenReservation, None], False), None, ),  # 4
     (5, TType.BOOL, 'complete', None, None, ),  # 5
 )
+all_structs.append(HeldValue)
+HeldValue.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+)
 all_structs.append(ReadKnownItems)
 ReadKnownItems.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'after_revision', None, None, ),  # 1
+    (2, TType.LIST, 'held', (TType.STRUCT, [HeldValue, None], False), None, ),  # 2
 )
 all_structs.append(KnownItem)
 KnownItem.thrift_spec = (
@@ -2573,6 +2726,8 @@
     (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'packed', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'base_revision', None, None, ),  # 5
 )
 all_structs.append(KnownItems)
 KnownItems.thrift_spec = (
@@ -2587,6 +2742,7 @@
     None,  # 0
     (1, TType.I64, 'after_revision', None, None, ),  # 1
     (2, TType.DOUBLE, 'wait_seconds', None, None, ),  # 2
+    (3, TType.LIST, 'held', (TType.STRUCT, [HeldValue, None], False), None, ),  # 3
 )
 all_structs.append(KnownChanges)
 KnownChanges.thrift_spec = (
--- a/src/jasminewheel/platform/entry.py
+++ b/src/jasminewheel/platform/entry.py
@@ -103,7 +103,7 @@
     """Start the store mirror, its fallback to peers, and periodic clean-ups."""
     mirror = parts.mirror(web)
     known_items_fetcher = KnownItemsFetcher(
-        mirror, parts.pool, parts.settings.seeds
+        mirror, parts.pool, parts.settings.seeds, parts.values
     )
     nursery.start_soon(mirror.run)
     nursery.start_soon(known_items_fetcher.run)
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -9,6 +9,7 @@
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
 from jasminewheel._internal.store.followed_store import FollowedStore
+from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.web.client_memory import ClientMemory, memory_for
 from jasminewheel._internal.web.pool import ConnectionPool, pool_for_memory
@@ -17,6 +18,7 @@
 from jasminewheel.platform.listener import PlatformListener
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
+from jasminewheel.platform.store_reading import followed_store
 
 
 @define(eq=False)
@@ -32,6 +34,7 @@
     store: PlatformStore = field(init=False)
     followed: FollowedStore = field(init=False)
     peers: EntryPeers = field(init=False)
+    values: LargeValues = field(factory=LargeValues)
     rates: RateClient | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -46,14 +49,22 @@
             self.settings.store_address, self.connections
         )
         self.peers = EntryPeers(self.settings, self.pool, self.store)
-        self.followed = self.peers.followed_store(contact)
+        self.followed = followed_store(
+            self.settings,
+            self.store,
+            self.pool,
+            self.peers.sets,
+            contact,
+            self.values,
+            seeds=self.settings.seeds,
+        )
 
     def mirror(self, web: WebServer) -> StoreMirror:
         """Return the task that mirrors the store's keys."""
         listener = PlatformListener(self.routes, self.directory, web)
         mirror = StoreMirror(
             self.followed,
-            [*self.peers.listeners(), listener],
+            [self.values, *self.peers.listeners(), listener],
             contact=self.directory.contact,
         )
         self.peers.listing.follow(mirror)
--- a/src/jasminewheel/platform/entry_peers.py
+++ b/src/jasminewheel/platform/entry_peers.py
@@ -16,14 +16,11 @@
 from jasminewheel._internal.gateway.limits import RunnerLimits
 from jasminewheel._internal.peer.distance import Distance
 from jasminewheel._internal.peer.pool import PeerPool
-from jasminewheel._internal.store.contact import StoreContact
-from jasminewheel._internal.store.followed_store import FollowedStore
 from jasminewheel._internal.store.leased_key import LeasedKey
 from jasminewheel._internal.store.mirror import MirrorListener
 from jasminewheel.platform.roles import peer_server
 from jasminewheel.platform.settings import NodeSettings
 from jasminewheel.platform.store_client import PlatformStore
-from jasminewheel.platform.store_reading import followed_store
 
 
 @define(eq=False)
@@ -65,17 +62,6 @@
         nursery.start_soon(watch.run)
         return watch
 
-    def followed_store(self, contact: StoreContact) -> FollowedStore:
-        """Return the store as this entry reads it, mostly through a history."""
-        return followed_store(
-            self.settings,
-            self.store,
-            self.pool,
-            self.sets,
-            contact,
-            seeds=self.settings.seeds,
-        )
-
     def limits(self) -> RunnerLimits:
         """Return the limits of runners, shared among the listed entries."""
         return RunnerLimits(self.entries)
--- a/src/jasminewheel/platform/history_parts.py
+++ b/src/jasminewheel/platform/history_parts.py
@@ -19,6 +19,10 @@
 from jasminewheel._internal.conversation.state import ConversationState
 from jasminewheel._internal.history.folder import load_disk_id
 from jasminewheel._internal.peer.pool import PeerPool
+from jasminewheel._internal.store.large_values import (
+    READER_VERSIONS,
+    LargeValues,
+)
 from jasminewheel._internal.store.mirror import MirrorListener, StoreMirror
 from jasminewheel.platform.history_limits import HistoryLimits
 from jasminewheel.platform.settings import NodeSettings
@@ -39,6 +43,7 @@
     disk_id: str = field(init=False)
     registration: DiskRegistration = field(init=False)
     limits: HistoryLimits = field(init=False)
+    values: LargeValues = field(factory=lambda: LargeValues(READER_VERSIONS))
 
     def __attrs_post_init__(self) -> None:
         """Open the data folder and load the journal."""
@@ -67,11 +72,16 @@
         """
         contact = self.listener.contact
         store = followed_store(
-            self.settings, self.store, pool, self.listener.holder, contact
+            self.settings,
+            self.store,
+            pool,
+            self.listener.holder,
+            contact,
+            self.values,
         )
         mirror = StoreMirror(
             store,
-            [self.listener, self.limits.listener(), *listeners],
+            [self.values, self.listener, self.limits.listener(), *listeners],
             contact=contact,
         )
         self.registration.leased_key.follow(mirror)
--- a/src/jasminewheel/platform/history_server.py
+++ b/src/jasminewheel/platform/history_server.py
@@ -16,7 +16,7 @@
         parts.settings,
         {
             **service.handlers(),
-            **reader_handlers(mirror),
+            **reader_handlers(mirror, parts.values),
             **parts.limits.handlers(),
             **LoadBoardService().handlers(),
         },
--- a/src/jasminewheel/platform/store_reading.py
+++ b/src/jasminewheel/platform/store_reading.py
@@ -14,6 +14,7 @@
     FollowedStore,
 )
 from jasminewheel._internal.store.known_items import KnownItemsService
+from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.store.port import ReadableStore
 from jasminewheel._internal.store.reader_choice import ReaderChoice
@@ -35,6 +36,7 @@
     pool: PeerPool,
     sets: SetHolder,
     contact: StoreContact,
+    values: LargeValues,
     *,
     seeds: tuple[str, ...] = (),
 ) -> FollowedStore:
@@ -50,16 +52,19 @@
         pool,
         readers,
         contact,
+        values,
         follow_seconds=min(FOLLOW_SECONDS, proof_seconds),
         watch_seconds=min(READER_WATCH_SECONDS, proof_seconds),
     )
 
 
-def reader_handlers(mirror: StoreMirror) -> Mapping[type, Handler]:
+def reader_handlers(
+    mirror: StoreMirror, values: LargeValues
+) -> Mapping[type, Handler]:
     """Return the handlers by which other processes read the mirror's items."""
     log = ChangeLog(mirror)
     mirror.listeners.append(log)
     return {
-        ReadKnownItems: KnownItemsService(mirror).read,
-        AwaitChanges: ReaderService(log).await_changes,
+        ReadKnownItems: KnownItemsService(mirror, values).read,
+        AwaitChanges: ReaderService(log, values).await_changes,
     }
--- a/tests/store_readers.py
+++ b/tests/store_readers.py
@@ -13,6 +13,10 @@
     KnownItemsFetcher,
     KnownItemsService,
 )
+from jasminewheel._internal.store.large_values import (
+    READER_VERSIONS,
+    LargeValues,
+)
 from jasminewheel._internal.store.mirror import StoreMirror
 from jasminewheel._internal.store.reader_choice import Reader, ReaderChoice
 from jasminewheel._internal.store.reader_service import ReaderService
@@ -60,14 +64,15 @@
             lambda: self.readers,
         )
         pool = ZonePool(self.pool, self.zone)
-        store = FollowedStore(self.connection, pool, choice, contact)
-        self.mirror = StoreMirror(store, [listener], contact=contact)
+        values = LargeValues(READER_VERSIONS)
+        store = FollowedStore(self.connection, pool, choice, contact, values)
+        self.mirror = StoreMirror(store, [values, listener], contact=contact)
         log = ChangeLog(self.mirror)
         self.mirror.listeners.append(log)
-        self.service = ReaderService(log)
-        self.known = KnownItemsService(self.mirror)
+        self.service = ReaderService(log, values)
+        self.known = KnownItemsService(self.mirror, values)
         addresses = tuple(one.address for one in self.readers)
-        self.fetcher = KnownItemsFetcher(self.mirror, pool, addresses)
+        self.fetcher = KnownItemsFetcher(self.mirror, pool, addresses, values)
 
     def distance(self, zone: str) -> float:
         """Return the seconds of the way to a zone."""
