Let processes fetch each large version from the store once, not all of them

Cause: the same bytes were asked of the store by everyone. It sends each version whole, a third larger as base64, to each reader, the versions between included; a reader behind a link of 30 Mbit/s that was receiving for 1.4 s counted as away, so its followers watched the store themselves, over the same link. After a lost history each of them read all keys at once.

Change: readers that hold a value above 64 KiB ask each other beside their own watch, and for all keys; the first news ends the others. A reader that is receiving a reply of the store is current. A follower that watches the store goes on asking readers, and follows the first one whose news is settled. After a lost history it asks readers for all keys, and the store only after 1 to 3 s. The client of the readers and the watch of a reader are modules of their own.

Evidence: the three tests of test_large_values.py failed before and pass now. The tests of the followed store, news age, leaving runners and reader replies pass. Why it works: what crosses a narrow link no longer grows with followers or versions.

--- a/src/jasminewheel/_internal/parallel.py
+++ b/src/jasminewheel/_internal/parallel.py
@@ -34,6 +34,40 @@
                 scope.cancel()
 
 
+@define
+class FirstResult(Generic[AnswerT]):
+    """Hold the result of the call that ended first."""
+
+    answers: list[AnswerT] = field(factory=list)
+    errors: list[Exception] = field(factory=list)
+
+    async def run(
+        self,
+        scope: trio.CancelScope,
+        call: Callable[[], Awaitable[AnswerT]],
+    ) -> None:
+        """Make one call, then cancel the scope of all."""
+        try:
+            self.answers.append(await call())
+        except Exception as error:
+            self.errors.append(error)
+        scope.cancel()
+
+
+async def first_result(*calls: Callable[[], Awaitable[AnswerT]]) -> AnswerT:
+    """Return the result of the call that ends first; cancel the others.
+
+    An error of any call is raised as it is, not in an exception group.
+    """
+    race: FirstResult[AnswerT] = FirstResult()
+    async with trio.open_nursery() as nursery:
+        for call in calls:
+            nursery.start_soon(race.run, nursery.cancel_scope, call)
+    if race.answers:
+        return race.answers[0]
+    raise race.errors[0]
+
+
 async def map_parallel(
     call: Callable[[ItemT], Awaitable[AnswerT]],
     arguments: Iterable[ItemT],
--- a/src/jasminewheel/_internal/store/contact.py
+++ b/src/jasminewheel/_internal/store/contact.py
@@ -34,6 +34,8 @@
     reported_at: float = 0
     # When the store answered whoever read it for that report.
     read_at: float = 0
+    # When a part of a reply last arrived that is not whole yet.
+    arrived_at: float = -math.inf
     lost_at: float | None = None
     # Whether the known contents were unsettled at lost_at.
     unsettled_at_loss: bool = False
@@ -87,6 +89,14 @@
         if not self.is_settled(now):
             self.settled_at = math.inf
 
+    def record_arrival(self, now: float) -> None:
+        """Record that a part of a large reply has arrived."""
+        self.arrived_at = now
+
+    def answered_at(self) -> float:
+        """Return when the store was last seen to answer."""
+        return max(self.read_at, self.arrived_at)
+
     def lost_silently(self) -> bool:
         """Return whether the start of the present outage is unknown."""
         return self.lost_at == -math.inf
--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -2,74 +2,58 @@
 
 import logging
 import math
+from functools import partial
+from zlib import crc32
 
 import trio
-from attrs import define, evolve, field
+from attrs import define, field
 
 from jasminewheel._internal.events import store as events
+from jasminewheel._internal.parallel import first_result
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.large_changes import watch_store
 from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.port import (
     ReadableStore,
     StoreChanges,
-    StoreItem,
     StoreSnapshot,
 )
-from jasminewheel._internal.store.reader_choice import (
-    AWAY_SECONDS,
-    FAILED_SECONDS,
-    Reader,
-    ReaderChoice,
-)
-from jasminewheel._internal.wire.gen.conversation import ttypes as wire
-from jasminewheel.errors import (
-    JasminewheelError,
-    PeerError,
-    StoreError,
-    StoreUnavailableError,
+from jasminewheel._internal.store.reader_choice import Reader, ReaderChoice
+from jasminewheel._internal.store.reader_client import (
+    REPLY_SECONDS,
+    ReaderClient,
 )
+from jasminewheel._internal.store.reader_watch import ReaderWatch, as_snapshot
+from jasminewheel.errors import StoreError, StoreUnavailableError
 
 # These waits bound how late a change is known when a process or a connection
 # falls silent; docs/design/platform.md adds them up.
-# The longest wait for a change at a reader, and the time for its reply.
+# The longest wait for a change at a reader.
 FOLLOW_SECONDS = 1.0
-REPLY_SECONDS = 0.5
 # The longest wait of a reader's own watch.
 READER_WATCH_SECONDS = 1.0
-# The wait of a watch that is made again. A store may hold one without a wait
-# for longer than its reply is waited for.
-REPEATED_WATCH_SECONDS = 0.1
 # How many readers are asked in one round, and how many rounds have to fail
 # before the store itself is watched: readers that start again fail for a
 # moment, and the store would be called by all their followers at once.
 READERS_TRIED = 2
 ROUNDS_TRIED = 2
-# How long the store is watched directly before readers are asked again.
+# How long the store is watched directly before readers are asked again, unless
+# one replies sooner.
 DIRECT_SECONDS = 2.0
 DIRECT_WATCH_SECONDS = 1.0
-# A reader that failed within this time is asked again soon.
-QUICK_FAILURE_SECONDS = 0.3
+RETURN_INTERVAL_SECONDS = 0.25
 # A start without any items waits this long for those of a reader.
 FIRST_REPLY_SECONDS = 0.1
-# Changes of this size are logged with the time that they took.
-LARGE_BYTES = 65536
-# The source of changes that no reader told.
-STORE_NAME = 'store'
+# How long a process that has items waits for a reader's before it reads all
+# keys of the store: at least so long, and so much longer by its address. All
+# followers need them at once, and the readers do first.
+READ_ALL_DELAY_SECONDS = 1.0
+READ_ALL_SPREAD_SECONDS = 2.0
+_HASH_RANGE = 4294967296
 _LOGGER = logging.getLogger(__name__)
 
 
-class ReaderAwayError(PeerError):
-    """Report that the store does not answer a reader."""
-
-    code = 'reader-away'
-
-    def __init__(self, message: str, *, silent: bool) -> None:
-        """Store whether it is unknown since when the store does not answer."""
-        super().__init__(message)
-        self.silent = silent
-
-
 @define(eq=False)
 class FollowedStore:
     """Follow a reader; read the store itself if this process is one.
@@ -87,16 +71,27 @@
     # The longest waits at a reader, and of a reader's own watch.
     follow_seconds: float = FOLLOW_SECONDS
     watch_seconds: float = READER_WATCH_SECONDS
-    # The address of the reader that is followed; empty without one.
-    followed: str = ''
     # Until when the store is read directly.
     direct_until: float = -math.inf
     # Rounds of questions to readers that failed since one replied.
     failed_rounds: int = 0
-    # Whether an outage of the store may have passed unnoticed.
-    missed_store: bool = False
-    # The readers that failed when they were last asked.
-    failing: set[str] = field(factory=set)
+    client: ReaderClient = field(init=False)
+    # How this process watches the store if it is a reader itself.
+    own_watch: ReaderWatch = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the client of the readers, and the watch of one."""
+        self.client = ReaderClient(
+            self.pool, self.readers, self.contact, self.values
+        )
+        self.own_watch = ReaderWatch(
+            self.store, self.client, self.follow_seconds
+        )
+
+    @property
+    def followed(self) -> str:
+        """Return the address of the reader that is followed, if any."""
+        return self.client.followed
 
     def log_fields(self, now: float) -> dict[str, object]:
         """Return what tells how old the known items may be, and why."""
@@ -109,18 +104,35 @@
 
     async def snapshot(self) -> StoreSnapshot:
         """Return all values; read the store itself if no reader has them."""
+        if self.readers.is_own():
+            return await self.own_watch.snapshot()
+        if self.contact.revision:
+            return await self.snapshot_after_loss()
         found: StoreChanges | None = None
         waiting = self.candidates()
         while waiting and found is None:
-            with trio.move_on_after(FIRST_REPLY_SECONDS):
-                found = await self.try_reader(waiting.pop(0), 0, 0)
+            found = await self.client.try_reader(
+                waiting.pop(0), 0, 0, reply_seconds=FIRST_REPLY_SECONDS
+            )
         if found is None:
             return await self.store.snapshot()
-        return StoreSnapshot(
-            found.written,
-            found.revision,
-            proof_age_seconds=found.proof_age_seconds,
+        return as_snapshot(found)
+
+    async def snapshot_after_loss(self) -> StoreSnapshot:
+        """Return all values of a reader; after a while also of the store."""
+        return await first_result(self.read_all_later, self.ask_for_all)
+
+    async def read_all_later(self) -> StoreSnapshot:
+        """Read all values of the store, later at some processes."""
+        spread = crc32(self.readers.own_address.encode()) / _HASH_RANGE
+        await trio.sleep(
+            READ_ALL_DELAY_SECONDS + spread * READ_ALL_SPREAD_SECONDS
         )
+        return await self.store.snapshot()
+
+    async def ask_for_all(self) -> StoreSnapshot:
+        """Wait for all values of a reader."""
+        return as_snapshot(await self.return_to_reader(0))
 
     async def changes(
         self, after_revision: int, wait_seconds: float
@@ -137,17 +149,18 @@
         wait_seconds = min(wait_seconds, self.follow_seconds)
         asked_at = trio.current_time()
         while waiting:
-            found = await self.try_reader(
+            found = await self.client.try_reader(
                 waiting.pop(0), after_revision, wait_seconds
             )
             if found:
+                self.failed_rounds = 0
                 return found
             # The next one replies at once: news may have been missed.
             wait_seconds = 0
         self.record_failed_round(asked_at, trio.current_time())
         raise StoreUnavailableError(
             'no process that reads the store replied',
-            no_response=self.missed_store,
+            no_response=self.client.missed_store,
         )
 
     def record_failed_round(self, asked_at: float, now: float) -> None:
@@ -173,187 +186,54 @@
     ) -> StoreChanges:
         """Watch the store itself."""
         if self.readers.is_own():
-            return await self.watch_for_followers(
+            return await self.own_watch.changes(
                 after_revision, min(wait_seconds, self.watch_seconds)
             )
         if self.followed:
             events.READING_ALONE.log(
                 _LOGGER, **self.log_fields(trio.current_time())
             )
-            self.followed = ''
+            self.client.followed = ''
         try:
-            changes = await self.watch_store(
-                after_revision, min(wait_seconds, DIRECT_WATCH_SECONDS)
+            return await first_result(
+                partial(self.watch_alone, after_revision, wait_seconds),
+                partial(self.return_to_reader, after_revision),
             )
         except StoreError:
             # Whether the store is back, a reader may notice first.
             self.direct_until = -math.inf
             raise
-        self.missed_store = False
-        return changes
 
-    async def watch_for_followers(
+    async def watch_alone(
         self, after_revision: int, wait_seconds: float
     ) -> StoreChanges:
-        """Watch the store, once more if the watch failed.
-
-        The store may end a watch, and its connection may fall silent, at any
-        time; only a second failure is a loss, of which all followers are told.
-        """
-        try:
-            changes = await self.watch_store(after_revision, wait_seconds)
-        except StoreUnavailableError:
-            changes = await self.watch_store(
-                after_revision, REPEATED_WATCH_SECONDS
-            )
-        self.missed_store = False
-        return evolve(changes, watchers=self.readers.count())
-
-    async def watch_store(
-        self, after_revision: int, wait_seconds: float
-    ) -> StoreChanges:
-        """Watch the store, and log what changes took to arrive."""
-        asked_at = trio.current_time()
-        changes = await self.store.changes(after_revision, wait_seconds)
-        log_large(STORE_NAME, changes, asked_at, trio.current_time())
+        """Watch the store in place of a reader."""
+        changes = await watch_store(
+            self.store, after_revision, min(wait_seconds, DIRECT_WATCH_SECONDS)
+        )
+        self.client.missed_store = False
         return changes
 
-    async def try_reader(
-        self, reader: Reader, after_revision: int, wait_seconds: float
-    ) -> StoreChanges | None:
-        """Return the changes that a reader knows; None if it failed."""
-        asked_at = trio.current_time()
-        self.check_age(asked_at)
-        try:
-            reply = await self.ask(reader, after_revision, wait_seconds)
-            written = self.values.from_wire(reply.written)
-        except JasminewheelError as error:
-            self.record_failure(reader, error, asked_at, trio.current_time())
-            return None
+    async def return_to_reader(self, after_revision: int) -> StoreChanges:
+        """Ask readers until one replies, and follow it again."""
+        found: StoreChanges | None = None
+        while found is None:
+            await trio.sleep(RETURN_INTERVAL_SECONDS)
+            found = await self.ask_usable_reader(after_revision)
+        self.direct_until = -math.inf
         self.failed_rounds = 0
-        self.failing.discard(reader.address)
-        if self.followed != reader.address:
-            events.FOLLOWING.log(_LOGGER, reader=reader.address)
-            self.followed = reader.address
-        changes = _changes(reply, written, missed_store=self.missed_store)
-        self.missed_store = False
-        log_large(reader.address, changes, asked_at, trio.current_time())
-        return changes
+        return found
 
-    def check_age(self, now: float) -> None:
-        """Note if the last reply is old enough for keys to have lapsed since.
-
-        No key lapses in an outage shorter than a heartbeat interval.
-        """
-        if now >= self.contact.first_read_at:
-            age = self.contact.report_age(now)
-            self.missed_store |= age >= self.contact.heartbeat_seconds
-
-    async def ask(
-        self, reader: Reader, after_revision: int, wait_seconds: float
-    ) -> wire.KnownChanges:
-        """Return a reader's reply.
+    async def ask_usable_reader(
+        self, after_revision: int
+    ) -> StoreChanges | None:
+        """Return what the best reader knows that did not fail just now.
 
-        Raise PeerError if it does not reply, has lost the store or knows less
-        than this process.
+        Until that is settled, this process may know better by itself.
         """
-        reply = await self.pool.ask(
-            reader.address,
-            wire.AwaitChanges(
-                after_revision=after_revision,
-                wait_seconds=wait_seconds,
-                held=self.values.held(),
-            ),
-            wire.KnownChanges,
-            timeout_seconds=wait_seconds + REPLY_SECONDS,
+        usable = self.readers.usable(trio.current_time())
+        if not usable:
+            return None
+        return await self.client.try_reader(
+            usable[0], after_revision, 0, only_settled=True
         )
-        if not reply.reads:
-            raise ReaderAwayError(
-                f'{reader.address} does not reach the store',
-                silent=bool(reply.silent),
-            )
-        if reply.revision < after_revision:
-            raise PeerError(
-                f'{reader.address} knows revision {reply.revision} only, '
-                f'{after_revision} is known here'
-            )
-        return reply
-
-    def record_failure(
-        self,
-        reader: Reader,
-        error: JasminewheelError,
-        asked_at: float,
-        now: float,
-    ) -> None:
-        """Pass over a reader for a while, longer if it took long to fail."""
-        seconds = AWAY_SECONDS
-        if isinstance(error, ReaderAwayError):
-            self.missed_store |= error.silent
-        else:
-            self.check_age(now)
-            if now - asked_at >= QUICK_FAILURE_SECONDS:
-                seconds = FAILED_SECONDS
-        self.readers.avoid(reader, now + seconds)
-        if reader.address not in self.failing:
-            self.failing.add(reader.address)
-            events.READER_FAILED.log(
-                _LOGGER,
-                reader=reader.address,
-                problem=error,
-                seconds=round(now - asked_at, 3),
-                passed_over=seconds,
-            )
-
-
-def log_large(
-    source: str, changes: StoreChanges, asked_at: float, now: float
-) -> None:
-    """Log changes that are large enough to be held up on a link."""
-    size_bytes = sum(len(one.value) for one in changes.written)
-    if size_bytes < LARGE_BYTES:
-        return
-    events.LARGE_CHANGES.log(
-        _LOGGER,
-        source=source,
-        size_bytes=size_bytes,
-        seconds=round(now - asked_at, 3),
-        revision=changes.revision,
-        complete=changes.complete,
-        read_age=round(changes.age_seconds, 3),
-    )
-
-
-def _changes(
-    reply: wire.KnownChanges,
-    written: tuple[StoreItem, ...],
-    *,
-    missed_store: bool,
-) -> StoreChanges:
-    return StoreChanges(
-        written,
-        tuple(reply.removed),
-        reply.revision,
-        complete=bool(reply.complete),
-        settled=_settled(reply, missed_store=missed_store),
-        watchers=0,
-        age_seconds=reply.age_seconds or 0,
-        # An older build does not tell.
-        proof_age_seconds=(
-            math.inf
-            if reply.proof_age_seconds is None
-            else reply.proof_age_seconds
-        ),
-    )
-
-
-def _settled(reply: wire.KnownChanges, *, missed_store: bool) -> bool | None:
-    """Return whether missing keys were removed; None if this process knows.
-
-    A reader that has just started may have missed an outage as well.
-    """
-    if not reply.settled:
-        return False
-    if reply.confirms:
-        return True
-    return False if missed_store else None
--- a/src/jasminewheel/_internal/store/large_values.py
+++ b/src/jasminewheel/_internal/store/large_values.py
@@ -54,6 +54,11 @@
         )
         known.append(written)
 
+    def largest_bytes(self) -> int:
+        """Return the size of the largest value."""
+        sizes = (len(known[-1].value) for known in self.versions.values())
+        return max(sizes, default=0)
+
     def held(self) -> list[wire.HeldValue]:
         """Return which values are known here, as others are asked for more."""
         return [
--- a/src/jasminewheel/_internal/store/reader_choice.py
+++ b/src/jasminewheel/_internal/store/reader_choice.py
@@ -48,6 +48,10 @@
         ]
         return sorted(found, key=lambda one: self.distance(one.zone))
 
+    def others(self) -> list[Reader]:
+        """Return the readers except for this process."""
+        return [one for one in self.listed() if one.address != self.own_address]
+
     def is_own(self) -> bool:
         """Return whether this process is a reader itself."""
         return any(one.address == self.own_address for one in self.listed())
--- a/src/jasminewheel/_internal/store/reader_service.py
+++ b/src/jasminewheel/_internal/store/reader_service.py
@@ -52,8 +52,11 @@
                 await self.log.changed.wait()
 
     def current_until(self) -> float:
-        """Return until when this process may tell what it knows."""
-        return self.log.mirror.contact.read_at + MAX_READ_AGE_SECONDS
+        """Return until when this process may tell what it knows.
+
+        While a large reply of the store arrives, nobody else knows more soon.
+        """
+        return self.log.mirror.contact.answered_at() + MAX_READ_AGE_SECONDS
 
     def is_current(self, now: float) -> bool:
         """Return whether this process has read the store, and just now."""
--- a/src/jasminewheel/platform/store_client.py
+++ b/src/jasminewheel/platform/store_client.py
@@ -6,7 +6,7 @@
 import json
 from base64 import b64encode
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
 from urllib.parse import quote
@@ -54,6 +54,8 @@
 MAX_REPLY_BYTES = 16777216
 _LIMITS = AnswerLimits(answer_bytes=MAX_REPLY_BYTES)
 _CALL_KINDS = ('watch', 'range', 'key', 'txn', 'lease', 'keep', 'lease_end')
+# Calls whose replies tell all values or changes of them.
+_READING_KINDS = frozenset(('watch', 'range'))
 _HISTORY_GONE = 410
 _NOT_FOUND = 404
 
@@ -65,6 +67,8 @@
     address: str
     pool: ConnectionPool = field(factory=ConnectionPool)
     lock: trio.Lock = field(factory=trio.Lock)
+    # Told of the time at which a part of a large reply with values arrives.
+    on_arrival: Callable[[float], None] | None = None
     # Calls made, by kind.
     calls: Counter[str] = field(factory=Counter)
 
@@ -172,7 +176,8 @@
 
         Raise StoreUnavailableError if no readable reply arrives in time.
         """
-        self.calls[_call_kind(request.target)] += 1
+        kind = _call_kind(request.target)
+        self.calls[kind] += 1
         connection: HttpConnection | None = None
         try:
             with trio.fail_after(timeout_seconds) as scope:
@@ -183,8 +188,11 @@
                     fresh=False,
                 )
                 connection.limits = _LIMITS
+                arrival = _Arrival(scope, scope.deadline)
+                if kind in _READING_KINDS:
+                    arrival.on_part = self.on_arrival
                 reusable, reply = await _exchange(
-                    connection, self.address, request, scope
+                    connection, self.address, request, arrival
                 )
         except (ConnectionLostError, trio.TooSlowError, ValueError) as error:
             _close(connection)
@@ -215,12 +223,12 @@
     connection: HttpConnection,
     host: str,
     request: OutgoingRequest,
-    scope: trio.CancelScope,
+    arrival: '_Arrival',
 ) -> tuple[HttpConnection | None, StoreReply]:
     request.headers.append((b'Host', host.encode()))
     await connection.send(request)
     response = await connection.response(bool)
-    body = await _arriving_body(connection, response, scope)
+    body = await _arriving_body(connection, response, arrival)
     reusable: HttpConnection | None = connection
     if not connection.finish(response, trio.current_time()):
         connection.close()
@@ -228,20 +236,35 @@
     return reusable, StoreReply(response.status, _decoded(body))
 
 
+@define
+class _Arrival:
+    """Extend a deadline while a reply arrives."""
+
+    scope: trio.CancelScope
+    due_at: float
+    on_part: Callable[[float], None] | None = None
+    parts: int = 0
+
+    def record_part(self, now: float) -> None:
+        """Record that a part has arrived; tell of it if it is not the first."""
+        ends_at = self.due_at + MAX_ARRIVAL_SECONDS
+        arrives_until = min(now + STALL_SECONDS, ends_at)
+        self.scope.deadline = max(self.scope.deadline, arrives_until)
+        self.parts += 1
+        if self.parts > 1 and self.on_part:
+            self.on_part(now)
+
+
 async def _arriving_body(
-    connection: HttpConnection,
-    response: HttpResponse,
-    scope: trio.CancelScope,
+    connection: HttpConnection, response: HttpResponse, arrival: _Arrival
 ) -> bytes:
-    """Return the whole body; extend the scope's deadline while it arrives."""
+    """Return the whole body, however long it arrives."""
     memory = AnswerMemory(AnswerMemoryPool(MAX_REPLY_BYTES), MAX_REPLY_BYTES)
     memory.check_size(response.declared_bytes())
-    ends_at = scope.deadline + MAX_ARRIVAL_SECONDS
     received: list[bytes] = []
     async for part in connection.parts(response):
         received.append(part)
-        arrives_until = min(trio.current_time() + STALL_SECONDS, ends_at)
-        scope.deadline = max(scope.deadline, arrives_until)
+        arrival.record_part(trio.current_time())
     return b''.join(received)
 
 
--- a/src/jasminewheel/platform/store_reading.py
+++ b/src/jasminewheel/platform/store_reading.py
@@ -16,7 +16,6 @@
 from jasminewheel._internal.store.known_items import KnownItemsService
 from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.mirror import StoreMirror
-from jasminewheel._internal.store.port import ReadableStore
 from jasminewheel._internal.store.reader_choice import ReaderChoice
 from jasminewheel._internal.store.reader_service import ReaderService
 from jasminewheel._internal.wire.gen.conversation.ttypes import (
@@ -24,6 +23,7 @@
     ReadKnownItems,
 )
 from jasminewheel.platform.settings import NodeSettings
+from jasminewheel.platform.store_client import PlatformStore
 
 # Of the time for which a withdrawn key may be accepted, each wait for news of
 # the store takes so much, so that most of it is left when the store is away.
@@ -32,7 +32,7 @@
 
 def followed_store(
     settings: NodeSettings,
-    store: ReadableStore,
+    store: PlatformStore,
     pool: PeerPool,
     sets: SetHolder,
     contact: StoreContact,
@@ -44,6 +44,7 @@
 
     Until there is a replica set, the seeds are the readers.
     """
+    store.on_arrival = contact.record_arrival
     listed = SetReaders(sets, seeds)
     readers = ReaderChoice(settings.peer_address, settings.distance, listed)
     proof_seconds = settings.revocation_seconds * PROOF_SHARE
--- a/tests/slow_link.py
+++ b/tests/slow_link.py
@@ -1,5 +1,6 @@
 """Pass bytes on at a bounded rate, over real sockets or in simulated time."""
 
+from collections.abc import Callable
 from contextlib import suppress
 
 import trio
@@ -18,8 +19,10 @@
     lock: trio.Lock = field(factory=trio.Lock)
     carried_bytes: int = 0
 
-    async def carry(self, count: int) -> None:
-        """Return once so many bytes have passed."""
+    async def carry(
+        self, count: int, on_piece: Callable[[float], None] | None = None
+    ) -> None:
+        """Return once so many bytes have passed; tell of each piece."""
         left = count
         while left > 0:
             piece = min(left, PIECE_BYTES)
@@ -27,6 +30,8 @@
                 await trio.sleep(piece / self.bytes_per_second)
             self.carried_bytes += piece
             left -= piece
+            if on_piece:
+                on_piece(trio.current_time())
 
     async def proxy(
         self, client: trio.SocketStream, host: str, port: int
--- a/tests/store_readers.py
+++ b/tests/store_readers.py
@@ -58,6 +58,7 @@
         """Connect the mirror to the store, the readers and the followers."""
         listener = PlatformListener(RoutesHolder(), self.directory, None)
         contact = self.directory.contact
+        self.connection.on_arrival = contact.record_arrival
         choice = ReaderChoice(
             self.address,
             self.distance,
--- a/tests/unit/test_followed_store.py
+++ b/tests/unit/test_followed_store.py
@@ -357,6 +357,6 @@
         for process in world.pool.processes.values():
             assert process.mirror.contact.lost_at is None
             assert process.mirror.available
-        assert not world.first().mirror.store.failing
+        assert not world.first().mirror.store.client.failing
 
     _run_scenario(scenario)
--- a/tests/watched_store.py
+++ b/tests/watched_store.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import trio
 from attrs import define, field
@@ -81,6 +81,8 @@
     snapshots: int = 0
     # On which values arrive; None if that takes no time.
     link: SlowLink | None = None
+    # Told when a part of a large reply arrives.
+    on_arrival: Callable[[float], None] | None = None
     # Watches wait but receive no changes.
     watch_stalled: bool = False
     # Set when waiting watches are broken off.
@@ -145,7 +147,7 @@
         """Wait until the values have arrived."""
         if self.link:
             size = sum(len(one.value) for one in items)
-            await self.link.carry(int(size * BASE64_GROWTH))
+            await self.link.carry(int(size * BASE64_GROWTH), self.on_arrival)
 
     async def fail_silently(self, seconds: float) -> None:
         """Raise after a time as a call without any answer does."""
