Let a large fleet turn to the store one after the other

Change: a follower that turns to the store waits for its turn, spread over the time in which the store could send each follower the largest value, 1.5 s at most, and goes on asking readers meanwhile. With small values, or few processes, the spread is next to nothing.

Evidence: test_lost_watches_send_few_followers_to_the_store: 25 of 25 followers called the store without the spread, at most 12 may. The tests of the followed store, news age, leaving runners, reader replies and followers pass.

--- a/src/jasminewheel/_internal/conversation/entry_list.py
+++ b/src/jasminewheel/_internal/conversation/entry_list.py
@@ -79,6 +79,10 @@
                 _LOGGER, vm=shortened(vm), problem=problem_text(error)
             )
 
+    def count(self) -> int:
+        """Return how many other entries are listed."""
+        return len(self.entries)
+
     def names(self) -> Collection[str]:
         """Return the names of the other entries."""
         return self.entries.keys()
--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -3,7 +3,6 @@
 import logging
 import math
 from functools import partial
-from zlib import crc32
 
 import trio
 from attrs import define, field
@@ -12,6 +11,7 @@
 from jasminewheel._internal.parallel import first_result
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
+from jasminewheel._internal.store.fetch_turn import FetchTurn
 from jasminewheel._internal.store.large_changes import watch_store
 from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.port import (
@@ -45,12 +45,6 @@
 RETURN_INTERVAL_SECONDS = 0.25
 # A start without any items waits this long for those of a reader.
 FIRST_REPLY_SECONDS = 0.1
-# How long a process that has items waits for a reader's before it reads all
-# keys of the store: at least so long, and so much longer by its address. All
-# followers need them at once, and the readers do first.
-READ_ALL_DELAY_SECONDS = 1.0
-READ_ALL_SPREAD_SECONDS = 2.0
-_HASH_RANGE = 4294967296
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -71,7 +65,9 @@
     # The longest waits at a reader, and of a reader's own watch.
     follow_seconds: float = FOLLOW_SECONDS
     watch_seconds: float = READER_WATCH_SECONDS
-    # Until when the store is read directly.
+    turn: FetchTurn = field(init=False)
+    # From and until when the store is read directly.
+    direct_from: float = -math.inf
     direct_until: float = -math.inf
     # Rounds of questions to readers that failed since one replied.
     failed_rounds: int = 0
@@ -80,10 +76,11 @@
     own_watch: ReaderWatch = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the client of the readers, and the watch of one."""
+        """Create the client of the readers, and the watch as one of them."""
         self.client = ReaderClient(
             self.pool, self.readers, self.contact, self.values
         )
+        self.turn = FetchTurn(self.readers.own_address)
         self.own_watch = ReaderWatch(
             self.store, self.client, self.follow_seconds
         )
@@ -124,10 +121,7 @@
 
     async def read_all_later(self) -> StoreSnapshot:
         """Read all values of the store, later at some processes."""
-        spread = crc32(self.readers.own_address.encode()) / _HASH_RANGE
-        await trio.sleep(
-            READ_ALL_DELAY_SECONDS + spread * READ_ALL_SPREAD_SECONDS
-        )
+        await trio.sleep(self.turn.read_all_delay_seconds())
         return await self.store.snapshot()
 
     async def ask_for_all(self) -> StoreSnapshot:
@@ -172,7 +166,10 @@
         was_silent = now - asked_at >= self.follow_seconds + REPLY_SECONDS
         if was_silent or self.failed_rounds >= ROUNDS_TRIED:
             self.failed_rounds = 0
-            self.direct_until = now + DIRECT_SECONDS
+            self.direct_from = now + self.turn.watch_delay_seconds(
+                self.readers.followers(), self.values.largest_bytes()
+            )
+            self.direct_until = self.direct_from + DIRECT_SECONDS
 
     def candidates(self) -> list[Reader]:
         """Return the readers to ask now; none if the store is to be read."""
@@ -208,6 +205,7 @@
         self, after_revision: int, wait_seconds: float
     ) -> StoreChanges:
         """Watch the store in place of a reader."""
+        await trio.sleep_until(self.direct_from)
         changes = await watch_store(
             self.store, after_revision, min(wait_seconds, DIRECT_WATCH_SECONDS)
         )
@@ -219,21 +217,7 @@
         found: StoreChanges | None = None
         while found is None:
             await trio.sleep(RETURN_INTERVAL_SECONDS)
-            found = await self.ask_usable_reader(after_revision)
+            found = await self.client.try_nearest(after_revision)
         self.direct_until = -math.inf
         self.failed_rounds = 0
         return found
-
-    async def ask_usable_reader(
-        self, after_revision: int
-    ) -> StoreChanges | None:
-        """Return what the best reader knows that did not fail just now.
-
-        Until that is settled, this process may know better by itself.
-        """
-        usable = self.readers.usable(trio.current_time())
-        if not usable:
-            return None
-        return await self.client.try_reader(
-            usable[0], after_revision, 0, only_settled=True
-        )
--- a/src/jasminewheel/_internal/store/reader_choice.py
+++ b/src/jasminewheel/_internal/store/reader_choice.py
@@ -34,6 +34,8 @@
     own_address: str
     distance: Distance
     listed: Callable[[], Sequence[Reader]]
+    # How many processes follow the readers, as far as is known.
+    followers: Callable[[], int] = int
     # Until when a reader is passed over, by its address.
     avoided_until: dict[str, float] = field(factory=dict)
 
--- a/src/jasminewheel/_internal/store/reader_client.py
+++ b/src/jasminewheel/_internal/store/reader_client.py
@@ -98,6 +98,18 @@
             age = self.contact.report_age(now)
             self.missed_store |= age >= self.contact.heartbeat_seconds
 
+    async def try_nearest(self, after_revision: int) -> StoreChanges | None:
+        """Return what the best reader knows that did not fail just now.
+
+        Until that is settled, this process may know better by itself.
+        """
+        usable = self.readers.usable(trio.current_time())
+        if not usable:
+            return None
+        return await self.try_reader(
+            usable[0], after_revision, 0, only_settled=True
+        )
+
     async def news_of(
         self, reader: Reader, after_revision: int, wait_seconds: float
     ) -> StoreChanges | None:
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -58,6 +58,7 @@
             self.values,
             seeds=self.settings.seeds,
         )
+        self.followed.readers.followers = self.peers.entries.count
 
     def mirror(self, web: WebServer) -> StoreMirror:
         """Return the task that mirrors the store's keys."""
--- a/tests/store_readers.py
+++ b/tests/store_readers.py
@@ -63,10 +63,17 @@
             self.address,
             self.distance,
             lambda: self.readers,
+            followers=self.pool.processes.__len__,
         )
         pool = ZonePool(self.pool, self.zone)
         values = LargeValues(READER_VERSIONS)
-        store = FollowedStore(self.connection, pool, choice, contact, values)
+        store = FollowedStore(
+            self.connection,
+            pool,
+            choice,
+            contact,
+            values,
+        )
         self.mirror = StoreMirror(store, [values, listener], contact=contact)
         log = ChangeLog(self.mirror)
         self.mirror.listeners.append(log)
--- a/tests/unit/test_large_values.py
+++ b/tests/unit/test_large_values.py
@@ -20,6 +20,7 @@
 FOLLOWERS = 25
 START_SECONDS = 6.0
 SILENT_SECONDS = 1.0
+READERS_SILENT_SECONDS = 2.2
 CHANGES = 10
 CHANGE_SECONDS = 0.33
 
@@ -142,3 +143,31 @@
         assert before == sum(one.connection.snapshots for one in followers)
 
     _run_far_followers(scenario)
+
+
+async def _silence_readers(world) -> None:
+    """Let the store answer no reader for a while."""
+    for address in READERS:
+        connection = world.reader(address).connection
+        connection.silent = True
+        connection.lose_open_calls()
+    await trio.sleep(READERS_SILENT_SECONDS)
+    for one in READERS:
+        world.reader(one).connection.silent = False
+
+
+def test_lost_watches_send_few_followers_to_the_store():
+    """All lose their reader at the same moment, and it is soon back."""
+
+    async def scenario(world) -> None:
+        large = LargeValue()
+        await trio.sleep_until(START_SECONDS)
+        world.store.write(LARGE_KEY, large.next_version())
+        await _check_known_in_time(world, world.store.revision)
+        before = world.follower_calls()
+        await _silence_readers(world)
+        world.store.write(LARGE_KEY, large.next_version())
+        await _check_known_in_time(world, world.store.revision)
+        assert world.follower_calls() - before <= FOLLOWERS / 2
+
+    _run_far_followers(scenario)
