Refuse a call under which three runners ended, at every entry

Callers saw: one call that ends each runner that runs it took the runners away from everybody else.

Cause: whether a call may be sent was decided by what one entry knew of one try. A caller that comes again has a new identifier, at any entry; a stream is never sent twice in one try, so no limit on attempts ever saw it, and the breakers counted the crashes against the runners.

Change: an entry names a call by a hash of method, host, target, key and body, made only once something has crashed. It tells all replicas which runners' connections broke off while they ran it, and hears from two of them what others saw. Under three runners within 60 s, with no complete answer since, the call is refused at once with 503, as not run, also between the attempts of one try. An answer clears it everywhere.

Evidence: test_call_that_ends_runners_reaches_few_more, with the bar switched off: 30 tries later than 4 s after the third crash in each of six cases (stream or safe; no, one or two of three replicas silent), three allowed; it passes now. UNASKED stays, once for each run of the call. Why it works: what identifies a call that comes again outlives the try, and is known at all entries a few round trips after the third crash.

--- a/idl/conversation.thrift
+++ b/idl/conversation.thrift
@@ -177,3 +177,33 @@
 struct RelayAnswer {
   1: binary message,
 }
+
+// A runner whose connection broke off while it ran a call.
+struct RunnerCrash {
+  1: string runner,
+  2: double age_seconds,
+}
+
+// What is known of a call, which is named by a hash of what it asks.
+struct CallCrashes {
+  1: binary call,
+  2: list<RunnerCrash> crashes,
+  3: double completed_age_seconds, // since a runner answered it whole, if ever
+}
+
+// Told to each replica by an entry that saw runners end under calls.
+struct TellCrashes {
+  1: list<CallCrashes> calls,
+}
+
+// Asked of a replica by an entry. The reply comes once there is another version,
+// or after the wait.
+struct AwaitCrashes {
+  1: i64 version,              // that the asker knows; 0 for none
+  2: double wait_seconds,
+}
+
+struct KnownCrashes {
+  1: i64 version,
+  2: list<CallCrashes> calls,
+}
--- /dev/null
+++ b/src/jasminewheel/_internal/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Keep calls from runners that end under them."""
--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -6,6 +6,7 @@
 import trio
 from attrs import define, field, frozen
 
+from jasminewheel._internal.crashes.crash_guard import CrashGuard
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.call import Call
 from jasminewheel._internal.gateway.choice import CallRequirements, RunnerChoice
@@ -138,6 +139,7 @@
     choice: RunnerChoice
     port: RunnerPort
     rates: CallRates = field(factory=UnlimitedRates)
+    crashes: CrashGuard = field(factory=CrashGuard)
 
     async def admit(self, record: CallRecord) -> None:
         """Count the call towards the rate of its organisation.
@@ -181,16 +183,31 @@
             async with tracked, self.port.attempt(attempt) as answer:
                 if tracked.process_head(answer):
                     await read(answer)
+                    self.crashes.record_completion(
+                        record.call, trio.current_time()
+                    )
                     return True
                 await answer.drop_rest()
         except RunnerLeftError as error:
             tracked.handle_runner_left(error)
         except ConnectionLostError as error:
             tracked.handle_connection_lost(error)
+            if error.sent and not isinstance(error, AnswerTooLongError):
+                self.record_crash(record, view)
             if not record.can_attempt():
                 raise unanswered_error(record, error.message) from error
         return False
 
+    def record_crash(self, record: CallRecord, view: RunnerView) -> None:
+        """Record that a runner's connection broke off in a call."""
+        runner = view.runner
+        self.crashes.record_crash(
+            record.call,
+            record.target,
+            f'{runner.runner_id}/{runner.started_ms}',
+            trio.current_time(),
+        )
+
     def next_runner(
         self, record: CallRecord, requirements: CallRequirements
     ) -> RunnerView:
@@ -198,6 +215,13 @@
         now = trio.current_time()
         if now >= record.deadline_at:
             raise DeadlineError('deadline exceeded', verdict=record.verdict)
+        barred = self.crashes.barred_seconds(record.call, now)
+        if barred:
+            raise unanswered_error(
+                record,
+                'several runners ended while they ran this call',
+                retry_after_seconds=barred,
+            )
         view = None
         if record.can_attempt():
             view = self.choice.choose(requirements, now)
--- a/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
+++ b/src/jasminewheel/_internal/wire/gen/conversation/ttypes.py
@@ -2613,6 +2613,433 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RunnerCrash(object):
+    """
+    Attributes:
+     - runner
+     - age_seconds
+
+    """
+
+    __slots__ = (
+        'runner',
+        'age_seconds',
+    )
+
+
+    def __init__(self, runner=None, age_seconds=None,):
+        self.runner = runner
+        self.age_seconds = age_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunnerCrash')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.age_seconds is not None:
+            oprot.writeFieldBegin('age_seconds', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CallCrashes(object):
+    """
+    Attributes:
+     - call
+     - crashes
+     - completed_age_seconds
+
+    """
+
+    __slots__ = (
+        'call',
+        'crashes',
+        'completed_age_seconds',
+    )
+
+
+    def __init__(self, call=None, crashes=None, completed_age_seconds=None,):
+        self.call = call
+        self.crashes = crashes
+        self.completed_age_seconds = completed_age_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.call = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = RunnerCrash()
+                        _elem96.read(iprot)
+                        self.crashes.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.completed_age_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CallCrashes')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.STRING, 1)
+            oprot.writeBinary(self.call)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter97 in self.crashes:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.completed_age_seconds is not None:
+            oprot.writeFieldBegin('completed_age_seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.completed_age_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TellCrashes(object):
+    """
+    Attributes:
+     - calls
+
+    """
+
+    __slots__ = (
+        'calls',
+    )
+
+
+    def __init__(self, calls=None,):
+        self.calls = calls
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.calls = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = CallCrashes()
+                        _elem103.read(iprot)
+                        self.calls.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TellCrashes')
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.calls))
+            for iter104 in self.calls:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AwaitCrashes(object):
+    """
+    Attributes:
+     - version
+     - wait_seconds
+
+    """
+
+    __slots__ = (
+        'version',
+        'wait_seconds',
+    )
+
+
+    def __init__(self, version=None, wait_seconds=None,):
+        self.version = version
+        self.wait_seconds = wait_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.wait_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AwaitCrashes')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.wait_seconds is not None:
+            oprot.writeFieldBegin('wait_seconds', TType.DOUBLE, 2)
+            oprot.writeDouble(self.wait_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownCrashes(object):
+    """
+    Attributes:
+     - version
+     - calls
+
+    """
+
+    __slots__ = (
+        'version',
+        'calls',
+    )
+
+
+    def __init__(self, version=None, calls=None,):
+        self.version = version
+        self.calls = calls
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.calls = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = CallCrashes()
+                        _elem110.read(iprot)
+                        self.calls.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownCrashes')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.calls))
+            for iter111 in self.calls:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(TurnRecord)
 TurnRecord.thrift_spec = (
     None,  # 0
@@ -2802,5 +3229,35 @@
     None,  # 0
     (1, TType.STRING, 'message', 'BINARY', None, ),  # 1
 )
+all_structs.append(RunnerCrash)
+RunnerCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'age_seconds', None, None, ),  # 2
+)
+all_structs.append(CallCrashes)
+CallCrashes.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [RunnerCrash, None], False), None, ),  # 2
+    (3, TType.DOUBLE, 'completed_age_seconds', None, None, ),  # 3
+)
+all_structs.append(TellCrashes)
+TellCrashes.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'calls', (TType.STRUCT, [CallCrashes, None], False), None, ),  # 1
+)
+all_structs.append(AwaitCrashes)
+AwaitCrashes.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.DOUBLE, 'wait_seconds', None, None, ),  # 2
+)
+all_structs.append(KnownCrashes)
+KnownCrashes.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.LIST, 'calls', (TType.STRUCT, [CallCrashes, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/jasminewheel/platform/entry_gateway.py
+++ b/src/jasminewheel/platform/entry_gateway.py
@@ -3,6 +3,7 @@
 import trio
 
 from jasminewheel._internal.conversation.client import ConversationClient
+from jasminewheel._internal.crashes.crash_exchange import CrashExchange
 from jasminewheel._internal.gateway.attempts import RetryingSender
 from jasminewheel._internal.gateway.choice import RunnerChoice
 from jasminewheel._internal.gateway.gateway import Gateway
@@ -26,8 +27,12 @@
     limiters = PeerLimiters(parts.pool, parts.peers.sets, parts.peers.distance)
     parts.rates = RateClient(limiters)
     sender = RetryingSender(
-        choice, PlatformRunners(parts.connections), parts.rates
+        choice, PlatformRunners(parts.connections), parts.rates, parts.crashes
     )
+    crash_exchange = CrashExchange(
+        parts.pool, parts.peers.sets, parts.peers.distance, parts.crashes
+    )
+    nursery.start_soon(crash_exchange.run)
     loads = LoadExchange(
         parts.pool,
         parts.peers.sets,
--- a/src/jasminewheel/platform/entry_parts.py
+++ b/src/jasminewheel/platform/entry_parts.py
@@ -3,6 +3,7 @@
 import trio
 from attrs import define, field
 
+from jasminewheel._internal.crashes.crash_guard import CrashGuard
 from jasminewheel._internal.gateway.gateway import RoutesHolder
 from jasminewheel._internal.gateway.runners import RunnerDirectory
 from jasminewheel._internal.organisations.rate_client import RateClient
@@ -35,6 +36,7 @@
     followed: FollowedStore = field(init=False)
     peers: EntryPeers = field(init=False)
     values: LargeValues = field(factory=LargeValues)
+    crashes: CrashGuard = field(factory=CrashGuard)
     rates: RateClient | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -88,6 +90,7 @@
             'store_read_seconds_ago': self.directory.contact.read_age(now),
             'calls_at_runners': sum(view.load.own_running for view in views),
             'connections_opened': self.connections.opened,
+            'calls_barred': self.crashes.refused,
             **self.client_memory.gauges(),
             **(self.rates.gauges() if self.rates else {}),
         }
--- a/src/jasminewheel/platform/history_server.py
+++ b/src/jasminewheel/platform/history_server.py
@@ -1,6 +1,7 @@
 """Build the server of a history from its components."""
 
 from jasminewheel._internal.conversation.service import ReplicaService
+from jasminewheel._internal.crashes.crash_exchange import CrashService
 from jasminewheel._internal.gateway.load_exchange import LoadBoardService
 from jasminewheel._internal.peer.server import PeerServer
 from jasminewheel._internal.store.mirror import StoreMirror
@@ -19,5 +20,6 @@
             **reader_handlers(mirror, parts.values),
             **parts.limits.handlers(),
             **LoadBoardService().handlers(),
+            **CrashService().handlers(),
         },
     )
