Take all values of no reader that lies behind

Callers would see a runner in use again that had said that it leaves: a process whose history the store forgot asks other readers for all keys, as revision 0, and took those of a reader that knew less than it did itself.

Cause: what a reader knows was compared with the revision that was asked for, not with what is known here.

Change: it is compared with the newest known revision.

Evidence: test_all_values_after_a_loss_are_no_older_ones failed before (6 in place of 8) and passes; so do the tests of reader replies, large values and the followed store.

--- a/src/jasminewheel/_internal/store/reader_client.py
+++ b/src/jasminewheel/_internal/store/reader_client.py
@@ -159,10 +159,12 @@
                 f'{reader.address} does not reach the store',
                 silent=bool(reply.silent),
             )
-        if reply.revision < after_revision:
+        # Who asks for all values may know newer ones already.
+        known = max(after_revision, self.contact.revision)
+        if reply.revision < known:
             raise PeerError(
                 f'{reader.address} knows revision {reply.revision} only, '
-                f'{after_revision} is known here'
+                f'{known} is known here'
             )
         return reply
 
--- a/tests/unit/test_reader_replies.py
+++ b/tests/unit/test_reader_replies.py
@@ -223,3 +223,17 @@
         assert caught.value.no_response is silent
 
     _run(scenario)
+
+
+def test_all_values_after_a_loss_are_no_older_ones():
+    """A reader that lies behind is not believed, though all is asked for."""
+    held = [wire.KnownItem(key='a', value=b'1', revision=5)]
+    behind = _reply(written=held, revision=6, complete=True)
+    newer = _reply(written=held, revision=8, complete=True)
+    store = _following(ScriptedPool({'a': behind, 'b': newer}))
+
+    async def scenario() -> None:
+        snapshot = await store.snapshot()
+        assert snapshot.revision == 8
+
+    _run(scenario)
