Count no answer that this process gives up as a crash of its runner

Callers would see a call refused for a minute that harmed nobody: three large answers that the entry gave up for want of memory condemned it.

Cause: each ConnectionLostError after a call was sent counted as the runner's, also the one raised when the memory that large answers share is used up.

Change: that error is a type of its own, and counts no more than an answer that is too long.

Evidence: test_limit_of_this_process_condemns_no_call; it fails for the memory where AnswerMemoryError is not among the exempt errors (checked by taking it out), and passes.

--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -30,6 +30,7 @@
     BreakerLimits,
 )
 from jasminewheel.errors import (
+    AnswerMemoryError,
     AnswerTooLongError,
     ConnectionLostError,
     DeadlineError,
@@ -48,6 +49,8 @@
 _OPEN_AT_FIRST_FAILURE = BreakerLimits(failures=1)
 _FIRST_SERVER_ERROR = 500
 _ANSWERED = 'answered'
+# Raised where this process ends an answer, not its runner.
+_OWN_LIMIT_ERRORS = (AnswerTooLongError, AnswerMemoryError)
 _LOGGER = logging.getLogger(__name__)
 
 AnswerReader = Callable[[RunnerAnswer], Awaitable[None]]
@@ -192,7 +195,7 @@
             tracked.handle_runner_left(error)
         except ConnectionLostError as error:
             tracked.handle_connection_lost(error)
-            if error.sent and not isinstance(error, AnswerTooLongError):
+            if error.sent and not isinstance(error, _OWN_LIMIT_ERRORS):
                 self.record_crash(record, view)
             if not record.can_attempt():
                 raise unanswered_error(record, error.message) from error
--- a/src/jasminewheel/_internal/web/answer_limits.py
+++ b/src/jasminewheel/_internal/web/answer_limits.py
@@ -3,7 +3,7 @@
 from attrs import define, field, frozen
 from attrs.validators import ge
 
-from jasminewheel.errors import AnswerTooLongError, ConnectionLostError
+from jasminewheel.errors import AnswerMemoryError, AnswerTooLongError
 
 # Status line and header fields; usual ones take less than 1 KiB.
 HEAD_BYTES = 65536
@@ -58,10 +58,10 @@
     def reserve(self, count: int) -> None:
         """Reserve bytes, or release them if the count is negative.
 
-        Raise ConnectionLostError if too few bytes are free.
+        Raise AnswerMemoryError if too few bytes are free.
         """
         if count > self.free_bytes:
-            raise ConnectionLostError(
+            raise AnswerMemoryError(
                 'the memory shared by large answers is used up'
             )
         self.free_bytes -= count
@@ -86,7 +86,7 @@
         """Set the number of buffered bytes.
 
         Raise AnswerTooLongError if it exceeds the maximum of an answer, and
-        ConnectionLostError if the pool has too few bytes.
+        AnswerMemoryError if the pool has too few bytes.
         """
         self.check_size(size)
         wanted = max(0, size - SMALL_ANSWER_BYTES)
--- a/src/jasminewheel/errors.py
+++ b/src/jasminewheel/errors.py
@@ -257,6 +257,12 @@
     code = 'answer-too-long'
 
 
+class AnswerMemoryError(ConnectionLostError):
+    """Report that this process has no memory left for a large answer."""
+
+    code = 'answer-memory'
+
+
 class DiskFullError(JasminewheelError):
     """Report that a disk accepts no more records; stored records remain."""
 
--- a/tests/unit/test_crashing_calls.py
+++ b/tests/unit/test_crashing_calls.py
@@ -27,7 +27,13 @@
 from jasminewheel._internal.gateway.routes import CallKind, Route, TargetShare
 from jasminewheel._internal.gateway.runners import Runner, RunnerDirectory
 from jasminewheel._internal.wire.gen.conversation import ttypes as wire
-from jasminewheel.errors import CallError, ConnectionLostError, PeerError
+from jasminewheel.errors import (
+    AnswerMemoryError,
+    AnswerTooLongError,
+    CallError,
+    ConnectionLostError,
+    PeerError,
+)
 
 # The users' limits: three more tries once a loss is no longer forgiven.
 CONTACT_SECONDS = 4.0
@@ -68,6 +74,8 @@
     crashed_at: list = field(factory=list)
     ended: dict = field(factory=dict)
     starts: int = 0
+    # Raised in place of an answer.
+    own_error: ConnectionLostError | None = None
     refused: int = 0
 
     def start(self, nursery) -> None:
@@ -115,6 +123,8 @@
             self.ended[name].set()
         if self.ended[name].is_set():
             raise ConnectionLostError('the connection broke off')
+        if self.own_error:
+            raise self.own_error
         yield CrashingAnswer()
 
     async def send(self, entry: int, number: int, body: bytes, kind) -> bool:
@@ -214,6 +224,22 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize('kind', [AnswerMemoryError, AnswerTooLongError])
+def test_limit_of_this_process_condemns_no_call(kind):
+    """The runner has not ended, however often the answer is given up."""
+
+    async def scenario(world) -> None:
+        world.own_error = kind('too large')
+        async with trio.open_nursery() as nursery:
+            for number in range(2 * MAX_CRASHES):
+                nursery.start_soon(
+                    world.send, number, number, b'', CallKind.streaming
+                )
+        assert not any(one.crashes.board.calls for one in world.senders)
+
+    _run(scenario)
+
+
 def _call(**fields) -> Call:
     standard = {'call_id': 'q', 'host': 'h', 'path': '/', 'body': b'1'}
     named = {**standard, **fields}
