--- a/src/jasminewheel/_internal/crashes/crash_exchange.py
+++ b/src/jasminewheel/_internal/crashes/crash_exchange.py
@@ -75,6 +75,7 @@
         with trio.move_on_after(min(request.wait_seconds or 0, WAIT_SECONDS)):
             while self.version == (request.version or 0):
                 await self.board.changed.wait()
+                await trio.sleep(COLLECT_SECONDS)
         if self.version == request.version:
             return wire.KnownCrashes(version=self.version, calls=[])
         now = trio.current_time()
@@ -92,6 +93,8 @@
     guard: CrashGuard
     # The versions that are known, by the address of their replica.
     versions: dict[str, int] = field(factory=dict)
+    # The replicas that did not answer last.
+    failing: set[str] = field(factory=set)
 
     async def run(self) -> None:
         """Exchange until cancelled."""
@@ -140,7 +143,7 @@
                 timeout_seconds=TELL_TIMEOUT_SECONDS,
             )
         except JasminewheelError as error:
-            _log_failure(member, error)
+            self.record_failure(member, error)
             return False
         return True
 
@@ -172,8 +175,9 @@
                 timeout_seconds=WAIT_SECONDS + REPLY_SECONDS,
             )
         except JasminewheelError as error:
-            _log_failure(member, error)
+            self.record_failure(member, error)
             return False
+        self.failing.discard(member.address)
         now = trio.current_time()
         for told in reply.calls or ():
             add_to_board(self.guard.board, told, now)
@@ -181,6 +185,13 @@
         self.versions[member.address] = reply.version or 0
         return True
 
+    def record_failure(self, member: Replica, error: JasminewheelError) -> None:
+        """Log the first failure of a replica since it answered."""
+        if member.address in self.failing:
+            return
+        self.failing.add(member.address)
+        events.NOT_EXCHANGED.log(_LOGGER, replica=member.address, problem=error)
+
 
 def _aged(told: wire.CallCrashes, seconds: float) -> wire.CallCrashes:
     completed = told.completed_age_seconds
@@ -196,7 +207,3 @@
         if completed is None
         else completed + seconds,
     )
-
-
-def _log_failure(member: Replica, error: JasminewheelError) -> None:
-    events.NOT_EXCHANGED.log(_LOGGER, replica=member.address, problem=error)
