Tell replicas of crashes by their times, and age them when they are sent

Cause: reading the change again: what was to be told was converted to ages at once, and a second function aged these messages again before each retry.

Change: the histories, which hold times, are handed on, and converted at each try. _aged goes, and two variables with it.

Result: behaviour is unchanged; lint and test_crashing_calls.py pass.

--- a/src/jasminewheel/_internal/crashes/crash_exchange.py
+++ b/src/jasminewheel/_internal/crashes/crash_exchange.py
@@ -1,6 +1,7 @@
 """Tell all entries, through the replicas, under which calls runners end."""
 
 import logging
+from collections.abc import Mapping
 from random import Random
 
 import trio
@@ -8,7 +9,7 @@
 
 from jasminewheel._internal.conversation.replica_set import Replica
 from jasminewheel._internal.conversation.set_holder import SetHolder
-from jasminewheel._internal.crashes.crash_board import CrashBoard
+from jasminewheel._internal.crashes.crash_board import CallHistory, CrashBoard
 from jasminewheel._internal.crashes.crash_guard import CrashGuard
 from jasminewheel._internal.crashes.wire_histories import (
     add_to_board,
@@ -108,33 +109,27 @@
 
     def tell_all(self, nursery: trio.Nursery) -> None:
         """Start to tell each replica what is new here."""
-        now = trio.current_time()
-        calls = [
-            history_to_wire(call, history, now)
-            for call, history in self.guard.take_untold().items()
-        ]
+        untold = self.guard.take_untold()
         for member in self.sets.current.members:
-            nursery.start_soon(self.tell, member, calls)
+            nursery.start_soon(self.tell, member, untold)
 
     async def tell(
-        self, member: Replica, calls: list[wire.CallCrashes]
+        self, member: Replica, untold: Mapping[bytes, CallHistory]
     ) -> None:
         """Tell one replica, again if it does not answer."""
-        told_at = trio.current_time()
         tries = 1
-        aged = calls
-        while not await self.try_to_tell(member, aged):
+        while not await self.try_to_tell(member, untold):
             if tries == TELL_TRIES:
                 return
             tries += 1
             await trio.sleep(RETRY_SECONDS)
-            passed = trio.current_time() - told_at
-            aged = [_aged(one, passed) for one in calls]
 
     async def try_to_tell(
-        self, member: Replica, calls: list[wire.CallCrashes]
+        self, member: Replica, untold: Mapping[bytes, CallHistory]
     ) -> bool:
         """Tell one replica; return whether it answered."""
+        now = trio.current_time()
+        calls = [history_to_wire(*one, now) for one in untold.items()]
         try:
             await self.pool.ask(
                 member.address,
@@ -191,19 +186,3 @@
             return
         self.failing.add(member.address)
         events.NOT_EXCHANGED.log(_LOGGER, replica=member.address, problem=error)
-
-
-def _aged(told: wire.CallCrashes, seconds: float) -> wire.CallCrashes:
-    completed = told.completed_age_seconds
-    return wire.CallCrashes(
-        call=told.call,
-        crashes=[
-            wire.RunnerCrash(
-                runner=one.runner, age_seconds=one.age_seconds + seconds
-            )
-            for one in told.crashes
-        ],
-        completed_age_seconds=None
-        if completed is None
-        else completed + seconds,
-    )
