Look at one call only when a crash is added to the board

Cause: reading the change again: each added crash went through all calls of the board, up to 1,024, to forget old ones; a reply with many calls did so for each of their crashes. Whoever listens forgets old calls at each reply anyway.

Change: a crash looks at the history of its own call, which begins anew if it is old.

Result: behaviour is unchanged (test_crashes_of_long_ago_do_not_add_up, test_board_is_bounded_and_forgets); lint and test_crashing_calls.py pass.

--- a/src/jasminewheel/_internal/crashes/crash_board.py
+++ b/src/jasminewheel/_internal/crashes/crash_board.py
@@ -59,15 +59,21 @@
 
     def add_crash(self, call: bytes, runner: str, at: float) -> bool:
         """Record that a runner ended under a call; return if it was news."""
-        self.forget(at)
-        if call not in self.calls:
-            self.make_room()
-        history = self.calls.setdefault(call, CallHistory())
+        history = self.calls.get(call)
+        if history is None or history.latest_at() < at - MEMORY_SECONDS:
+            history = self.begin_history(call)
         news = history.add_crash(runner, at)
         if news and len(history.crashes) >= TOLD_CRASHES:
             self.wake()
         return news
 
+    def begin_history(self, call: bytes) -> CallHistory:
+        """Return a new history of a call, in place of a former one."""
+        self.calls.pop(call, None)
+        self.make_room()
+        self.calls[call] = CallHistory()
+        return self.calls[call]
+
     def add_completion(self, call: bytes, at: float) -> bool:
         """Record that a runner answered a call; return if it was cleared."""
         history = self.calls.get(call)
