Name what delays a process at the store, and the figures in two messages

Cause: reading the change again: a turn is a caller's request in this product, and FetchTurn was none; the refusal of a call that ends runners told neither how many nor for how long, a packed value that is too large not its size.

Change: FetchTurn is FetchDelay; both messages have their figures.

Result: behaviour is unchanged but for the two texts; lint, test_crashing_calls.py, test_packed_value.py, test_large_values.py and test_followed_store.py pass.

--- a/src/jasminewheel/_internal/gateway/attempts.py
+++ b/src/jasminewheel/_internal/gateway/attempts.py
@@ -6,6 +6,7 @@
 import trio
 from attrs import define, field, frozen
 
+from jasminewheel._internal.crashes.crash_board import MAX_CRASHES
 from jasminewheel._internal.crashes.crash_guard import CrashGuard
 from jasminewheel._internal.events import gateway as events
 from jasminewheel._internal.gateway.call import Call
@@ -222,7 +223,8 @@
         if barred:
             raise unanswered_error(
                 record,
-                'several runners ended while they ran this call',
+                f'at least {MAX_CRASHES} runners ended while they ran this'
+                f' call; it is sent to none for {barred:.1f} s',
                 retry_after_seconds=barred,
             )
         view = None
--- a/src/jasminewheel/_internal/store/fetch_turn.py
+++ b/src/jasminewheel/_internal/store/fetch_delay.py
@@ -11,7 +11,7 @@
 FETCH_BYTES_PER_SECOND = 12500000
 MAX_SPREAD_SECONDS = 1.5
 # How long a process that has items waits for a reader's before it reads all
-# keys of the store: at least so long, and so much longer in its turn. All
+# keys of the store: at least so long, and so much longer by its address. All
 # followers need them at once, and the readers do first.
 READ_ALL_DELAY_SECONDS = 1.0
 READ_ALL_SPREAD_SECONDS = 2.0
@@ -19,8 +19,8 @@
 
 
 @frozen
-class FetchTurn:
-    """Tell when a process takes its turn at the store."""
+class FetchDelay:
+    """Tell how long a process leaves the store to others."""
 
     address: str
 
@@ -29,11 +29,11 @@
         """Return a number from 0 to 1 that differs between processes."""
         return crc32(self.address.encode()) / _HASH_RANGE
 
-    def watch_delay_seconds(self, followers: int, largest_bytes: int) -> float:
-        """Return how long the process leaves the store's watch to others."""
+    def watch_seconds(self, followers: int, largest_bytes: int) -> float:
+        """Return how long it does not watch the store itself."""
         needed = followers * largest_bytes / FETCH_BYTES_PER_SECOND
         return self.position * min(needed, MAX_SPREAD_SECONDS)
 
-    def read_all_delay_seconds(self) -> float:
+    def read_all_seconds(self) -> float:
         """Return how long it waits for a reader's keys after a loss."""
         return READ_ALL_DELAY_SECONDS + self.position * READ_ALL_SPREAD_SECONDS
--- a/src/jasminewheel/_internal/store/followed_store.py
+++ b/src/jasminewheel/_internal/store/followed_store.py
@@ -11,7 +11,7 @@
 from jasminewheel._internal.parallel import first_result
 from jasminewheel._internal.peer.pool import PeerPool
 from jasminewheel._internal.store.contact import StoreContact
-from jasminewheel._internal.store.fetch_turn import FetchTurn
+from jasminewheel._internal.store.fetch_delay import FetchDelay
 from jasminewheel._internal.store.large_changes import watch_store
 from jasminewheel._internal.store.large_values import LargeValues
 from jasminewheel._internal.store.port import (
@@ -65,7 +65,7 @@
     # The longest waits at a reader, and of a reader's own watch.
     follow_seconds: float = FOLLOW_SECONDS
     watch_seconds: float = READER_WATCH_SECONDS
-    turn: FetchTurn = field(init=False)
+    fetch_delay: FetchDelay = field(init=False)
     # From and until when the store is read directly.
     direct_from: float = -math.inf
     direct_until: float = -math.inf
@@ -80,7 +80,7 @@
         self.client = ReaderClient(
             self.pool, self.readers, self.contact, self.values
         )
-        self.turn = FetchTurn(self.readers.own_address)
+        self.fetch_delay = FetchDelay(self.readers.own_address)
         self.own_watch = ReaderWatch(
             self.store, self.client, self.follow_seconds
         )
@@ -121,7 +121,7 @@
 
     async def read_all_later(self) -> StoreSnapshot:
         """Read all values of the store, later at some processes."""
-        await trio.sleep(self.turn.read_all_delay_seconds())
+        await trio.sleep(self.fetch_delay.read_all_seconds())
         return await self.store.snapshot()
 
     async def ask_for_all(self) -> StoreSnapshot:
@@ -166,7 +166,7 @@
         was_silent = now - asked_at >= self.follow_seconds + REPLY_SECONDS
         if was_silent or self.failed_rounds >= ROUNDS_TRIED:
             self.failed_rounds = 0
-            self.direct_from = now + self.turn.watch_delay_seconds(
+            self.direct_from = now + self.fetch_delay.watch_seconds(
                 self.readers.followers(), self.values.largest_bytes()
             )
             self.direct_until = self.direct_from + DIRECT_SECONDS
--- a/src/jasminewheel/_internal/store/packed_value.py
+++ b/src/jasminewheel/_internal/store/packed_value.py
@@ -30,9 +30,10 @@
 def unpack(packed: bytes, base: bytes = b'') -> bytes:
     """Return the value; raise PeerError if it is unreadable or too large."""
     try:
-        if zstandard.frame_content_size(packed) > MAX_UNPACKED_BYTES:
+        size = zstandard.frame_content_size(packed)
+        if size > MAX_UNPACKED_BYTES:
             raise PeerError(
-                f'a packed value exceeds {MAX_UNPACKED_BYTES} bytes'
+                f'a packed value of {size} bytes exceeds {MAX_UNPACKED_BYTES}'
             )
         decompressor = zstandard.ZstdDecompressor(dict_data=_dictionary(base))
         return decompressor.decompress(
