--- a/review/stand-ins-2/recovery.py
+++ b/review/stand-ins-2/recovery.py
@@ -5,7 +5,9 @@
 
 from small_platform import BOUNDS
 
-BEFORE, AFTER, GAP_S = 12, 32, 0.35
+BEFORE, GAP_S = 12, 0.3
+# The last seconds before RecoverS, and how long first turns go on after it.
+LAST_S, AFTER_S = 4, 5
 RUNNER = 'i-7f3a91c2'
 
 
@@ -77,32 +79,38 @@
 
 
 async def judge_recovery(fleet, entries, last):
-    """Wait for RecoverS, send turns, note RECOVER and judge LOST."""
-    back = asyncio.get_running_loop().time()
-    await asyncio.sleep(BOUNDS['RecoverS'])
-    after, tries = 0, []
-    for number in range(AFTER):
+    """Send turns after a final fault, judge LOST and note RECOVER.
+
+    New programs go on from a turn made before it until RecoverS has elapsed;
+    first turns are sent beside them, and for a while longer.
+    """
+    clock = asyncio.get_running_loop().time
+    back = clock()
+    recovered = back + BOUNDS['RecoverS']
+    runs = fleet.runners[RUNNER].runs
+    tries, after, served, number = [], 0, 0, 0
+    while clock() < recovered + AFTER_S:
+        began = clock()
         call = f'77d20b7c14da6f{number:02x}'
+        previous = last if number % 2 and began < recovered else ''
+        if previous and began > recovered - LAST_S:
+            tries.append(call)
         entry = entries[number % len(entries)]
-        previous = last if number % 2 else ''
-        # After a final fault new programs go on from turns made before it.
-        program = f'p2{number}'
-        due = asyncio.get_running_loop().time() + GAP_S
-        if previous:
-            tries.append((fleet.record.now(), call))
-        answer = await fleet.turn(entry, call, program, previous)
-        after += answer.status == 200 and answer.whole
-        await asyncio.sleep(max(0, due - asyncio.get_running_loop().time()))
-    elapsed = asyncio.get_running_loop().time() - back
-    fleet.record.line(f'RECOVER: {after} of {AFTER} turns served from '
-                      f'{BOUNDS["RecoverS"]} to {elapsed:.1f} s after all '
+        answer = await fleet.turn(entry, call, f'p2{number}', previous)
+        if began > recovered:
+            after += 1
+            served += answer.status == 200 and answer.whole
+        number += 1
+        await asyncio.sleep(max(0, began + GAP_S - clock()))
+    fleet.record.line(f'RECOVER: {served} of {after} turns served that were '
+                      f'sent later than {BOUNDS["RecoverS"]} s after all '
                       'machines were back')
-    ran = {call for call, _, _ in fleet.runners[RUNNER].runs}
-    late = [call for at, call in tries if at > fleet.record.now() - 4]
-    reached = [call for call in late if call in ran]
-    fleet.record.line(f'LOST: {last} was answered whole; of {len(late)} turns '
-                      'that go on from it in the last 4 s, '
-                      f'{len(reached)} reached a runner; the runner is idle')
-    if len(late) < 5:
+    ran = {call for call, _, _ in runs}
+    reached = [call for call in tries if call in ran]
+    fleet.record.line(f'LOST: {last} was answered whole; of {len(tries)} turns '
+                      f'that go on from it in the last {LAST_S} s before '
+                      f'RecoverS, {len(reached)} reached a runner; the runner '
+                      'is idle')
+    if len(tries) < 5:
         raise RuntimeError('too few turns to judge')
     return not reached
